--- /dev/null
+++ b/include/spokesail/controller.h
@@ -0,0 +1,135 @@
+// The hall controller: holds the lease, keeps the placement, orders loads.
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "spokesail/lease.h"
+#include "spokesail/placement.h"
+
+namespace spokesail {
+
+/// What a backend server is told to do.
+enum class order_kind { load, release };
+
+/// An order to one backend server.
+struct order {
+  order_kind kind = order_kind::load;
+  std::string host;
+  std::string address;
+  int64_t fence = 0;
+  std::string group;
+  int64_t incarnation = 0;
+  std::string model;
+  std::string version;
+  std::vector<std::string> adapters;
+  /// Addresses of all members in order of rank, the leader's first.
+  std::vector<std::string> members;
+  int rank = 0;
+  /// The order must not be sent at or after this time.
+  absl::Time not_after;
+  bool operator==(const order&) const = default;
+};
+
+/// How an order ended.
+enum class order_status { accepted, refused, unreachable };
+
+/// Timing of a controller.
+struct controller_timing {
+  lease_timing lease;
+  /// An order is given up on after this long.
+  absl::Duration order_deadline = absl::Seconds(1);
+  /// An accepted order is repeated if the host still reports otherwise.
+  absl::Duration order_repeat = absl::Seconds(2);
+  absl::Duration plan_every = absl::Milliseconds(200);
+  absl::Duration drain_settle = absl::Seconds(3);
+};
+
+/// What one step of the controller asks for.
+struct controller_actions {
+  std::optional<platform_call> lease_call;
+  std::optional<platform_call> placement_call;
+  std::vector<order> orders;
+  std::vector<plan_change> changes;
+};
+
+/// What a controller looks at in one step.
+struct controller_view {
+  const configuration* config = nullptr;
+  std::string hall;
+  std::map<std::string, host_view> hosts;
+  /// The placement document as last heard of; version 0 if there is none.
+  object placement_object;
+};
+
+/// One candidate's controller of its data hall. It acts only while it holds
+/// the lease, and writes the placement once under its own fencing number
+/// before it relies on it, so that no older holder's write can follow.
+class controller {
+ public:
+  controller() = default;
+  controller(const std::string& hall, const std::string& self,
+             controller_timing timing);
+
+  /// The lease, for observing versions of its document.
+  lease& hall_lease() { return this->own_lease; }
+  const lease& hall_lease() const { return this->own_lease; }
+
+  /// Whether it leads the hall at `now`.
+  bool leads(absl::Time now) const { return this->own_lease.held(now); }
+
+  /// Decides what is to be done at `now`.
+  controller_actions step(const controller_view& view, absl::Time now,
+                          const std::string& write_id);
+
+  /// Takes the answer to the placement call. Gives the object if it is newer.
+  std::optional<object> on_placement_answer(const platform_answer& answer);
+
+  /// Takes the end of an order.
+  void on_order(const std::string& host, order_status status, absl::Time now);
+
+ private:
+  struct order_record {
+    absl::Time sent_at = absl::InfinitePast();
+    bool out = false;
+    order_status status = order_status::accepted;
+    std::string group;
+    int64_t incarnation = 0;
+  };
+
+  void follow_lease(absl::Time now);
+  std::optional<platform_call> write_placement(const placement& next,
+                                               const std::string& write_id);
+  std::optional<platform_call> advance_placement(const controller_view& view,
+                                                 absl::Time now,
+                                                 const std::string& write_id,
+                                                 controller_actions& actions);
+  std::vector<order> due_orders(const controller_view& view, absl::Time now);
+  plan_input make_plan_input(const controller_view& view, absl::Time now) const;
+  void note_draining(absl::Time now);
+  bool may_send(const std::string& host, absl::Time now) const;
+
+  std::string hall;
+  controller_timing timing;
+  lease own_lease;
+  std::shared_ptr<const domain_policy> policy;
+  int64_t led_fence = -1;
+  absl::Time led_since = absl::InfiniteFuture();
+  bool taken_over = false;
+  bool fresh = false;
+  object base;
+  placement current;
+  std::optional<document_write> write;
+  bool placement_call_out = false;
+  std::vector<plan_change> pending_changes;
+  absl::Time next_plan = absl::InfinitePast();
+  std::map<std::string, absl::Time> draining_since;
+  std::map<std::string, order_record> orders;
+};
+
+}  // namespace spokesail
--- /dev/null
+++ b/include/spokesail/effect.h
@@ -0,0 +1,145 @@
+// Everything that a node may ask its executor to do, as data.
+#pragma once
+
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "spokesail/event.h"
+
+namespace spokesail {
+
+/// Hold the platform's watches, or let go of them.
+struct watch_effect {
+  bool enabled = false;
+  bool operator==(const watch_effect&) const = default;
+};
+
+/// Read the watched kinds once, without a watch.
+struct poll_effect {
+  bool operator==(const poll_effect&) const = default;
+};
+
+/// Make one platform call.
+struct platform_effect {
+  call_owner owner = call_owner::poll;
+  platform_call call;
+  bool operator==(const platform_effect&) const = default;
+};
+
+/// Ask a backend server for its report.
+struct probe_effect {
+  std::string host;
+  std::string address;
+  /// Plain services are asked for their health only.
+  bool service = false;
+  bool operator==(const probe_effect&) const = default;
+};
+
+/// Send an order to a backend server.
+struct order_effect {
+  order content;
+  bool operator==(const order_effect&) const = default;
+};
+
+/// Send a beat to a peer.
+struct beat_effect {
+  std::string address;
+  beat content;
+  bool operator==(const beat_effect&) const = default;
+};
+
+/// Answer a beat.
+struct beat_ack_effect {
+  uint64_t token = 0;
+  beat_ack content;
+  bool operator==(const beat_ack_effect&) const = default;
+};
+
+/// Pass objects on to a peer.
+struct push_effect {
+  std::string address;
+  std::vector<object> objects;
+  bool operator==(const push_effect&) const = default;
+};
+
+/// Ask a peer for what is newer there.
+struct pull_effect {
+  std::string address;
+  std::vector<object_stamp> known;
+  bool operator==(const pull_effect&) const = default;
+};
+
+/// Answer a peer's question for what is newer here.
+struct pull_reply_effect {
+  uint64_t token = 0;
+  std::vector<object> objects;
+  bool operator==(const pull_reply_effect&) const = default;
+};
+
+/// Start an attempt.
+struct start_effect {
+  attempt_start content;
+  bool operator==(const start_effect&) const = default;
+};
+
+/// Give an attempt up: cancel it and close its connection.
+struct cancel_effect {
+  std::string attempt;
+  bool operator==(const cancel_effect&) const = default;
+};
+
+/// Give a request its end.
+struct finish_effect {
+  uint64_t request = 0;
+  outcome result;
+  bool operator==(const finish_effect&) const = default;
+};
+
+/// One field of a log line.
+struct log_field {
+  std::string key;
+  std::string value;
+  bool operator==(const log_field&) const = default;
+};
+
+/// Write a log line; an audited one goes into the platform's audit trail too.
+struct log_effect {
+  std::string name;
+  std::vector<log_field> fields;
+  bool audited = false;
+  bool operator==(const log_effect&) const = default;
+};
+
+/// Answer a status question with JSON text.
+struct status_effect {
+  uint64_t token = 0;
+  std::string text;
+  bool operator==(const status_effect&) const = default;
+};
+
+/// The node's readiness and its counts changed.
+struct gauges_effect {
+  bool ready = false;
+  int64_t revision = 0;
+  int open_groups = 0;
+  int stranded_accelerators = 0;
+  int members = 0;
+  int queued = 0;
+  bool leads = false;
+  bool operator==(const gauges_effect&) const = default;
+};
+
+/// All requests have ended after a stop: the process may exit.
+struct exit_effect {
+  bool operator==(const exit_effect&) const = default;
+};
+
+using effect =
+    std::variant<watch_effect, poll_effect, platform_effect, probe_effect,
+                 order_effect, beat_effect, beat_ack_effect, push_effect,
+                 pull_effect, pull_reply_effect, start_effect, cancel_effect,
+                 finish_effect, log_effect, status_effect, gauges_effect,
+                 exit_effect>;
+
+}  // namespace spokesail
--- /dev/null
+++ b/include/spokesail/requests.h
@@ -0,0 +1,217 @@
+// The life of a request at an entry host: queue, attempts, outcome.
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "spokesail/admission.h"
+#include "spokesail/config.h"
+#include "spokesail/routing.h"
+
+namespace spokesail {
+
+/// Whether a request goes to a model's groups or to a plain service.
+enum class target_kind { model, service };
+
+/// A caller's request, without its body.
+struct request_info {
+  uint64_t id = 0;
+  target_kind kind = target_kind::model;
+  /// Name of the model or service.
+  std::string target;
+  std::string workspace;
+  int priority = 0;
+  bool repeatable = true;
+  /// Whether the caller said so itself; if not, the service's list of methods
+  /// decides.
+  bool repeatable_stated = false;
+  std::string method;
+  /// Idempotency key; empty if the caller gave none.
+  std::string key;
+  absl::Time deadline;
+  std::optional<uint64_t> prefix;
+  /// Expected cost against others in the queue.
+  double cost = 1;
+  /// Whether another data hall's entry host has sent it here.
+  bool hopped = false;
+  bool operator==(const request_info&) const = default;
+};
+
+/// What the caller is told in the end.
+enum class outcome_kind { answered, refused, failed };
+
+/// The end of a request. `refused` says that it was not run, `failed` that it
+/// may have run.
+struct outcome {
+  outcome_kind kind = outcome_kind::answered;
+  int http_status = 200;
+  std::string code;
+  std::string reason;
+  /// When to come back; zero if it makes no difference.
+  absl::Duration retry_after = absl::ZeroDuration();
+  bool operator==(const outcome&) const = default;
+};
+
+/// How one attempt ended.
+enum class attempt_end {
+  /// The whole answer was passed on, whatever its status.
+  whole,
+  /// The backend server did not start it, for certain.
+  not_started,
+  /// It may have run; a part of the answer may have come.
+  broken
+};
+
+/// Where an attempt goes.
+struct attempt_target {
+  /// Name of the group, service host or entry host.
+  std::string name;
+  std::string address;
+  int64_t incarnation = 0;
+  bool remote_hall = false;
+  bool operator==(const attempt_target&) const = default;
+};
+
+/// An attempt to start.
+struct attempt_start {
+  uint64_t request = 0;
+  /// Unique over all attempts of all nodes; echoed by the backend server.
+  std::string attempt;
+  attempt_target target;
+  /// A call that may not be repeated goes over a new connection, since a
+  /// failed write on an old one leaves open whether it ran.
+  bool new_connection = false;
+  bool operator==(const attempt_start&) const = default;
+};
+
+/// What the request table asks for.
+struct request_actions {
+  std::vector<attempt_start> starts;
+  /// Attempts to give up; their requests go on or have ended.
+  std::vector<std::string> cancels;
+  struct finish {
+    uint64_t request = 0;
+    outcome result;
+    bool operator==(const finish&) const = default;
+  };
+  std::vector<finish> finishes;
+};
+
+/// A place for requests at this moment, as the reducer sees it.
+struct open_place {
+  attempt_target target;
+  int capacity = 1;
+  int share = 1;
+  int reported = 0;
+};
+
+/// What the request table needs to know of the world.
+class place_finder {
+ public:
+  virtual ~place_finder() = default;
+  /// Places of this data hall that take requests now.
+  virtual std::vector<open_place> open_places(
+      target_kind kind, const std::string& target) const = 0;
+  /// Whether an attempt there can still end well: all members of the group
+  /// are present, also when it drains and takes no new requests.
+  virtual bool holds(target_kind kind, const attempt_target& target) const = 0;
+  /// Entry hosts of other data halls that have an open place.
+  virtual std::vector<attempt_target> other_halls(
+      target_kind kind, const std::string& target) const = 0;
+  /// The accepted configuration; null before there is one.
+  virtual const configuration* config() const = 0;
+  /// A guess at when a place opens, for callers who are sent away.
+  virtual absl::Duration reopen_guess(const std::string& target) const = 0;
+};
+
+/// All requests that this entry host has accepted and not yet ended.
+class request_table {
+ public:
+  request_table() = default;
+  request_table(std::string node, uint64_t boot)
+      : node(std::move(node)), boot(boot) {}
+
+  void arrive(const request_info& info, const place_finder& world,
+              random_stream& random, absl::Time now, request_actions& out);
+
+  void attempt_ended(uint64_t request, const std::string& attempt,
+                     attempt_end end, const place_finder& world,
+                     random_stream& random, absl::Time now,
+                     request_actions& out);
+
+  /// The caller hung up.
+  void caller_gone(uint64_t request, request_actions& out);
+
+  /// Deadlines, groups that closed under their attempts, queues that move.
+  void step(const place_finder& world, random_stream& random, absl::Time now,
+            request_actions& out);
+
+  /// From now on new requests are refused.
+  void stop() { this->stopping = true; }
+
+  size_t size() const { return this->requests.size(); }
+  size_t queued() const;
+  /// Where a running attempt is; nothing if it has been given up.
+  std::optional<attempt_target> where(uint64_t request,
+                                      const std::string& attempt) const;
+  /// Attempts of this node that run at a place.
+  int in_flight(const std::string& place) const;
+
+ private:
+  struct entry {
+    request_info info;
+    int weight = 1;
+    bool queued = false;
+    absl::Time queued_since;
+    std::string attempt;
+    attempt_target target;
+    int attempts = 0;
+    int failures = 0;
+    /// Places that failed it, and until when they are passed over.
+    std::vector<std::string> avoided;
+    absl::Time avoid_until = absl::InfinitePast();
+  };
+  struct pool_key {
+    target_kind kind;
+    std::string target;
+    auto operator<=>(const pool_key&) const = default;
+  };
+  struct pool {
+    fair_queue queue;
+    /// Mean time that an attempt holds its place, for guesses at the wait.
+    double service_seconds = 1;
+  };
+
+  std::optional<outcome> reason_to_refuse(const request_info& info,
+                                          const place_finder& world,
+                                          absl::Time now);
+  void finish(uint64_t id, outcome result, request_actions& out);
+  void leave_place(entry& e);
+  void pump(const pool_key& key, const place_finder& world,
+            random_stream& random, absl::Time now, request_actions& out);
+  bool start_one(entry& e, const place_finder& world, random_stream& random,
+                 absl::Time now, request_actions& out);
+  void retry(entry& e, attempt_end end, const place_finder& world,
+             random_stream& random, absl::Time now, request_actions& out);
+  void give_up_closed(const place_finder& world, random_stream& random,
+                      absl::Time now, request_actions& out);
+  absl::Duration queue_wait(const pool& p, int places) const;
+  outcome refuse_closed(const entry& e, const place_finder& world) const;
+
+  std::string node;
+  uint64_t boot = 0;
+  bool stopping = false;
+  std::map<uint64_t, entry> requests;
+  std::map<pool_key, pool> pools;
+  std::map<std::string, int> running;
+  std::map<std::string, token_bucket> rates;
+  token_bucket retry_budget{0, 20};
+  uint64_t attempt_count = 0;
+};
+
+}  // namespace spokesail
--- /dev/null
+++ b/include/spokesail/settings.h
@@ -0,0 +1,64 @@
+// The settings of one `spokesail serve` process, read from a YAML file.
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <boost/leaf.hpp>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "spokesail/reducer.h"
+
+namespace spokesail {
+
+/// One thing that is wrong with a YAML file.
+struct yaml_fault {
+  std::string file;
+  /// Counted from 1; 0 if the file could not be read.
+  int line = 0;
+  std::string key;
+  std::string given;
+  std::string allowed;
+  bool operator==(const yaml_fault&) const = default;
+};
+
+/// The error of reading settings or configuration: all faults at once.
+struct yaml_error {
+  std::vector<yaml_fault> faults;
+};
+
+/// A fault as one line for people.
+std::string describe(const yaml_fault& fault);
+
+/// A peer that the settings name.
+struct peer_setting {
+  std::string hall;
+  std::string address;
+  bool operator==(const peer_setting&) const = default;
+};
+
+/// Bounds on what callers may use of one node.
+struct entry_limits {
+  int connections = 512;
+  /// Largest request body, in bytes.
+  int64_t body_bytes = 1 << 20;
+  /// A request must have arrived whole within this time.
+  absl::Duration read_deadline = absl::Seconds(10);
+  bool operator==(const entry_limits&) const = default;
+};
+
+/// Everything that a process learns from its settings file.
+struct settings {
+  member_info self;
+  std::string platform_address;
+  absl::Duration platform_deadline = absl::Seconds(1);
+  std::vector<peer_setting> peers;
+  entry_limits limits;
+  node_options node;
+};
+
+/// Reads and checks a settings file. Fails with a `yaml_error`.
+boost::leaf::result<settings> read_settings(const std::string& file);
+
+}  // namespace spokesail
--- /dev/null
+++ b/src/call.cc
@@ -0,0 +1,151 @@
+#include "call.h"
+
+#include <nlohmann/json.hpp>
+
+namespace spokesail {
+namespace {
+
+using json = nlohmann::json;
+
+/// Largest plain answer that is held, in bytes.
+constexpr size_t largest_plain = 16 << 20;
+
+/// Unread bytes of a stream beyond which the attempt waits for the caller.
+constexpr size_t outgoing_limit = 256 << 10;
+
+/// A caller that reads nothing for this long is given up.
+constexpr absl::Duration slow_caller_limit = absl::Seconds(20);
+
+constexpr char end_of_stream[] = "[DONE]";
+
+}  // namespace
+
+void call::resume_from(const partial_answer& had) {
+  absl::MutexLock lock(&this->mutex);
+  this->partial = had;
+}
+
+void call::begin(const std::string& attempt) {
+  absl::MutexLock lock(&this->mutex);
+  this->current = attempt;
+  this->end_mark = false;
+  this->plain.clear();
+}
+
+bool call::head(const std::string& attempt, const exchange_head& head) {
+  absl::MutexLock lock(&this->mutex);
+  if (attempt != this->current || this->end) return false;
+  const bool stream = head.content_type.rfind("text/event-stream", 0) == 0;
+  // A stream that has begun goes on as a stream or not at all.
+  if (this->partial.tokens > 0 && !stream) return false;
+  this->received_head = head;
+  this->event_stream = stream;
+  return true;
+}
+
+bool call::plain_data(const std::string& attempt, const char* data,
+                      size_t size) {
+  absl::MutexLock lock(&this->mutex);
+  if (attempt != this->current || this->end) return false;
+  if (this->plain.size() + size > largest_plain) return false;
+  this->plain.append(data, size);
+  return true;
+}
+
+bool call::model_event(const std::string& attempt, const std::string& data) {
+  absl::MutexLock lock(&this->mutex);
+  const auto ready = [this]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(this->mutex) {
+    return this->outgoing.size() < outgoing_limit || this->end.has_value();
+  };
+  if (!this->mutex.AwaitWithTimeout(absl::Condition(&ready),
+                                    slow_caller_limit)) {
+    return false;
+  }
+  if (attempt != this->current || this->end) return false;
+  if (data == end_of_stream) {
+    this->end_mark = true;
+    return true;
+  }
+  if (this->end_mark) return false;
+  const json j = json::parse(data, nullptr, false);
+  if (!j.is_object() || !j.contains("choices") || j["choices"].empty()) {
+    return false;
+  }
+  const json& choice = j["choices"][0];
+  const int64_t index = choice.value("token_index", this->partial.tokens);
+  if (index < this->partial.tokens) return true;
+  if (index > this->partial.tokens) return false;
+  const std::string text =
+      choice.contains("delta") ? choice["delta"].value("content", "") : "";
+  if (choice.contains("finish_reason") && choice["finish_reason"].is_string()) {
+    this->stop_reason = choice["finish_reason"].get<std::string>();
+  } else {
+    this->partial.tokens++;
+    this->partial.text += text;
+  }
+  this->any = true;
+  if (this->streamed) this->outgoing += sse_event(data);
+  return true;
+}
+
+bool call::complete(const std::string& attempt) const {
+  absl::MutexLock lock(&this->mutex);
+  return attempt == this->current && (!this->event_stream || this->end_mark);
+}
+
+void call::finish(const outcome& result) {
+  absl::MutexLock lock(&this->mutex);
+  this->end = result;
+  this->current.clear();
+}
+
+partial_answer call::so_far() const {
+  absl::MutexLock lock(&this->mutex);
+  return this->partial;
+}
+
+bool call::pending() const {
+  return !this->outgoing.empty() || this->end.has_value();
+}
+
+std::optional<outcome> call::wait_first() {
+  absl::MutexLock lock(&this->mutex);
+  this->mutex.Await(absl::Condition(this, &call::pending));
+  return this->outgoing.empty() ? this->end : std::nullopt;
+}
+
+std::string call::take(absl::Duration limit, bool& ended) {
+  absl::MutexLock lock(&this->mutex);
+  this->mutex.AwaitWithTimeout(absl::Condition(this, &call::pending), limit);
+  std::string out;
+  out.swap(this->outgoing);
+  ended = this->end.has_value();
+  return out;
+}
+
+std::optional<outcome> call::result() const {
+  absl::MutexLock lock(&this->mutex);
+  return this->end;
+}
+
+exchange_head call::answer_head() const {
+  absl::MutexLock lock(&this->mutex);
+  return this->received_head;
+}
+
+std::string call::plain_body() const {
+  absl::MutexLock lock(&this->mutex);
+  return this->plain;
+}
+
+std::string call::finish_reason() const {
+  absl::MutexLock lock(&this->mutex);
+  return this->stop_reason;
+}
+
+bool call::begun() const {
+  absl::MutexLock lock(&this->mutex);
+  return this->any;
+}
+
+}  // namespace spokesail
--- /dev/null
+++ b/src/controller.cc
@@ -0,0 +1,270 @@
+#include "spokesail/controller.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace spokesail {
+
+using json = nlohmann::json;
+
+namespace {
+
+bool matches(const host_report& report, const group& g) {
+  return report.group == g.name && report.incarnation == g.incarnation;
+}
+
+bool warm_for(const host_report& report, const group& g) {
+  return report.model == g.model && report.version == g.version &&
+         report.adapters == g.adapters;
+}
+
+order make_load(const controller_view& view, const group& g, size_t rank) {
+  order o;
+  o.kind = order_kind::load;
+  o.host = g.hosts[rank];
+  o.address = view.hosts.at(o.host).info.address;
+  o.group = g.name;
+  o.incarnation = g.incarnation;
+  o.model = g.model;
+  o.version = g.version;
+  o.adapters = g.adapters;
+  o.rank = static_cast<int>(rank);
+  for (const auto& host : g.hosts) {
+    const auto it = view.hosts.find(host);
+    if (it != view.hosts.end()) o.members.push_back(it->second.info.address);
+  }
+  return o;
+}
+
+}  // namespace
+
+controller::controller(const std::string& hall, const std::string& self,
+                       controller_timing timing)
+    : hall(hall),
+      timing(timing),
+      own_lease(hall, self, timing.lease),
+      policy(make_whole_replica_fit()) {}
+
+void controller::follow_lease(absl::Time now) {
+  const bool leads = this->leads(now);
+  const int64_t fence = leads ? this->own_lease.fence() : -1;
+  if (fence == this->led_fence) return;
+  this->led_fence = fence;
+  this->led_since = leads ? now : absl::InfiniteFuture();
+  this->taken_over = false;
+  this->fresh = false;
+  this->write.reset();
+  this->pending_changes.clear();
+  this->draining_since.clear();
+}
+
+controller_actions controller::step(const controller_view& view, absl::Time now,
+                                    const std::string& write_id) {
+  controller_actions actions;
+  this->follow_lease(now);
+  actions.lease_call = this->own_lease.due(now, write_id + "-lease");
+  if (!this->leads(now)) return actions;
+  actions.placement_call =
+      this->advance_placement(view, now, write_id + "-place", actions);
+  if (this->taken_over) actions.orders = this->due_orders(view, now);
+  return actions;
+}
+
+std::optional<platform_call> controller::advance_placement(
+    const controller_view& view, absl::Time now, const std::string& write_id,
+    controller_actions& actions) {
+  if (this->placement_call_out) return std::nullopt;
+  if (this->write) {
+    this->placement_call_out = true;
+    return next_call(*this->write);
+  }
+  if (!this->fresh) {
+    this->placement_call_out = true;
+    return platform_call{
+        call_kind::read, {kinds::placement, this->hall}, 0, {}};
+  }
+  std::swap(actions.changes, this->pending_changes);
+  // A higher number in the document: this lease has been taken over.
+  if (this->current.fence > this->led_fence) return std::nullopt;
+  if (!this->taken_over) {
+    placement own = this->current;
+    own.hall = this->hall;
+    own.fence = this->led_fence;
+    return this->write_placement(own, write_id);
+  }
+  if (now < this->next_plan || !view.config) return std::nullopt;
+  this->next_plan = now + this->timing.plan_every;
+  this->note_draining(now);
+  auto planned = plan(this->make_plan_input(view, now));
+  if (planned.next == this->current) return std::nullopt;
+  if (!shared_hosts(planned.next).empty()) return std::nullopt;
+  this->pending_changes = std::move(planned.changes);
+  return this->write_placement(planned.next, write_id);
+}
+
+std::optional<platform_call> controller::write_placement(
+    const placement& next, const std::string& write_id) {
+  this->write = make_write(this->base, json(next).dump(), write_id);
+  this->placement_call_out = true;
+  return next_call(*this->write);
+}
+
+std::optional<object> controller::on_placement_answer(
+    const platform_answer& answer) {
+  this->placement_call_out = false;
+  const auto take = [this](const object& found) {
+    this->base = found;
+    this->current = placement{};
+    const json spec = json::parse(found.body, nullptr, false);
+    if (spec.is_object()) this->current = spec.get<placement>();
+    this->fresh = true;
+  };
+  if (!this->write) {
+    if (answer.status == call_status::ok) take(answer.found);
+    if (answer.status == call_status::not_found) {
+      take(object{{kinds::placement, this->hall}, 0, {}, false});
+    }
+    return std::nullopt;
+  }
+  this->write = answered(*this->write, answer);
+  if (!settled(*this->write)) return std::nullopt;
+  const bool applied = this->write->state == write_state::applied;
+  object found = this->write->found;
+  if (applied && !found.body.empty()) {
+    take(found);
+    this->taken_over = this->current.fence == this->led_fence;
+  } else {
+    // Someone else wrote: read again, and write nothing until then.
+    this->fresh = false;
+    this->taken_over = false;
+    this->pending_changes.clear();
+  }
+  this->write.reset();
+  if (!applied) return std::nullopt;
+  return found;
+}
+
+void controller::note_draining(absl::Time now) {
+  std::map<std::string, absl::Time> since;
+  for (const auto& g : this->current.groups) {
+    if (g.phase != group_phase::draining) continue;
+    const auto it = this->draining_since.find(g.name);
+    since[g.name] = it == this->draining_since.end() ? now : it->second;
+  }
+  this->draining_since = std::move(since);
+}
+
+plan_input controller::make_plan_input(const controller_view& view,
+                                       absl::Time now) const {
+  plan_input in;
+  in.config = view.config;
+  in.hall = this->hall;
+  in.hosts = view.hosts;
+  in.current = this->current;
+  in.now = now;
+  in.draining_since = this->draining_since;
+  in.drain_settle = this->timing.drain_settle;
+  in.policy = this->policy.get();
+  // An order of the last holder may still be on its way to a host that does
+  // not check fencing numbers; nor is a host given away under our own order.
+  const absl::Time quiet = this->led_since + 2 * this->timing.order_deadline;
+  for (auto& [name, host] : in.hosts) {
+    if (!host.info.checks_fencing) host.reassign_after = quiet;
+    const auto it = this->orders.find(name);
+    if (it == this->orders.end() || !it->second.out) continue;
+    host.reassign_after = std::max(
+        host.reassign_after, it->second.sent_at + this->timing.order_deadline);
+  }
+  return in;
+}
+
+bool controller::may_send(const std::string& host, absl::Time now) const {
+  const auto it = this->orders.find(host);
+  if (it == this->orders.end()) return true;
+  const auto& last = it->second;
+  if (last.out) {
+    return now >= last.sent_at + 2 * this->timing.order_deadline;
+  }
+  return now >= last.sent_at + this->timing.order_repeat;
+}
+
+std::vector<order> controller::due_orders(const controller_view& view,
+                                          absl::Time now) {
+  struct candidate {
+    const group* g;
+    size_t rank;
+    bool cold;
+  };
+  int loading = 0;
+  std::vector<candidate> due;
+  std::map<std::string, const group*> owner;
+  for (const auto& g : this->current.groups) {
+    for (size_t rank = 0; rank < g.hosts.size(); rank++) {
+      owner[g.hosts[rank]] = &g;
+      const auto it = view.hosts.find(g.hosts[rank]);
+      if (it == view.hosts.end() || !it->second.report) continue;
+      const host_report& report = *it->second.report;
+      if (matches(report, g)) {
+        if (report.phase == host_phase::loading) loading++;
+        continue;
+      }
+      due.push_back({&g, rank, !warm_for(report, g)});
+    }
+  }
+  const auto rank_of = [&](const candidate& c) {
+    const model_config* model =
+        view.config ? find_model(*view.config, c.g->model) : nullptr;
+    const auto missing =
+        std::count_if(due.begin(), due.end(),
+                      [&](const candidate& other) { return other.g == c.g; });
+    return std::tuple(model ? -model->importance : 0, missing, c.g->incarnation,
+                      c.rank);
+  };
+  std::stable_sort(due.begin(), due.end(),
+                   [&](const candidate& a, const candidate& b) {
+                     return rank_of(a) < rank_of(b);
+                   });
+  const int limit = view.config ? view.config->limits.concurrent_loads : 1;
+  std::vector<order> out;
+  for (const auto& c : due) {
+    const std::string& host = c.g->hosts[c.rank];
+    if (!this->may_send(host, now)) {
+      if (c.cold) loading++;
+      continue;
+    }
+    if (c.cold && loading >= limit) continue;
+    if (c.cold) loading++;
+    out.push_back(make_load(view, *c.g, c.rank));
+  }
+  for (const auto& [name, host] : view.hosts) {
+    if (!host.report || host.report->group.empty()) continue;
+    if (owner.count(name) != 0 || !host.info.service.empty()) continue;
+    if (!this->may_send(name, now)) continue;
+    order o;
+    o.kind = order_kind::release;
+    o.host = name;
+    o.address = host.info.address;
+    o.group = host.report->group;
+    o.incarnation = host.report->incarnation;
+    out.push_back(std::move(o));
+  }
+  const absl::Time until = this->own_lease.valid_until_time();
+  for (auto& o : out) {
+    o.fence = this->led_fence;
+    o.not_after = std::min(until, now + this->timing.order_deadline);
+    this->orders[o.host] = {now, true, order_status::accepted, o.group,
+                            o.incarnation};
+  }
+  return out;
+}
+
+void controller::on_order(const std::string& host, order_status status,
+                          absl::Time now) {
+  const auto it = this->orders.find(host);
+  if (it == this->orders.end()) return;
+  it->second.out = false;
+  it->second.status = status;
+  if (status != order_status::accepted) it->second.sent_at = now;
+}
+
+}  // namespace spokesail
--- /dev/null
+++ b/src/detail/http.h
@@ -0,0 +1,52 @@
+// Bits shared by the HTTP adapters.
+#pragma once
+
+#include <absl/time/time.h>
+#include <httplib.h>
+
+#include <memory>
+#include <string>
+
+#include "detail/worker-pool.h"
+
+namespace spokesail::detail {
+
+/// Header names of the system's own.
+inline constexpr char attempt_header[] = "X-Attempt-Id";
+inline constexpr char not_started_header[] = "X-Not-Started";
+inline constexpr char group_header[] = "X-Group";
+inline constexpr char incarnation_header[] = "X-Incarnation";
+inline constexpr char workspace_header[] = "X-Spokesail-Workspace";
+inline constexpr char priority_header[] = "X-Spokesail-Priority";
+inline constexpr char deadline_header[] = "X-Spokesail-Deadline-Ms";
+inline constexpr char repeatable_header[] = "X-Spokesail-Repeatable";
+inline constexpr char hop_header[] = "X-Spokesail-Hop";
+inline constexpr char outcome_header[] = "X-Spokesail-Outcome";
+inline constexpr char request_header[] = "X-Spokesail-Request";
+inline constexpr char key_header[] = "Idempotency-Key";
+
+/// A client of `address` with no delay on small writes.
+std::unique_ptr<httplib::Client> make_client(const std::string& address,
+                                             absl::Duration connect,
+                                             absl::Duration idle);
+
+/// Whether a failed exchange cannot have brought a byte to the server.
+bool never_sent(httplib::Error error);
+
+/// A task queue that runs each connection on a thread of its own, up to a
+/// limit; connections beyond it run on a few threads that only turn away.
+class connection_threads final : public httplib::TaskQueue {
+ public:
+  explicit connection_threads(size_t limit);
+  void enqueue(std::function<void()> fn) override;
+  void shutdown() override;
+
+  /// Whether the calling thread serves a connection beyond the limit.
+  static bool beyond_limit();
+
+ private:
+  worker_pool normal;
+  worker_pool overflow;
+};
+
+}  // namespace spokesail::detail
--- /dev/null
+++ b/src/document.cc
@@ -0,0 +1,73 @@
+#include "spokesail/document.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace spokesail {
+namespace {
+
+using json = nlohmann::json;
+
+constexpr char writes_field[] = "writes";
+
+bool remembers(const object& found, const std::string& write_id) {
+  const auto ids = write_ids(found.body);
+  return std::find(ids.begin(), ids.end(), write_id) != ids.end();
+}
+
+}  // namespace
+
+std::vector<std::string> write_ids(const std::string& body) {
+  const json spec = json::parse(body, nullptr, false);
+  if (!spec.is_object() || !spec.contains(writes_field)) return {};
+  return spec[writes_field].get<std::vector<std::string>>();
+}
+
+document_write make_write(const object& base, const std::string& spec,
+                          const std::string& write_id) {
+  auto ids = write_ids(base.body);
+  ids.push_back(write_id);
+  if (ids.size() > remembered_writes) {
+    ids.erase(ids.begin(), ids.end() - remembered_writes);
+  }
+  json body = json::parse(spec);
+  body[writes_field] = ids;
+  document_write write;
+  write.key = base.key;
+  write.base_version = base.deleted ? 0 : base.version;
+  write.body = body.dump();
+  write.write_id = write_id;
+  return write;
+}
+
+platform_call next_call(const document_write& write) {
+  if (write.state == write_state::reading) {
+    return {call_kind::read, write.key, 0, {}};
+  }
+  return {call_kind::write, write.key, write.base_version, write.body};
+}
+
+document_write answered(document_write write, const platform_answer& answer) {
+  write.attempts++;
+  if (answer.status == call_status::unavailable) return write;
+  if (write.state == write_state::sending) {
+    // Without a resend in between, a conflict can only be another's write;
+    // with one it may be our own that took effect. Reading back tells.
+    const bool ok = answer.status == call_status::ok;
+    write.state = ok ? write_state::applied : write_state::reading;
+    if (ok) write.found = answer.found;
+    return write;
+  }
+  const bool ours = answer.status == call_status::ok &&
+                    remembers(answer.found, write.write_id);
+  write.state = ours ? write_state::applied : write_state::lost;
+  write.found = answer.found;
+  return write;
+}
+
+bool settled(const document_write& write) {
+  return write.state == write_state::applied ||
+         write.state == write_state::lost;
+}
+
+}  // namespace spokesail
--- /dev/null
+++ b/src/domain-policy.cc
@@ -0,0 +1,91 @@
+// The ways to choose a fabric domain for a new replica.
+#include <algorithm>
+#include <tuple>
+
+#include "spokesail/placement.h"
+
+namespace spokesail {
+namespace {
+
+class first_fit final : public domain_policy {
+ public:
+  const char* name() const override { return "first-fit"; }
+  size_t choose(const std::vector<domain_supply>&, int,
+                const std::vector<int>&) const override {
+    return 0;
+  }
+};
+
+class best_fit final : public domain_policy {
+ public:
+  const char* name() const override { return "best-fit"; }
+  size_t choose(const std::vector<domain_supply>& supplies, int,
+                const std::vector<int>&) const override {
+    size_t best = 0;
+    for (size_t i = 1; i < supplies.size(); i++) {
+      const auto& candidate = supplies[i];
+      if (candidate.free_hosts.size() < supplies[best].free_hosts.size()) {
+        best = i;
+      }
+    }
+    return best;
+  }
+};
+
+/// The most hosts of `free` that whole replicas of `sizes` can fill.
+int fillable(int free, const std::vector<int>& sizes) {
+  std::vector<int> most(static_cast<size_t>(free) + 1, 0);
+  for (int n = 1; n <= free; n++) {
+    for (const int size : sizes) {
+      if (size > 0 && size <= n) {
+        const auto rest = static_cast<size_t>(n - size);
+        most[static_cast<size_t>(n)] =
+            std::max(most[static_cast<size_t>(n)], most[rest] + size);
+      }
+    }
+  }
+  return most[static_cast<size_t>(free)];
+}
+
+class whole_replica_fit final : public domain_policy {
+ public:
+  const char* name() const override { return "whole-replica"; }
+  size_t choose(const std::vector<domain_supply>& supplies, int need,
+                const std::vector<int>& sizes) const override {
+    size_t best = 0;
+    for (size_t i = 1; i < supplies.size(); i++) {
+      if (this->cost(supplies[i], need, sizes) <
+          this->cost(supplies[best], need, sizes)) {
+        best = i;
+      }
+    }
+    return best;
+  }
+
+ private:
+  // Hosts that the replica strands; then whether no spare is left beside it;
+  // then warm hosts passed over; then the fuller domain.
+  std::tuple<int, bool, int, int> cost(const domain_supply& supply, int need,
+                                       const std::vector<int>& sizes) const {
+    const int free = static_cast<int>(supply.free_hosts.size());
+    const int before = free - fillable(free, sizes);
+    const int after = (free - need) - fillable(free - need, sizes);
+    return {after - before, free == need, -supply.warm, free};
+  }
+};
+
+}  // namespace
+
+std::unique_ptr<domain_policy> make_first_fit() {
+  return std::make_unique<first_fit>();
+}
+
+std::unique_ptr<domain_policy> make_best_fit() {
+  return std::make_unique<best_fit>();
+}
+
+std::unique_ptr<domain_policy> make_whole_replica_fit() {
+  return std::make_unique<whole_replica_fit>();
+}
+
+}  // namespace spokesail
--- /dev/null
+++ b/src/http-platform.cc
@@ -0,0 +1,225 @@
+// The platform store over HTTP and JSON, after the conventions of Kubernetes.
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/synchronization/mutex.h>
+
+#include <nlohmann/json.hpp>
+
+#include "detail/http.h"
+#include "spokesail/platform.h"
+
+namespace spokesail {
+namespace {
+
+using json = nlohmann::json;
+namespace leaf = boost::leaf;
+
+constexpr char api_root[] = "/apis/spokesail/v1/";
+constexpr char json_type[] = "application/json";
+constexpr int status_ok = 200;
+constexpr int status_created = 201;
+constexpr int status_not_found = 404;
+constexpr int status_conflict = 409;
+constexpr int status_gone = 410;
+
+/// A watch hears a bookmark at least this often, or it has ended.
+constexpr absl::Duration watch_idle = absl::Seconds(3);
+
+/// Connections that are kept for reuse.
+constexpr size_t kept_connections = 4;
+
+int64_t version_of(const json& metadata) {
+  int64_t version = 0;
+  const std::string text = metadata.value("resourceVersion", "0");
+  return absl::SimpleAtoi(text, &version) ? version : 0;
+}
+
+std::optional<object> parse_object(const json& j, const std::string& kind) {
+  if (!j.is_object() || !j.contains("metadata")) return std::nullopt;
+  object o;
+  o.key = {kind, j["metadata"].value("name", "")};
+  o.version = version_of(j["metadata"]);
+  if (j.contains("spec")) o.body = j["spec"].dump();
+  return o;
+}
+
+class http_platform final : public platform_store {
+ public:
+  http_platform(std::string server, absl::Duration limit, call_counter counter)
+      : address(std::move(server)),
+        deadline(limit),
+        count(std::move(counter)) {}
+
+  platform_answer call(const platform_call& call) override {
+    const std::string kind_path = api_root + call.key.kind;
+    const std::string path = kind_path + "/" + call.key.name;
+    if (call.kind == call_kind::read) {
+      return this->answer(call.key.kind, "get", [&](httplib::Client& client) {
+        return client.Get(path);
+      });
+    }
+    json j;
+    j["kind"] = call.key.kind;
+    j["metadata"]["name"] = call.key.name;
+    j["spec"] = json::parse(call.body, nullptr, false);
+    if (call.base_version == 0) {
+      return this->answer(call.key.kind, "create",
+                          [&](httplib::Client& client) {
+                            return client.Post(kind_path, j.dump(), json_type);
+                          });
+    }
+    j["metadata"]["resourceVersion"] = std::to_string(call.base_version);
+    return this->answer(call.key.kind, "put", [&](httplib::Client& client) {
+      return client.Put(path, j.dump(), json_type);
+    });
+  }
+
+  call_status remove(const object_key& key) override {
+    const std::string path = api_root + key.kind + "/" + key.name;
+    return this
+        ->answer(key.kind, "delete",
+                 [&](httplib::Client& client) { return client.Delete(path); })
+        .status;
+  }
+
+  leaf::result<object_list> list(const std::string& kind) override {
+    this->count("list");
+    auto client = this->take();
+    const auto result = client->Get(api_root + kind);
+    if (!result || result->status != status_ok) {
+      return leaf::new_error(platform_error::unavailable);
+    }
+    const json j = json::parse(result->body, nullptr, false);
+    this->give_back(std::move(client));
+    if (!j.is_object() || !j.contains("items")) {
+      return leaf::new_error(platform_error::unavailable);
+    }
+    object_list found;
+    found.version = version_of(j["metadata"]);
+    for (const auto& item : j["items"]) {
+      if (auto o = parse_object(item, kind)) found.objects.push_back(*o);
+    }
+    return found;
+  }
+
+  leaf::result<void> watch(
+      const std::string& kind, int64_t version,
+      const std::function<bool(const object*)>& taken) override {
+    this->count("watch");
+    auto client =
+        detail::make_client(this->address, this->deadline, watch_idle);
+    std::string buffer;
+    bool expired = false;
+    const auto on_line = [&](const std::string& line) {
+      const json j = json::parse(line, nullptr, false);
+      if (!j.is_object()) return false;
+      const std::string type = j.value("type", "");
+      if (type == "BOOKMARK") return taken(nullptr);
+      if (type == "ERROR") {
+        expired = j["object"].value("code", 0) == status_gone;
+        return false;
+      }
+      auto o = parse_object(j["object"], kind);
+      if (!o) return false;
+      o->deleted = type == "DELETED";
+      return taken(&*o);
+    };
+    const auto on_data = [&](const char* data, size_t size) {
+      buffer.append(data, size);
+      size_t end = 0;
+      while ((end = buffer.find('\n')) != std::string::npos) {
+        const std::string line = buffer.substr(0, end);
+        buffer.erase(0, end + 1);
+        if (!line.empty() && !on_line(line)) return false;
+      }
+      return true;
+    };
+    const std::string path =
+        absl::StrCat(api_root, kind, "?watch=1&resourceVersion=", version);
+    const auto result = client->Get(path, on_data);
+    if (result && result->status == status_gone) expired = true;
+    return leaf::new_error(expired ? platform_error::expired
+                                   : platform_error::unavailable);
+  }
+
+ private:
+  template <typename Send>
+  platform_answer answer(const std::string& kind, const std::string& verb,
+                         Send send) {
+    this->count(verb);
+    auto client = this->take();
+    const auto result = send(*client);
+    platform_answer out;
+    // A connection that failed is never used again.
+    if (!result) return out;
+    this->give_back(std::move(client));
+    switch (result->status) {
+      case status_ok:
+      case status_created: {
+        const auto o =
+            parse_object(json::parse(result->body, nullptr, false), kind);
+        if (!o) return out;
+        out.status = call_status::ok;
+        out.found = *o;
+        return out;
+      }
+      case status_not_found:
+        out.status = call_status::not_found;
+        return out;
+      case status_conflict:
+        out.status = call_status::conflict;
+        return out;
+      default:
+        return out;
+    }
+  }
+
+  std::unique_ptr<httplib::Client> take() {
+    {
+      absl::MutexLock lock(&this->mutex);
+      if (!this->idle.empty()) {
+        auto client = std::move(this->idle.back());
+        this->idle.pop_back();
+        return client;
+      }
+    }
+    return detail::make_client(this->address, this->deadline, this->deadline);
+  }
+
+  void give_back(std::unique_ptr<httplib::Client> client) {
+    absl::MutexLock lock(&this->mutex);
+    if (this->idle.size() < kept_connections) {
+      this->idle.push_back(std::move(client));
+    }
+  }
+
+  std::string address;
+  absl::Duration deadline;
+  call_counter count;
+  absl::Mutex mutex;
+  std::vector<std::unique_ptr<httplib::Client>> idle;
+};
+
+}  // namespace
+
+std::unique_ptr<platform_store> make_http_platform(const std::string& address,
+                                                   absl::Duration deadline,
+                                                   call_counter count) {
+  return std::make_unique<http_platform>(address, deadline, std::move(count));
+}
+
+document_write settle_write(platform_store& store, document_write write,
+                            int give_up) {
+  int unanswered = 0;
+  while (!settled(write) && unanswered < give_up) {
+    const platform_answer answer = store.call(next_call(write));
+    if (answer.status == call_status::unavailable) {
+      unanswered++;
+      absl::SleepFor(absl::Milliseconds(100) * unanswered);
+    }
+    write = answered(std::move(write), answer);
+  }
+  return write;
+}
+
+}  // namespace spokesail
--- /dev/null
+++ b/src/lease.cc
@@ -0,0 +1,90 @@
+#include "spokesail/lease.h"
+
+#include <nlohmann/json.hpp>
+
+namespace spokesail {
+
+using json = nlohmann::json;
+
+void to_json(json& j, const lease_record& r) {
+  j = {{"holder", r.holder}, {"fence", r.fence}, {"renewals", r.renewals}};
+}
+
+void from_json(const json& j, lease_record& r) {
+  r.holder = j.value("holder", "");
+  r.fence = j.value("fence", int64_t{0});
+  r.renewals = j.value("renewals", int64_t{0});
+}
+
+void lease::observe(const object& seen, absl::Time now, double random_unit) {
+  if (this->known && seen.version <= this->base.version) return;
+  this->take_version(seen, now, random_unit);
+}
+
+void lease::take_version(const object& seen, absl::Time now,
+                         double random_unit) {
+  const json spec = json::parse(seen.body, nullptr, false);
+  if (!spec.is_object()) return;
+  this->known = true;
+  this->base = seen;
+  this->record = spec.get<lease_record>();
+  this->takeover_at =
+      now + this->timing.duration + random_unit * this->timing.takeover_spread;
+  if (this->record.holder != this->self) {
+    this->valid_until = absl::InfinitePast();
+  }
+}
+
+void lease::observe_absent(absl::Time now) {
+  if (this->known) return;
+  this->known = true;
+  this->base = object{{kinds::lease, this->key_name}, 0, {}, false};
+  this->takeover_at = now;
+}
+
+std::optional<platform_call> lease::due(absl::Time now,
+                                        const std::string& write_id) {
+  if (this->call_out || !this->known) return std::nullopt;
+  if (!this->write) {
+    const bool mine = this->record.holder == this->self && this->held(now);
+    if (mine ? now < this->renew_at : now < this->takeover_at) {
+      return std::nullopt;
+    }
+    lease_record next = this->record;
+    next.holder = this->self;
+    next.renewals++;
+    if (!mine) next.fence++;
+    this->write = make_write(this->base, json(next).dump(), write_id);
+    this->write_sent = now;
+  }
+  this->call_out = true;
+  return next_call(*this->write);
+}
+
+void lease::on_answer(const platform_answer& answer, absl::Time now,
+                      double random_unit) {
+  this->call_out = false;
+  if (!this->write) return;
+  this->write = answered(*this->write, answer);
+  if (!settled(*this->write)) return;
+  const bool applied = this->write->state == write_state::applied;
+  const object found = this->write->found;
+  this->write.reset();
+  if (!applied) {
+    this->valid_until = absl::InfinitePast();
+    if (found.version > this->base.version) {
+      this->take_version(found, now, random_unit);
+    }
+    return;
+  }
+  if (found.version > this->base.version) {
+    this->take_version(found, now, random_unit);
+  }
+  // Another candidate may have taken over between our write and this answer.
+  if (this->record.holder != this->self) return;
+  this->valid_until =
+      this->write_sent + this->timing.duration - this->timing.margin;
+  this->renew_at = this->write_sent + this->timing.renew_every;
+}
+
+}  // namespace spokesail
--- /dev/null
+++ b/src/main.cc
@@ -0,0 +1,434 @@
+// The command line: `spokesail COMMAND [flags]`.
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+#include <absl/time/clock.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "apply.h"
+#include "detail/http.h"
+#include "spokesail/config-reader.h"
+#include "spokesail/daemon.h"
+
+ABSL_FLAG(std::string, settings, "", "settings file of the node");
+ABSL_FLAG(std::string, f, "", "directory of the configuration");
+ABSL_FLAG(std::string, platform, "", "the platform's address");
+ABSL_FLAG(std::string, node, "", "HTTP address of any entry host");
+ABSL_FLAG(std::string, base, "", "revision that the change is based on");
+ABSL_FLAG(std::string, operator_name, "", "who makes the change");
+ABSL_FLAG(std::string, output, "text", "text or json");
+ABSL_FLAG(std::string, wait, "20", "seconds to wait until it is in force");
+ABSL_FLAG(bool, dry_run, false, "show the difference, change nothing");
+ABSL_FLAG(bool, undo, false, "take the drain back");
+
+namespace spokesail {
+namespace {
+
+using json = nlohmann::json;
+namespace leaf = boost::leaf;
+
+constexpr int exit_ok = 0;
+constexpr int exit_failed = 1;
+constexpr int exit_usage = 2;
+constexpr char version_text[] = "spokesail 0.1.0";
+constexpr absl::Duration call_deadline = absl::Seconds(2);
+constexpr absl::Duration progress_period = absl::Milliseconds(250);
+
+/// A command, its flags and its help.
+struct command {
+  const char* name;
+  const char* usage;
+  const char* help;
+  std::vector<std::string> flags;
+  int (*run)(const std::vector<std::string>& args);
+};
+
+int usage_error(const std::string& text) {
+  std::cerr << "spokesail: " << text << "\n";
+  return exit_usage;
+}
+
+int print_faults(const yaml_error& error) {
+  for (const auto& fault : error.faults) {
+    std::cerr << describe(fault) << "\n";
+  }
+  return exit_failed;
+}
+
+int platform_away() {
+  std::cerr << "spokesail: the platform does not answer; the change may or "
+               "may not have taken effect, `spokesail get` will tell\n";
+  return exit_failed;
+}
+
+std::string operator_name() {
+  std::string given = absl::GetFlag(FLAGS_operator_name);
+  if (!given.empty()) return given;
+  const char* user = std::getenv("USER");
+  return user ? user : "unknown";
+}
+
+std::unique_ptr<platform_store> open_platform() {
+  return make_http_platform(absl::GetFlag(FLAGS_platform), call_deadline,
+                            [](const std::string&) {});
+}
+
+int run_serve(const std::vector<std::string>&) {
+  return leaf::try_handle_all(
+      []() -> leaf::result<int> {
+        BOOST_LEAF_AUTO(s, read_settings(absl::GetFlag(FLAGS_settings)));
+        return serve(s);
+      },
+      [](const yaml_error& error) { return print_faults(error); },
+      [] { return exit_failed; });
+}
+
+int run_check(const std::vector<std::string>&) {
+  const std::string directory = absl::GetFlag(FLAGS_f);
+  const std::string file = absl::GetFlag(FLAGS_settings);
+  if (directory.empty() && file.empty()) {
+    return usage_error("check needs --f or --settings");
+  }
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<int> {
+        if (!directory.empty()) BOOST_LEAF_CHECK(read_config(directory));
+        if (!file.empty()) BOOST_LEAF_CHECK(read_settings(file));
+        std::cout << "check: ok\n";
+        return exit_ok;
+      },
+      [](const yaml_error& error) { return print_faults(error); },
+      [] { return exit_failed; });
+}
+
+/// The status of a node, or null if it does not answer.
+json fetch_status(const std::string& address) {
+  auto client = detail::make_client(address, call_deadline, call_deadline);
+  const auto result = client->Get("/admin/status");
+  if (!result || result->status != 200) return nullptr;
+  return json::parse(result->body, nullptr, false);
+}
+
+/// Waits until every node that can be heard of has the revision in force.
+int wait_in_force(int64_t revision) {
+  const std::string node = absl::GetFlag(FLAGS_node);
+  double seconds = 0;
+  if (!absl::SimpleAtod(absl::GetFlag(FLAGS_wait), &seconds)) {
+    return usage_error("--wait must be a number of seconds");
+  }
+  if (node.empty()) return exit_ok;
+  const absl::Time started = absl::Now();
+  std::string behind;
+  size_t known = 0;
+  while (absl::Now() - started < absl::Seconds(seconds)) {
+    const json status = fetch_status(node);
+    behind.clear();
+    if (!status.is_object()) {
+      behind = node;
+    } else {
+      known = status["members"].size() + 1;
+      if (status["revision"] < revision) behind = status["node"];
+      for (const auto& member : status["members"]) {
+        if (member["revision"] >= revision) continue;
+        absl::StrAppend(&behind, behind.empty() ? "" : ", ",
+                        member["name"].get<std::string>(),
+                        member["alive"] ? "" : " (not heard of)");
+      }
+    }
+    if (behind.empty()) {
+      std::cout << "in force on " << known << " nodes after "
+                << absl::ToInt64Milliseconds(absl::Now() - started) << " ms\n";
+      return exit_ok;
+    }
+    absl::SleepFor(progress_period);
+  }
+  std::cout << "accepted, but not yet in force on: " << behind << "\n";
+  return exit_failed;
+}
+
+void print_winner(const config_head& winner) {
+  std::cerr << "the newest is revision " << winner.revision << " by "
+            << winner.operator_name << " at " << winner.accepted_at << "\n";
+}
+
+/// Tells who won a race and how the winner differs from what was sent.
+int explain_lost(platform_store& store, const configuration& mine,
+                 const apply_error& error) {
+  if (error.why == apply_error::reason::platform_away) return platform_away();
+  std::cerr << (error.why == apply_error::reason::lost_race
+                    ? "spokesail: not accepted, another change came first\n"
+                    : "spokesail: not accepted, the base is not the newest\n");
+  print_winner(error.winner);
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<int> {
+        BOOST_LEAF_AUTO(accepted, read_accepted(store));
+        for (const auto& line : config_diff(accepted.content, mine)) {
+          std::cerr << "  " << line << "\n";
+        }
+        return exit_failed;
+      },
+      [] { return exit_failed; });
+}
+
+int run_apply(const std::vector<std::string>&) {
+  int64_t base = -1;
+  const std::string base_text = absl::GetFlag(FLAGS_base);
+  if (!base_text.empty() && !absl::SimpleAtoi(base_text, &base)) {
+    return usage_error("--base must be a revision number");
+  }
+  const auto store = open_platform();
+  configuration next;
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<int> {
+        BOOST_LEAF_ASSIGN(next, read_config(absl::GetFlag(FLAGS_f)));
+        BOOST_LEAF_AUTO(before, read_accepted(*store));
+        const auto lines = config_diff(before.content, next);
+        for (const auto& line : lines) std::cout << line << "\n";
+        if (absl::GetFlag(FLAGS_dry_run)) {
+          std::cout << "dry run: " << lines.size()
+                    << " differences to revision " << before.head.revision
+                    << "\n";
+          return exit_ok;
+        }
+        // Without a base the one just read and shown counts.
+        const int64_t on = base >= 0 ? base : before.head.revision;
+        BOOST_LEAF_AUTO(head, accept_config(*store, next, on, operator_name()));
+        std::cout << "accepted revision " << head.revision << " digest "
+                  << head.digest << "\n";
+        write_audit(*store, "config_accepted", operator_name(),
+                    absl::StrCat("revision ", head.revision, " from ", on));
+        return wait_in_force(head.revision);
+      },
+      [](const yaml_error& error) { return print_faults(error); },
+      [&](const apply_error& error) {
+        return explain_lost(*store, next, error);
+      },
+      [] { return exit_failed; });
+}
+
+int run_get(const std::vector<std::string>&) {
+  const auto store = open_platform();
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<int> {
+        BOOST_LEAF_AUTO(accepted, read_accepted(*store));
+        json out;
+        out["head"] = accepted.head;
+        out["configuration"] = accepted.content;
+        std::cout << out.dump(2) << "\n";
+        return exit_ok;
+      },
+      [](const apply_error&) {
+        std::cerr << "spokesail: the platform does not answer\n";
+        return exit_failed;
+      },
+      [] { return exit_failed; });
+}
+
+void print_status(const json& status) {
+  std::cout << "node " << status["node"].get<std::string>() << " hall "
+            << status["hall"].get<std::string>() << " revision "
+            << status["revision"] << (status["ready"] ? " ready" : " not ready")
+            << (status["leads"] ? " leads" : "") << "\n";
+  std::cout << "lease " << status["lease"]["holder"].get<std::string>()
+            << " fence " << status["lease"]["fence"] << "\n";
+  for (const auto& m : status["members"]) {
+    std::cout << "member " << m["name"].get<std::string>() << " hall "
+              << m["hall"].get<std::string>() << " revision " << m["revision"]
+              << (m["alive"] ? " alive" : " not heard of")
+              << (m["stopping"] ? " stopping" : "") << "\n";
+  }
+  for (const auto& g : status["groups"]) {
+    std::cout << "group " << g["name"].get<std::string>() << " "
+              << g["phase"].get<std::string>()
+              << (g["open"] ? " open" : " closed") << " incarnation "
+              << g["incarnation"];
+    for (const auto& host : g["hosts"]) {
+      std::cout << " " << host["name"].get<std::string>() << "="
+                << host["state"].get<std::string>();
+    }
+    std::cout << "\n";
+  }
+  std::cout << "stranded accelerators " << status["stranded_accelerators"]
+            << "\n";
+}
+
+int run_status(const std::vector<std::string>&) {
+  const json status = fetch_status(absl::GetFlag(FLAGS_node));
+  if (!status.is_object()) {
+    std::cerr << "spokesail: the node does not answer\n";
+    return exit_failed;
+  }
+  if (absl::GetFlag(FLAGS_output) == "json") {
+    std::cout << status.dump(2) << "\n";
+  } else {
+    print_status(status);
+  }
+  return exit_ok;
+}
+
+int run_drain(const std::vector<std::string>& args) {
+  if (args.size() != 1) return usage_error("drain needs the name of one host");
+  const auto store = open_platform();
+  const object_key key{kinds::drain, args[0]};
+  const bool undo = absl::GetFlag(FLAGS_undo);
+  call_status status = call_status::unavailable;
+  if (undo) {
+    status = store->remove(key);
+  } else {
+    object base;
+    base.key = key;
+    const json spec = {{"operator", operator_name()}};
+    const auto write = settle_write(
+        *store, make_write(base, spec.dump(), "drain-" + operator_name()), 8);
+    // Lost to an earlier drain of the same host is as good.
+    if (settled(write)) status = call_status::ok;
+  }
+  if (status == call_status::unavailable) return platform_away();
+  write_audit(*store, undo ? "drain_undone" : "drain", operator_name(),
+              args[0]);
+  std::cout << (undo ? "no longer drained: " : "draining: ") << args[0] << "\n";
+  return exit_ok;
+}
+
+int run_audit(const std::vector<std::string>&) {
+  const auto store = open_platform();
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<int> {
+        BOOST_LEAF_AUTO(found, store->list(kinds::audit));
+        for (const auto& entry : found.objects) {
+          json spec = json::parse(entry.body, nullptr, false);
+          spec.erase("writes");
+          std::cout << spec.dump() << "\n";
+        }
+        return exit_ok;
+      },
+      [] {
+        std::cerr << "spokesail: the platform does not answer\n";
+        return exit_failed;
+      });
+}
+
+int run_version(const std::vector<std::string>&) {
+  std::cout << version_text << "\n";
+  return exit_ok;
+}
+
+const std::vector<command>& commands() {
+  static const std::vector<command> all = {
+      {"serve",
+       "serve --settings FILE",
+       "run an entry host",
+       {"settings"},
+       run_serve},
+      {"apply",
+       "apply --f DIR --platform ADDR [--node ADDR] [--base N] [--dry_run]",
+       "make a directory of YAML files the configuration, as a whole",
+       {"f", "platform", "node", "base", "dry_run", "operator_name", "wait"},
+       run_apply},
+      {"get",
+       "get --platform ADDR",
+       "print the accepted configuration",
+       {"platform"},
+       run_get},
+      {"status",
+       "status --node ADDR [--output json]",
+       "show groups, members and leases as a node sees them",
+       {"node", "output"},
+       run_status},
+      {"drain",
+       "drain HOST --platform ADDR [--undo]",
+       "take a host out of use once its work is done",
+       {"platform", "undo", "operator_name"},
+       run_drain},
+      {"audit",
+       "audit --platform ADDR",
+       "print who changed what, and when",
+       {"platform"},
+       run_audit},
+      {"check",
+       "check [--f DIR] [--settings FILE]",
+       "check files without a platform",
+       {"f", "settings"},
+       run_check},
+      {"version", "version", "print the version", {}, run_version}};
+  return all;
+}
+
+void print_help(std::ostream& out) {
+  out << "usage: spokesail COMMAND [flags]\n\n";
+  for (const auto& c : commands()) {
+    out << "  " << c.usage << "\n      " << c.help << "\n";
+  }
+}
+
+/// The name in a flag such as --name=value or --noname; empty if it is none.
+std::string flag_name(const std::string& arg) {
+  if (!absl::StartsWith(arg, "-")) return "";
+  const std::string text = arg.substr(absl::StartsWith(arg, "--") ? 2 : 1);
+  return text.substr(0, text.find('='));
+}
+
+/// Checks flags against the command's own; false, with a message, if one is
+/// unknown or a needed one is missing.
+bool check_flags(const command& c, const std::vector<std::string>& args) {
+  for (const auto& arg : args) {
+    const std::string name = flag_name(arg);
+    if (name.empty()) continue;
+    if (std::find(c.flags.begin(), c.flags.end(), name) == c.flags.end()) {
+      usage_error(absl::StrCat("unknown flag --", name, " of ", c.name));
+      return false;
+    }
+  }
+  const std::string usage = c.usage;
+  const std::string needed = usage.substr(0, usage.find('['));
+  for (const auto& word : absl::StrSplit(needed, ' ')) {
+    const std::string name = flag_name(std::string(word));
+    if (name.empty()) continue;
+    const bool given =
+        std::any_of(args.begin(), args.end(),
+                    [&](const auto& arg) { return flag_name(arg) == name; });
+    if (given) continue;
+    usage_error(absl::StrCat(c.name, " needs --", name));
+    return false;
+  }
+  return true;
+}
+
+int run(int argc, char** argv) {
+  std::vector<std::string> args(argv + 1, argv + argc);
+  if (args.empty()) {
+    print_help(std::cerr);
+    return exit_usage;
+  }
+  if (args[0] == "--help" || args[0] == "help") {
+    print_help(std::cout);
+    return exit_ok;
+  }
+  const auto& all = commands();
+  const auto found = std::find_if(
+      all.begin(), all.end(), [&](const auto& c) { return args[0] == c.name; });
+  if (found == all.end()) return usage_error("unknown command " + args[0]);
+  args.erase(args.begin());
+  if (std::find(args.begin(), args.end(), "--help") != args.end()) {
+    std::cout << "usage: spokesail " << found->usage << "\n  " << found->help
+              << "\n";
+    return exit_ok;
+  }
+  if (!check_flags(*found, args)) return exit_usage;
+  std::vector<char*> raw = {argv[0]};
+  for (auto& arg : args) raw.push_back(arg.data());
+  const auto left =
+      absl::ParseCommandLine(static_cast<int>(raw.size()), raw.data());
+  return found->run({left.begin() + 1, left.end()});
+}
+
+}  // namespace
+}  // namespace spokesail
+
+int main(int argc, char** argv) { return spokesail::run(argc, argv); }
--- /dev/null
+++ b/src/membership.cc
@@ -0,0 +1,139 @@
+#include "spokesail/membership.h"
+
+#include <algorithm>
+#include <set>
+
+#include "spokesail/hash.h"
+
+namespace spokesail {
+namespace {
+
+/// Two clocks may drift apart by this much in a second.
+constexpr double drift = 0.0002;
+
+/// A member not heard of for this long is no longer known by name.
+constexpr absl::Duration forget_after = absl::Minutes(10);
+
+}  // namespace
+
+void clock_offset::learn(absl::Time sent, absl::Time received) {
+  absl::Duration widened = this->offset;
+  if (this->last_received != absl::InfinitePast()) {
+    widened += drift * (received - this->last_received);
+  }
+  this->offset = std::min(widened, received - sent);
+  this->last_received = received;
+}
+
+void membership::add_address(const std::string& hall,
+                             const std::string& peer_address) {
+  if (peer_address == this->self.peer_address) return;
+  this->addresses.try_emplace(peer_address, hall);
+}
+
+member& membership::touch(const member_info& info, uint64_t boot) {
+  member& m = this->members[info.name];
+  if (m.boot != boot) {
+    m = member{};
+    m.boot = boot;
+  }
+  m.info = info;
+  this->addresses[info.peer_address] = info.hall;
+  return m;
+}
+
+bool membership::on_beat(const beat& b, absl::Time received) {
+  if (b.from.name == this->self.name) return false;
+  member& m = this->touch(b.from, b.boot);
+  if (b.sequence <= m.sequence) return false;
+  m.sequence = b.sequence;
+  m.clock.learn(b.sent, received);
+  m.heard_at = std::max(m.heard_at, m.clock.local(b.sent));
+  m.revision = b.revision;
+  m.view_digest = b.view_digest;
+  m.ready = b.ready;
+  m.stopping = b.stopping;
+  m.open_models = b.open_models;
+  return true;
+}
+
+void membership::on_ack(const beat_ack& ack, absl::Time sent) {
+  if (ack.from.name == this->self.name) return;
+  member& m = this->touch(ack.from, ack.boot);
+  m.heard_at = std::max(m.heard_at, sent);
+  m.acked_epoch = ack.words_epoch;
+  m.revision = std::max(m.revision, ack.revision);
+  m.ready = ack.ready;
+  m.stopping = ack.stopping;
+  m.open_models = ack.open_models;
+}
+
+bool membership::alive(const member& m, absl::Time now) const {
+  return now - m.heard_at <= this->window;
+}
+
+std::vector<std::string> membership::alive_in_hall(absl::Time now) const {
+  std::vector<std::string> names = {this->self.name};
+  for (const auto& [name, m] : this->members) {
+    if (m.info.hall != this->self.hall || m.stopping) continue;
+    if (this->alive(m, now)) names.push_back(name);
+  }
+  std::sort(names.begin(), names.end());
+  return names;
+}
+
+std::vector<const member*> membership::alive_elsewhere(absl::Time now) const {
+  std::vector<const member*> found;
+  for (const auto& [name, m] : this->members) {
+    if (m.info.hall == this->self.hall || m.stopping) continue;
+    if (this->alive(m, now)) found.push_back(&m);
+  }
+  return found;
+}
+
+std::vector<std::string> membership::beat_addresses(absl::Time now) const {
+  std::vector<std::string> out;
+  std::map<std::string, std::vector<std::string>> other_halls;
+  for (const auto& [address, hall] : this->addresses) {
+    const member* m = this->find_address(address);
+    const bool gone = m && now - m->heard_at > forget_after &&
+                      m->heard_at != absl::InfinitePast();
+    if (gone) continue;
+    if (hall == this->self.hall) {
+      out.push_back(address);
+    } else {
+      other_halls[hall].push_back(address);
+    }
+  }
+  for (const auto& [hall, addresses] : other_halls) {
+    std::vector<std::string> alive_ones;
+    for (const auto& address : addresses) {
+      const member* m = this->find_address(address);
+      if (m && this->alive(*m, now) && !m->stopping) {
+        alive_ones.push_back(address);
+      }
+    }
+    // With nobody known to be alive every address is tried in turn.
+    const auto turn = std::to_string(absl::ToUnixSeconds(now) / 2);
+    const bool none = alive_ones.empty();
+    const auto key = none ? this->self.name + turn : this->self.name;
+    for (auto& a : rendezvous(key, none ? addresses : alive_ones, 1)) {
+      out.push_back(a);
+    }
+  }
+  return out;
+}
+
+member* membership::find(const std::string& name) {
+  const auto it = this->members.find(name);
+  return it == this->members.end() ? nullptr : &it->second;
+}
+
+const member* membership::find_address(const std::string& peer_address) const {
+  for (const auto& [name, m] : this->members) {
+    if (m.info.peer_address == peer_address) return &m;
+  }
+  return nullptr;
+}
+
+}  // namespace spokesail
--- /dev/null
+++ b/src/node-request.cc
@@ -0,0 +1,179 @@
+// Requests at a node: which places are open, and what their life leads to.
+#include <algorithm>
+
+#include "detail/node-step.h"
+
+namespace spokesail::detail {
+namespace {
+
+/// A member may be out of sight for this long before the attempts that run
+/// at its group are given up.
+constexpr absl::Duration attempt_patience = absl::Seconds(1);
+
+/// What callers are told when nothing better is known.
+constexpr absl::Duration default_reopen = absl::Seconds(10);
+
+int share_of(int capacity, size_t nodes) {
+  const int n = std::max(static_cast<int>(nodes), 1);
+  return std::max((capacity + n - 1) / n, 1);
+}
+
+}  // namespace
+
+const configuration* node_step::config() const {
+  return this->s.config ? &*this->s.config : nullptr;
+}
+
+std::vector<open_place> node_step::open_places(
+    target_kind kind, const std::string& target) const {
+  std::vector<open_place> places;
+  if (!this->s.config) return places;
+  const size_t nodes = this->s.members.alive_in_hall(this->now).size();
+  const auto add = [&](attempt_target t, const std::string& host,
+                       int capacity) {
+    open_place place;
+    place.target = std::move(t);
+    place.capacity = capacity;
+    place.share = share_of(capacity, nodes);
+    const auto seen = this->s.presence.latest(host);
+    if (seen) place.reported = seen->load.running + seen->load.queued;
+    places.push_back(std::move(place));
+  };
+  if (kind == target_kind::model) {
+    const model_config* model = find_model(*this->s.config, target);
+    if (!model) return places;
+    for (const auto& g : this->s.groups.groups) {
+      if (g.model != target || !group_open(this->s, g, this->now)) continue;
+      const std::string& leader = g.hosts.front();
+      const auto host = this->s.hosts.find(leader);
+      if (host == this->s.hosts.end()) continue;
+      const bool leaving =
+          std::any_of(g.hosts.begin(), g.hosts.end(), [&](const auto& name) {
+            const auto it = this->s.hosts.find(name);
+            return it == this->s.hosts.end() || it->second.leaving;
+          });
+      if (leaving) continue;
+      add({g.name, host->second.address, g.incarnation, false}, leader,
+          model->max_concurrent);
+    }
+    return places;
+  }
+  const service_config* service = find_service(*this->s.config, target);
+  if (!service) return places;
+  for (const auto& [name, info] : this->s.hosts) {
+    if (info.service != target || info.leaving) continue;
+    if (this->s.drained.count(name) != 0) continue;
+    if (!this->s.presence.present(name, this->now,
+                                  this->s.options.presence_window)) {
+      continue;
+    }
+    add({name, info.address, 0, false}, name, service->max_concurrent);
+  }
+  return places;
+}
+
+bool node_step::holds(target_kind kind, const attempt_target& target) const {
+  // A plain service's broken connection tells all there is to know.
+  if (kind == target_kind::service) return true;
+  for (const auto& g : this->s.groups.groups) {
+    if (g.name != target.name) continue;
+    if (g.incarnation != target.incarnation) return false;
+    return std::all_of(g.hosts.begin(), g.hosts.end(), [&](const auto& host) {
+      const auto lost = this->s.lost_since.find(host);
+      return lost == this->s.lost_since.end() ||
+             this->now - lost->second < attempt_patience;
+    });
+  }
+  return false;
+}
+
+std::vector<attempt_target> node_step::other_halls(
+    target_kind, const std::string& target) const {
+  std::vector<attempt_target> found;
+  for (const member* m : this->s.members.alive_elsewhere(this->now)) {
+    const auto& open = m->open_models;
+    if (!m->ready) continue;
+    if (std::find(open.begin(), open.end(), target) == open.end()) continue;
+    found.push_back({m->info.name, m->info.http_address, 0, true});
+  }
+  return found;
+}
+
+absl::Duration node_step::reopen_guess(const std::string&) const {
+  return default_reopen;
+}
+
+void node_step::emit_requests(request_actions& actions) {
+  for (auto& attempt : actions.cancels) {
+    this->emit(cancel_effect{std::move(attempt)});
+  }
+  for (auto& start : actions.starts) {
+    this->emit(start_effect{std::move(start)});
+  }
+  for (auto& finish : actions.finishes) {
+    this->emit(finish_effect{finish.request, std::move(finish.result)});
+  }
+}
+
+void node_step::on(const request_event& e) {
+  request_actions actions;
+  this->s.requests.arrive(e.info, *this, this->s.random, this->now, actions);
+  this->emit_requests(actions);
+}
+
+void node_step::note_unreachable(const attempt_event& e) {
+  const auto target = this->s.requests.where(e.request, e.attempt);
+  if (!target || target->remote_hall) return;
+  for (const auto& [name, info] : this->s.hosts) {
+    if (info.address == target->address) {
+      this->s.presence.note_failure(name, this->now);
+    }
+  }
+  this->note_open_groups();
+}
+
+void node_step::on(const attempt_event& e) {
+  if (e.unreachable) this->note_unreachable(e);
+  request_actions actions;
+  this->s.requests.attempt_ended(e.request, e.attempt, e.end, *this,
+                                 this->s.random, this->now, actions);
+  this->emit_requests(actions);
+}
+
+void node_step::on(const caller_gone_event& e) {
+  request_actions actions;
+  this->s.requests.caller_gone(e.request, actions);
+  this->emit_requests(actions);
+}
+
+void node_step::on(const stop_event&) {
+  if (this->s.stopping) return;
+  this->s.stopping = true;
+  this->s.stop_at = this->now + this->s.options.stop_delay;
+  this->s.beat_now = true;
+  this->log("stopping", {});
+}
+
+void node_step::tick_requests() {
+  request_actions actions;
+  this->s.requests.step(*this, this->s.random, this->now, actions);
+  this->emit_requests(actions);
+  if (!this->s.stopping || this->now < this->s.stop_at) return;
+  this->s.requests.stop();
+  if (this->s.requests.size() == 0) this->emit(exit_effect{});
+}
+
+bool node_step::ready() const {
+  if (!this->s.config || this->s.stopping) return false;
+  const absl::Duration age = this->now - this->s.started;
+  if (age < 2 * this->s.options.beat_period) return false;
+  for (const auto& [name, m] : this->s.members.all()) {
+    if (m.info.hall != this->s.options.self.hall) continue;
+    const bool behind = m.revision > this->s.revision;
+    // Only a young node waits for its peers' revision.
+    if (behind && age < this->s.options.member_window) return false;
+  }
+  return true;
+}
+
+}  // namespace spokesail::detail
--- /dev/null
+++ b/src/peer-codec.h
@@ -0,0 +1,22 @@
+// Between the values of the reducer and the messages on the wire.
+#pragma once
+
+#include <vector>
+
+#include "generated/peer.capnp.h"
+#include "spokesail/event.h"
+
+namespace spokesail {
+
+void write_beat(rpc::Beat::Builder out, const beat& b);
+beat read_beat(rpc::Beat::Reader in);
+void write_ack(rpc::BeatAck::Builder out, const beat_ack& ack);
+beat_ack read_ack(rpc::BeatAck::Reader in);
+void write_objects(capnp::List<rpc::Object>::Builder out,
+                   const std::vector<object>& objects);
+std::vector<object> read_objects(capnp::List<rpc::Object>::Reader in);
+void write_stamps(capnp::List<rpc::Stamp>::Builder out,
+                  const std::vector<object_stamp>& stamps);
+std::vector<object_stamp> read_stamps(capnp::List<rpc::Stamp>::Reader in);
+
+}  // namespace spokesail
--- /dev/null
+++ b/src/peer.cc
@@ -0,0 +1,287 @@
+// The link between entry hosts over Cap'n Proto RPC, on a thread of its own.
+#include "spokesail/peer.h"
+
+#include <absl/synchronization/mutex.h>
+#include <absl/synchronization/notification.h>
+#include <capnp/ez-rpc.h>
+#include <kj/async-io.h>
+#include <kj/timer.h>
+
+#include <map>
+#include <stdexcept>
+#include <thread>
+
+#include "peer-codec.h"
+
+namespace spokesail {
+namespace {
+
+/// Calls to one peer that may be unanswered before more are dropped.
+constexpr int most_outstanding = 4;
+
+/// A call that has no answer by then closes its connection.
+constexpr auto call_limit = 2 * kj::SECONDS;
+
+/// What the RPC layer adds to each message: call or return header, capability
+/// table, release of the answer. Measured on the wire, in bytes.
+constexpr size_t envelope_bytes = 112;
+
+template <typename T>
+using reply_map = std::map<uint64_t, kj::Own<kj::PromiseFulfiller<T>>>;
+
+/// Answers that the reducer still owes.
+struct pending_replies {
+  uint64_t last_token = 0;
+  reply_map<beat_ack> beats;
+  reply_map<std::vector<object>> pulls;
+};
+
+class peer_server final : public rpc::Peer::Server {
+ public:
+  peer_server(const event_sink& events, const byte_counter& bytes,
+              pending_replies& waiting)
+      : sink(events), count(bytes), replies(waiting) {}
+
+  kj::Promise<void> beat(BeatContext context) override {
+    this->received(context.getParams().totalSize().wordCount);
+    auto paf = kj::newPromiseAndFulfiller<beat_ack>();
+    const uint64_t token = ++this->replies.last_token;
+    this->replies.beats[token] = kj::mv(paf.fulfiller);
+    this->sink(beat_event{token, read_beat(context.getParams().getBeat())});
+    context.releaseParams();
+    return paf.promise.then([this, context](const beat_ack& ack) mutable {
+      write_ack(context.getResults().initAck(), ack);
+      this->sent(context.getResults().asReader().totalSize().wordCount);
+    });
+  }
+
+  kj::Promise<void> push(PushContext context) override {
+    this->received(context.getParams().totalSize().wordCount);
+    this->sink(
+        peer_objects_event{read_objects(context.getParams().getObjects())});
+    this->sent(0);
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> pull(PullContext context) override {
+    this->received(context.getParams().totalSize().wordCount);
+    auto paf = kj::newPromiseAndFulfiller<std::vector<object>>();
+    const uint64_t token = ++this->replies.last_token;
+    this->replies.pulls[token] = kj::mv(paf.fulfiller);
+    this->sink(pull_event{token, read_stamps(context.getParams().getKnown())});
+    context.releaseParams();
+    return paf.promise.then(
+        [this, context](const std::vector<object>& objects) mutable {
+          const auto size = static_cast<unsigned>(objects.size());
+          write_objects(context.getResults().initObjects(size), objects);
+          this->sent(context.getResults().asReader().totalSize().wordCount);
+        });
+  }
+
+ private:
+  void received(uint64_t words) {
+    this->count("received", words * sizeof(capnp::word) + envelope_bytes);
+  }
+  void sent(uint64_t words) {
+    this->count("sent", words * sizeof(capnp::word) + envelope_bytes);
+  }
+
+  const event_sink& sink;
+  const byte_counter& count;
+  pending_replies& replies;
+};
+
+/// One peer's connection, made on first use and again after a failure.
+struct peer_connection {
+  kj::Own<capnp::EzRpcClient> client;
+  uint64_t generation = 0;
+  int outstanding = 0;
+};
+
+class rpc_link final : public peer_link {
+ public:
+  rpc_link(std::string own_address, event_sink events, byte_counter bytes)
+      : address(std::move(own_address)),
+        sink(std::move(events)),
+        count(std::move(bytes)) {
+    this->thread = std::thread([this] { this->run(); });
+    this->listening.WaitForNotification();
+    if (this->failure.empty()) return;
+    this->thread.join();
+    throw std::runtime_error(this->failure);
+  }
+
+  ~rpc_link() noexcept override {
+    this->post([this] { this->stopped = true; });
+    this->thread.join();
+  }
+
+  void send_beat(const std::string& to, const beat& b) override {
+    this->post([this, to, b] { this->call_beat(to, b); });
+  }
+
+  void push(const std::string& to,
+            const std::vector<object>& objects) override {
+    this->post([this, to, objects] { this->call_push(to, objects); });
+  }
+
+  void pull(const std::string& to,
+            const std::vector<object_stamp>& known) override {
+    this->post([this, to, known] { this->call_pull(to, known); });
+  }
+
+  void reply_beat(uint64_t token, const beat_ack& ack) override {
+    this->post([this, token, ack] { fulfil(this->replies.beats, token, ack); });
+  }
+
+  void reply_pull(uint64_t token, const std::vector<object>& objects) override {
+    this->post([this, token, objects] {
+      fulfil(this->replies.pulls, token, objects);
+    });
+  }
+
+ private:
+  template <typename T>
+  static void fulfil(reply_map<T>& waiting, uint64_t token, T value) {
+    const auto it = waiting.find(token);
+    if (it == waiting.end()) return;
+    it->second->fulfill(kj::mv(value));
+    waiting.erase(it);
+  }
+
+  void post(std::function<void()> job) {
+    absl::MutexLock lock(&this->mutex);
+    this->jobs.push_back(std::move(job));
+    if (this->waker.get() != nullptr) {
+      this->waker->fulfill();
+      this->waker = nullptr;
+    }
+  }
+
+  void run() {
+    try {
+      capnp::EzRpcServer server(
+          kj::heap<peer_server>(this->sink, this->count, this->replies),
+          this->address.c_str());
+      auto& scope = server.getWaitScope();
+      server.getPort().wait(scope);
+      this->timer = &server.getIoProvider().getTimer();
+      this->listening.Notify();
+      while (!this->stopped) this->run_jobs(scope);
+      this->connections.clear();
+    } catch (const kj::Exception& e) {
+      this->failure = e.getDescription().cStr();
+      if (!this->listening.HasBeenNotified()) this->listening.Notify();
+    }
+  }
+
+  void run_jobs(kj::WaitScope& scope) {
+    auto paf = kj::newPromiseAndCrossThreadFulfiller<void>();
+    std::vector<std::function<void()>> due;
+    {
+      absl::MutexLock lock(&this->mutex);
+      due.swap(this->jobs);
+      if (due.empty()) this->waker = kj::mv(paf.fulfiller);
+    }
+    for (const auto& job : due) job();
+    if (due.empty()) paf.promise.wait(scope);
+  }
+
+  /// The connection to a peer, or null if too much is unanswered there.
+  peer_connection* connect(const std::string& to) {
+    auto& connection = this->connections[to];
+    if (connection.outstanding >= most_outstanding) return nullptr;
+    if (connection.client.get() == nullptr) {
+      connection.client = kj::heap<capnp::EzRpcClient>(to.c_str());
+    }
+    connection.outstanding++;
+    return &connection;
+  }
+
+  /// Follows a call to its end; a failed one closes its connection.
+  template <typename Promise>
+  void follow(const std::string& to, uint64_t generation, Promise promise) {
+    this->timer->timeoutAfter(call_limit, kj::mv(promise))
+        .then([this, to] { this->connections[to].outstanding--; })
+        .detach([this, to, generation](kj::Exception&&) {
+          auto& connection = this->connections[to];
+          connection.outstanding--;
+          if (connection.generation != generation) return;
+          connection.generation++;
+          connection.client = nullptr;
+        });
+  }
+
+  void sent(uint64_t words) {
+    this->count("sent", words * sizeof(capnp::word) + envelope_bytes);
+  }
+  void received(uint64_t words) {
+    this->count("received", words * sizeof(capnp::word) + envelope_bytes);
+  }
+
+  void call_beat(const std::string& to, const beat& b) {
+    peer_connection* connection = this->connect(to);
+    if (!connection) return;
+    auto request = connection->client->getMain<rpc::Peer>().beatRequest();
+    write_beat(request.initBeat(), b);
+    this->sent(request.asReader().totalSize().wordCount);
+    this->follow(
+        to, connection->generation,
+        request.send().then([this, sent = b.sent](auto&& response) {
+          this->received(response.totalSize().wordCount);
+          this->sink(beat_ack_event{read_ack(response.getAck()), sent});
+        }));
+  }
+
+  void call_push(const std::string& to, const std::vector<object>& objects) {
+    peer_connection* connection = this->connect(to);
+    if (!connection) return;
+    auto request = connection->client->getMain<rpc::Peer>().pushRequest();
+    const auto size = static_cast<unsigned>(objects.size());
+    write_objects(request.initObjects(size), objects);
+    this->sent(request.asReader().totalSize().wordCount);
+    this->follow(to, connection->generation,
+                 request.send().then([this](auto&&) { this->received(0); }));
+  }
+
+  void call_pull(const std::string& to,
+                 const std::vector<object_stamp>& known) {
+    peer_connection* connection = this->connect(to);
+    if (!connection) return;
+    auto request = connection->client->getMain<rpc::Peer>().pullRequest();
+    const auto size = static_cast<unsigned>(known.size());
+    write_stamps(request.initKnown(size), known);
+    this->sent(request.asReader().totalSize().wordCount);
+    this->follow(
+        to, connection->generation,
+        request.send().then([this](auto&& response) {
+          this->received(response.totalSize().wordCount);
+          this->sink(peer_objects_event{read_objects(response.getObjects())});
+        }));
+  }
+
+  std::string address;
+  event_sink sink;
+  byte_counter count;
+  absl::Notification listening;
+  std::string failure;
+  absl::Mutex mutex;
+  std::vector<std::function<void()>> jobs;
+  kj::Own<kj::CrossThreadPromiseFulfiller<void>> waker;
+
+  // Used on the link's thread only.
+  bool stopped = false;
+  pending_replies replies;
+  std::map<std::string, peer_connection> connections;
+  kj::Timer* timer = nullptr;
+  std::thread thread;
+};
+
+}  // namespace
+
+std::unique_ptr<peer_link> make_rpc_link(const std::string& address,
+                                         event_sink sink, byte_counter count) {
+  return std::make_unique<rpc_link>(address, std::move(sink), std::move(count));
+}
+
+}  // namespace spokesail
--- /dev/null
+++ b/src/sse.cc
@@ -0,0 +1,39 @@
+#include "sse.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+#include <absl/strings/string_view.h>
+#include <absl/strings/strip.h>
+
+namespace spokesail {
+namespace {
+
+/// No single event of an answer is larger than this, in bytes.
+constexpr size_t largest_event = 1 << 20;
+
+}  // namespace
+
+bool sse_parser::feed(const char* data, size_t size,
+                      const std::function<bool(const std::string&)>& on_data) {
+  this->buffer.append(data, size);
+  size_t end = 0;
+  while ((end = this->buffer.find("\n\n")) != std::string::npos) {
+    const std::string text = this->buffer.substr(0, end);
+    this->buffer.erase(0, end + 2);
+    std::string payload;
+    for (absl::string_view line : absl::StrSplit(text, '\n')) {
+      if (!absl::ConsumePrefix(&line, "data:")) continue;
+      absl::ConsumePrefix(&line, " ");
+      absl::StrAppend(&payload, payload.empty() ? "" : "\n", line);
+    }
+    if (!payload.empty() && !on_data(payload)) return false;
+  }
+  return this->buffer.size() <= largest_event;
+}
+
+std::string sse_event(const std::string& data) {
+  return absl::StrCat("data: ", data, "\n\n");
+}
+
+}  // namespace spokesail
--- /dev/null
+++ b/standin/platform.cc
@@ -0,0 +1,254 @@
+// A small stand-in of the platform's object API, for tests and the demo.
+//
+// Objects with versions, conditional updates, list and watch, in the manner
+// of Kubernetes. Faults are switched with POST /standin/faults, a JSON object
+// with any of: down, slow_ms, lose_answers (the next N writes take effect but
+// are not answered), history (changes that a watch can go back).
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/synchronization/mutex.h>
+#include <absl/time/clock.h>
+#include <httplib.h>
+
+#include <deque>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <nlohmann/json.hpp>
+
+ABSL_FLAG(int, port, 0, "port to listen at, on 127.0.0.1");
+ABSL_FLAG(std::string, seed, "", "file of objects to start with, one a line");
+ABSL_FLAG(int, rate, 2000, "calls a second before 429 is answered");
+
+namespace {
+
+using json = nlohmann::json;
+
+struct change {
+  int64_t version;
+  std::string kind;
+  json event;
+};
+
+class platform {
+ public:
+  /// Reads objects ({"kind", "metadata", "spec"}), one JSON text a line.
+  void seed(const std::string& file) {
+    std::ifstream in(file);
+    std::string line;
+    absl::MutexLock lock(&this->mutex);
+    while (std::getline(in, line)) {
+      json j = json::parse(line);
+      j["metadata"]["resourceVersion"] = std::to_string(++this->version);
+      const std::string kind = j["kind"];
+      this->objects[{kind, j["metadata"]["name"]}] = j;
+    }
+    this->expired = this->version;
+  }
+
+  void run(int port) {
+    this->server.new_task_queue = [] { return new httplib::ThreadPool(256); };
+    this->server.set_tcp_nodelay(true);
+    const std::string kind = R"(/apis/spokesail/v1/([^/]+))";
+    const std::string name = kind + "/([^/]+)";
+    this->server.Get(name, this->guarded([this](auto& req, auto& res) {
+      this->get(req.matches[1], req.matches[2], res);
+    }));
+    this->server.Put(name, this->guarded([this](auto& req, auto& res) {
+      this->put(req, res, false);
+    }));
+    this->server.Post(kind, this->guarded([this](auto& req, auto& res) {
+      this->put(req, res, true);
+    }));
+    this->server.Delete(name, this->guarded([this](auto& req, auto& res) {
+      this->remove(req.matches[1], req.matches[2], res);
+    }));
+    this->server.Get(kind, this->guarded([this](auto& req, auto& res) {
+      if (req.has_param("watch")) {
+        this->watch(req, res);
+      } else {
+        this->list(req.matches[1], res);
+      }
+    }));
+    this->server.Post("/standin/faults", [this](auto& req, auto& res) {
+      absl::MutexLock lock(&this->mutex);
+      this->faults.update(json::parse(req.body));
+      res.set_content(this->faults.dump(), "application/json");
+    });
+    this->server.Get("/standin/calls", [this](auto&, auto& res) {
+      absl::MutexLock lock(&this->mutex);
+      res.set_content(json(this->calls).dump(), "application/json");
+    });
+    if (!this->server.listen("127.0.0.1", port)) std::exit(1);
+  }
+
+ private:
+  using handler = httplib::Server::Handler;
+
+  int fault(const std::string& key) {
+    absl::MutexLock lock(&this->mutex);
+    return this->faults.value(key, 0);
+  }
+
+  handler guarded(handler inner) {
+    return [this, inner](const httplib::Request& req, httplib::Response& res) {
+      const int slow = this->fault("slow_ms");
+      if (slow > 0) absl::SleepFor(absl::Milliseconds(slow));
+      {
+        absl::MutexLock lock(&this->mutex);
+        this->calls[req.method + (req.has_param("watch") ? "-watch" : "")]++;
+        const int64_t second = absl::ToUnixSeconds(absl::Now());
+        if (second != this->rate_second) this->rate_calls = 0;
+        this->rate_second = second;
+        if (++this->rate_calls > absl::GetFlag(FLAGS_rate)) {
+          res.status = 429;
+          return;
+        }
+      }
+      if (this->fault("down") > 0) {
+        res.status = 503;
+        return;
+      }
+      inner(req, res);
+      if (req.method == "GET") return;
+      absl::MutexLock lock(&this->mutex);
+      const int lose = this->faults.value("lose_answers", 0);
+      if (lose <= 0) return;
+      this->faults["lose_answers"] = lose - 1;
+      res.status = 503;
+      res.body = "answer lost";
+    };
+  }
+
+  void get(const std::string& kind, const std::string& name,
+           httplib::Response& res) {
+    absl::MutexLock lock(&this->mutex);
+    const auto it = this->objects.find({kind, name});
+    if (it == this->objects.end()) {
+      res.status = 404;
+      return;
+    }
+    res.set_content(it->second.dump(), "application/json");
+  }
+
+  void put(const httplib::Request& req, httplib::Response& res, bool create) {
+    json j = json::parse(req.body, nullptr, false);
+    const std::string kind = req.matches[1];
+    const std::string name =
+        create ? j["metadata"].value("name", "") : req.matches[2].str();
+    absl::MutexLock lock(&this->mutex);
+    const auto it = this->objects.find({kind, name});
+    const bool exists = it != this->objects.end();
+    if (create ? exists : !exists) {
+      res.status = create ? 409 : 404;
+      return;
+    }
+    const std::string given = j["metadata"].value("resourceVersion", "");
+    const bool stale =
+        exists && !given.empty() &&
+        given != it->second["metadata"]["resourceVersion"].get<std::string>();
+    if (stale) {
+      res.status = 409;
+      return;
+    }
+    j["metadata"]["name"] = name;
+    j["metadata"]["resourceVersion"] = std::to_string(++this->version);
+    this->objects[{kind, name}] = j;
+    this->record(kind, exists ? "MODIFIED" : "ADDED", j);
+    res.status = create ? 201 : 200;
+    res.set_content(j.dump(), "application/json");
+  }
+
+  void remove(const std::string& kind, const std::string& name,
+              httplib::Response& res) {
+    absl::MutexLock lock(&this->mutex);
+    const auto it = this->objects.find({kind, name});
+    if (it == this->objects.end()) {
+      res.status = 404;
+      return;
+    }
+    json j = it->second;
+    this->objects.erase(it);
+    j["metadata"]["resourceVersion"] = std::to_string(++this->version);
+    this->record(kind, "DELETED", j);
+    res.set_content(j.dump(), "application/json");
+  }
+
+  void record(const std::string& kind, const std::string& type,
+              const json& object) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) {
+    this->history.push_back(
+        {this->version, kind, {{"type", type}, {"object", object}}});
+    const auto kept = static_cast<size_t>(this->faults.value("history", 10000));
+    while (this->history.size() > kept) {
+      this->expired = this->history.front().version;
+      this->history.pop_front();
+    }
+  }
+
+  void list(const std::string& kind, httplib::Response& res) {
+    absl::MutexLock lock(&this->mutex);
+    json items = json::array();
+    for (const auto& [key, object] : this->objects) {
+      if (key.first == kind) items.push_back(object);
+    }
+    const json out = {
+        {"metadata", {{"resourceVersion", std::to_string(this->version)}}},
+        {"items", items}};
+    res.set_content(out.dump(), "application/json");
+  }
+
+  void watch(const httplib::Request& req, httplib::Response& res) {
+    const std::string kind = req.matches[1];
+    auto from = std::make_shared<int64_t>(
+        std::stoll(req.get_param_value("resourceVersion")));
+    res.set_chunked_content_provider("application/json", [this, kind, from](
+                                                             size_t,
+                                                             httplib::DataSink&
+                                                                 sink) {
+      if (this->fault("down") > 0) return false;
+      std::string lines;
+      {
+        absl::MutexLock lock(&this->mutex);
+        const auto news = [this, from]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(
+                              this->mutex) { return this->version > *from; };
+        this->mutex.AwaitWithTimeout(absl::Condition(&news),
+                                     absl::Milliseconds(500));
+        if (*from < this->expired) {
+          const json gone = {{"type", "ERROR"}, {"object", {{"code", 410}}}};
+          lines = gone.dump() + "\n";
+          sink.write(lines.data(), lines.size());
+          return false;
+        }
+        for (const auto& c : this->history) {
+          if (c.version > *from && c.kind == kind) {
+            lines += c.event.dump() + "\n";
+          }
+        }
+        *from = this->version;
+      }
+      if (lines.empty()) lines = "{\"type\":\"BOOKMARK\"}\n";
+      return sink.write(lines.data(), lines.size());
+    });
+  }
+
+  httplib::Server server;
+  absl::Mutex mutex;
+  json faults = json::object();
+  std::map<std::string, int64_t> calls;
+  std::map<std::pair<std::string, std::string>, json> objects;
+  std::deque<change> history;
+  int64_t version = 0;
+  int64_t expired = 0;
+  int64_t rate_second = 0;
+  int rate_calls = 0;
+};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  absl::ParseCommandLine(argc, argv);
+  platform p;
+  p.seed(absl::GetFlag(FLAGS_seed));
+  p.run(absl::GetFlag(FLAGS_port));
+  return 0;
+}
