--- a/test/lease-test.cc
+++ b/test/lease-test.cc
@@ -70,6 +70,16 @@
   EXPECT_EQ(own.last_seen().holder, "b");
 }
 
+TEST(lease, an_answer_that_comes_after_a_takeover_gives_nothing) {
+  lease own("hall", "a", timing);
+  own.observe_absent(start);
+  const auto call = own.due(start, "w");
+  // The watch is ahead of the answer: another holds it by now.
+  own.observe(lease_object("b", 2, 2), start + absl::Seconds(1), 0);
+  own.on_answer(took(*call, 1), start + absl::Seconds(1), 0);
+  EXPECT_FALSE(own.held(start + absl::Seconds(1)));
+}
+
 TEST(lease, two_candidates_never_hold_it_together) {
   // Whatever the pauses: b sees a's write as it takes effect, and waits.
   for (int delay_ms = 0; delay_ms < 9000; delay_ms += 500) {
--- a/test/planner-test.cc
+++ b/test/planner-test.cc
@@ -129,6 +129,30 @@
   for (const auto& g : hall.in.current.groups) EXPECT_EQ(g.version, "2");
 }
 
+TEST(planner, a_drained_group_is_released_once_all_nodes_know_and_it_is_idle) {
+  obedient_hall hall(1, 2);
+  for (int i = 0; i < 4; i++) {
+    hall.step(config_of(2, 1));
+    hall.obey();
+  }
+  const auto none = config_of(2, 0);
+  hall.step(none);
+  ASSERT_EQ(hall.in.current.groups.at(0).phase, group_phase::draining);
+  hall.obey();
+  hall.step(none);
+  EXPECT_EQ(hall.in.current.groups.size(), 1U);
+  const std::string leader = hall.in.current.groups[0].hosts[0];
+  hall.in.hosts[leader].load.running = 1;
+  hall.in.now += hall.in.drain_settle;
+  hall.obey();
+  hall.step(none);
+  EXPECT_EQ(hall.in.current.groups.size(), 1U);
+  hall.in.hosts[leader].load.running = 0;
+  hall.obey();
+  hall.step(none);
+  EXPECT_TRUE(hall.in.current.groups.empty());
+}
+
 TEST(planner, surges_where_spare_hosts_exist) {
   obedient_hall hall(1, 6);
   const auto before = config_of(2, 2, 2);
--- a/test/reducer-test.cc
+++ b/test/reducer-test.cc
@@ -3,7 +3,10 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <nlohmann/json.hpp>
+
 #include "fake-hall.h"
+#include "spokesail/hash.h"
 
 namespace spokesail {
 namespace {
@@ -163,6 +166,27 @@
   EXPECT_FALSE(this->present());
 }
 
+TEST(reducer, a_head_with_a_lower_revision_is_not_taken) {
+  node_options options;
+  options.self = {"a", "hall", "peer-a", "http-a"};
+  node_state state = make_node(options, start);
+  const auto give = [&](const object& o) {
+    state = reduce(std::move(state), {start, object_event{o}}).state;
+  };
+  const std::string content = nlohmann::json(configuration{}).dump();
+  const std::string digest = hex_digest(content);
+  give({{kinds::bundle, digest}, 1, R"({"bundle":)" + content + "}", false});
+  const auto head = [&](int64_t version, int64_t revision) {
+    const config_head h{revision, digest, "", ""};
+    return object{
+        {kinds::config, "head"}, version, nlohmann::json(h).dump(), false};
+  };
+  give(head(2, 5));
+  EXPECT_EQ(state.revision, 5);
+  give(head(3, 4));
+  EXPECT_EQ(state.revision, 5);
+}
+
 TEST(reducer, the_same_events_give_the_same_effects) {
   const auto run = [] {
     test::fake_hall hall{test::fake_options{}};
