--- a/standin/engine.cc
+++ b/standin/engine.cc
@@ -16,6 +16,7 @@
 #include <httplib.h>
 
 #include <atomic>
+#include <fstream>
 #include <iostream>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -23,6 +24,8 @@
 #include <thread>
 
 ABSL_FLAG(int, port, 0, "port to listen at, on 127.0.0.1");
+ABSL_FLAG(std::string, name, "", "name of the host, for the log");
+ABSL_FLAG(std::string, log, "", "file for a line on each order and request");
 ABSL_FLAG(std::string, service, "", "plain service to be; empty: an engine");
 ABSL_FLAG(bool, checks_fencing, true, "refuse orders with an old number");
 ABSL_FLAG(int, load_ms, 300, "time to load a model's weights");
@@ -51,6 +54,10 @@
  public:
   void run(int port) {
     this->boot = absl::StrCat(absl::ToUnixNanos(absl::Now()));
+    {
+      absl::MutexLock lock(&this->mutex);
+      this->log_line({{"e", "boot"}});
+    }
     this->server.new_task_queue = [] { return new httplib::ThreadPool(160); };
     this->server.set_tcp_nodelay(true);
     this->server.Get("/healthz", [this](auto&, auto& res) {
@@ -162,6 +169,7 @@
       }
       this->own.group.clear();
       this->own.incarnation = 0;
+      this->log_assignment();
       return;
     }
     const json adapters = order.value("adapters", json::array());
@@ -180,6 +188,7 @@
           absl::Now() + absl::Milliseconds(absl::GetFlag(FLAGS_load_ms));
     }
     this->members_lost = false;
+    this->log_assignment();
   }
 
   /// A group dies with any of its members: the leader looks after the others.
@@ -238,8 +247,27 @@
     this->running--;
   }
 
+  void log_line(json line) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) {
+    if (!this->log.is_open()) return;
+    line["t"] = absl::ToUnixMicros(absl::Now());
+    line["host"] = absl::GetFlag(FLAGS_name);
+    this->log << line.dump() << std::endl;
+  }
+
+  void log_assignment() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) {
+    this->log_line({{"e", "assign"},
+                    {"group", this->own.group},
+                    {"incarnation", this->own.incarnation},
+                    {"ready_at", absl::ToUnixMicros(this->own.ready_at)}});
+  }
+
   void log_run(const httplib::Request& req) {
     absl::MutexLock lock(&this->mutex);
+    this->log_line({{"e", "run"},
+                    {"attempt", req.get_header_value("X-Attempt-Id")},
+                    {"request", req.get_header_value("X-Test-Id")},
+                    {"group", this->own.group},
+                    {"incarnation", this->own.incarnation}});
     this->runs.push_back({{"attempt", req.get_header_value("X-Attempt-Id")},
                           {"request", req.get_header_value("X-Test-Id")},
                           {"group", this->own.group},
@@ -341,6 +369,7 @@
     res.set_content(out.dump(), "application/json");
   }
 
+  std::ofstream log{absl::GetFlag(FLAGS_log), std::ios::app};
   httplib::Server server;
   std::string boot;
   absl::Mutex mutex;
--- a/standin/platform.cc
+++ b/standin/platform.cc
@@ -18,6 +18,7 @@
 
 ABSL_FLAG(int, port, 0, "port to listen at, on 127.0.0.1");
 ABSL_FLAG(std::string, seed, "", "file of objects to start with, one a line");
+ABSL_FLAG(std::string, log, "", "file for a line on each change");
 ABSL_FLAG(int, rate, 2000, "calls a second before 429 is answered");
 
 namespace {
@@ -178,6 +179,15 @@
               const json& object) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) {
     this->history.push_back(
         {this->version, kind, {{"type", type}, {"object", object}}});
+    if (this->log.is_open() && kind != "audit" && kind != "lease") {
+      const json line = {{"t", absl::ToUnixMicros(absl::Now())},
+                         {"e", "change"},
+                         {"kind", kind},
+                         {"type", type},
+                         {"name", object["metadata"]["name"]},
+                         {"spec", object.value("spec", json::object())}};
+      this->log << line.dump() << std::endl;
+    }
     const auto kept = static_cast<size_t>(this->faults.value("history", 10000));
     while (this->history.size() > kept) {
       this->expired = this->history.front().version;
@@ -231,6 +241,7 @@
     });
   }
 
+  std::ofstream log{absl::GetFlag(FLAGS_log), std::ios::app};
   httplib::Server server;
   absl::Mutex mutex;
   json faults = json::object();
--- a/support/cluster.sh
+++ b/support/cluster.sh
@@ -14,7 +14,7 @@
 start() {
   local name=$1
   shift
-  "$@" >"$work/$name.log" 2>&1 &
+  "$@" >>"$work/$name.log" 2>&1 &
   pids[$name]=$!
 }
 
@@ -71,7 +71,7 @@
   [ "$2" -gt 3 ] && checks=false
   engine[$name]=127.0.0.1:$(engine_port "$1" "$2")
   start "$name" "$bin/standin-engine" --port="$(engine_port "$1" "$2")" \
-    --checks_fencing=$checks
+    --checks_fencing=$checks --name="$name" --log="$work/$name.jsonl"
 }
 
 start_entry() { # HALL INDEX
@@ -86,24 +86,25 @@
   work=$1
   platform=127.0.0.1:$base_port
   mkdir -p "$work"
-  : >"$work/hosts.jsonl"
+  : >"$work/hosts.seed"
   local hall i domain checks
   for hall in north south; do
     for i in 1 2 3 4 5 6; do
       domain=$hall-$([ "$i" -le 3 ] && echo a || echo b)
       checks=$([ "$i" -le 3 ] && echo true || echo false)
       host_object "$hall-e$i" "$(engine_port $hall $i)" $hall "$domain" "" \
-        "$checks" >>"$work/hosts.jsonl"
+        "$checks" >>"$work/hosts.seed"
     done
     host_object "$hall-status" "$(engine_port $hall 9)" $hall "$hall-a" status \
-      false >>"$work/hosts.jsonl"
+      false >>"$work/hosts.seed"
   done
   start platform "$bin/standin-platform" --port="$base_port" \
-    --seed="$work/hosts.jsonl"
+    --seed="$work/hosts.seed" --log="$work/platform.jsonl"
   for hall in north south; do
     for i in 1 2 3 4 5 6; do start_engine $hall $i; done
     engine[$hall-status]=127.0.0.1:$(engine_port $hall 9)
     start "$hall-status" "$bin/standin-engine" --service=status \
+      --name="$hall-status" --log="$work/$hall-status.jsonl" \
       --port="$(engine_port $hall 9)"
     for i in 1 2; do start_entry $hall $i; done
   done
