Survive a peer that closes its connection; fetch its capability once

Cause: EzRpcClient::getMain() on a connection whose peer has closed sends a bootstrap message on a network that is shut down, throws inside a destructor and ends the process (Cap'n Proto 0.9.2, found with a backtrace of the abort). Change: the peer's capability is fetched once, right after dialling.

--- a/include/spokesail/placement.h
+++ b/include/spokesail/placement.h
@@ -115,6 +115,10 @@
 /// where that costs nothing.
 std::unique_ptr<domain_policy> make_whole_replica_fit();
 
+/// The ways to choose a domain that can be named.
+enum class policy_kind { first_fit, best_fit, whole_replica };
+std::unique_ptr<domain_policy> make_policy(policy_kind kind);
+
 /// What a plan is made from.
 struct plan_input {
   const configuration* config = nullptr;
--- a/src/controller.cc
+++ b/src/controller.cc
@@ -43,7 +43,7 @@
     : hall(hall),
       timing(timing),
       own_lease(hall, self, timing.lease),
-      policy(make_whole_replica_fit()) {}
+      policy(make_policy(timing.policy)) {}
 
 void controller::follow_lease(absl::Time now) {
   const bool leads = this->leads(now);
--- a/src/domain-policy.cc
+++ b/src/domain-policy.cc
@@ -88,4 +88,16 @@
   return std::make_unique<whole_replica_fit>();
 }
 
+std::unique_ptr<domain_policy> make_policy(policy_kind kind) {
+  switch (kind) {
+    case policy_kind::first_fit:
+      return make_first_fit();
+    case policy_kind::best_fit:
+      return make_best_fit();
+    case policy_kind::whole_replica:
+      break;
+  }
+  return make_whole_replica_fit();
+}
+
 }  // namespace spokesail
--- a/src/peer.cc
+++ b/src/peer.cc
@@ -91,9 +91,21 @@
   pending_replies& replies;
 };
 
+/// A client and the capability of the peer that it dialled.
+struct dialled_peer {
+  explicit dialled_peer(const std::string& address)
+      : client(address.c_str()), main(client.getMain<rpc::Peer>()) {}
+  capnp::EzRpcClient client;
+  rpc::Peer::Client main;
+};
+
 /// One peer's connection, made on first use and again after a failure.
+///
+/// The peer's capability is fetched once: asking a connection for it after the
+/// peer has closed ends the process (Cap'n Proto 0.9, "already shut down"),
+/// while calls on a capability that was fetched before are merely rejected.
 struct peer_connection {
-  kj::Own<capnp::EzRpcClient> client;
+  kj::Own<dialled_peer> peer;
   uint64_t generation = 0;
   int outstanding = 0;
 };
@@ -168,7 +180,10 @@
       this->timer = &server.getIoProvider().getTimer();
       this->listening.Notify();
       while (!this->stopped) this->run_jobs(scope);
-      this->connections.clear();
+      for (auto& [to, connection] : this->connections) {
+        this->retired.push_back(kj::mv(connection.peer));
+      }
+      this->drop_retired();
     } catch (const kj::Exception& e) {
       this->failure = e.getDescription().cStr();
       if (!this->listening.HasBeenNotified()) this->listening.Notify();
@@ -191,8 +206,8 @@
   peer_connection* connect(const std::string& to) {
     auto& connection = this->connections[to];
     if (connection.outstanding >= most_outstanding) return nullptr;
-    if (connection.client.get() == nullptr) {
-      connection.client = kj::heap<capnp::EzRpcClient>(to.c_str());
+    if (connection.peer.get() == nullptr) {
+      connection.peer = kj::heap<dialled_peer>(to);
     }
     connection.outstanding++;
     return &connection;
@@ -208,10 +223,20 @@
           connection.outstanding--;
           if (connection.generation != generation) return;
           connection.generation++;
-          connection.client = nullptr;
+          this->retired.push_back(kj::mv(connection.peer));
+          this->post([this] { this->drop_retired(); });
         });
   }
 
+  /// Destroys connections outside of their own callbacks.
+  void drop_retired() {
+    while (!this->retired.empty()) {
+      auto peer = kj::mv(this->retired.back());
+      this->retired.pop_back();
+      kj::runCatchingExceptions([&peer] { peer = nullptr; });
+    }
+  }
+
   void sent(uint64_t words) {
     this->count("sent", words * sizeof(capnp::word) + envelope_bytes);
   }
@@ -222,7 +247,7 @@
   void call_beat(const std::string& to, const beat& b) {
     peer_connection* connection = this->connect(to);
     if (!connection) return;
-    auto request = connection->client->getMain<rpc::Peer>().beatRequest();
+    auto request = connection->peer->main.beatRequest();
     write_beat(request.initBeat(), b);
     this->sent(request.asReader().totalSize().wordCount);
     this->follow(
@@ -236,7 +261,7 @@
   void call_push(const std::string& to, const std::vector<object>& objects) {
     peer_connection* connection = this->connect(to);
     if (!connection) return;
-    auto request = connection->client->getMain<rpc::Peer>().pushRequest();
+    auto request = connection->peer->main.pushRequest();
     const auto size = static_cast<unsigned>(objects.size());
     write_objects(request.initObjects(size), objects);
     this->sent(request.asReader().totalSize().wordCount);
@@ -248,7 +273,7 @@
                  const std::vector<object_stamp>& known) {
     peer_connection* connection = this->connect(to);
     if (!connection) return;
-    auto request = connection->client->getMain<rpc::Peer>().pullRequest();
+    auto request = connection->peer->main.pullRequest();
     const auto size = static_cast<unsigned>(known.size());
     write_stamps(request.initKnown(size), known);
     this->sent(request.asReader().totalSize().wordCount);
@@ -273,6 +298,7 @@
   bool stopped = false;
   pending_replies replies;
   std::map<std::string, peer_connection> connections;
+  std::vector<kj::Own<dialled_peer>> retired;
   kj::Timer* timer = nullptr;
   std::thread thread;
 };
--- /dev/null
+++ b/test/peer-test.cc
@@ -0,0 +1,117 @@
+// The link between entry hosts, over loopback.
+#include "spokesail/peer.h"
+
+#include <absl/synchronization/mutex.h>
+#include <absl/time/clock.h>
+#include <gtest/gtest.h>
+
+namespace spokesail {
+namespace {
+
+constexpr char address_a[] = "127.0.0.1:20931";
+constexpr char address_b[] = "127.0.0.1:20932";
+
+/// Tries, each after a short sleep, before a test gives up.
+constexpr int most_tries = 400;
+
+/// A link that answers every beat and counts those it took.
+class answering_node {
+ public:
+  explicit answering_node(const std::string& address)
+      : link(make_rpc_link(
+            address, [this](event_body e) { this->take(std::move(e)); },
+            [](const char*, size_t) {})) {}
+
+  int beats() {
+    absl::MutexLock lock(&this->mutex);
+    return this->taken;
+  }
+  int acks() {
+    absl::MutexLock lock(&this->mutex);
+    return this->answered;
+  }
+  beat last() {
+    absl::MutexLock lock(&this->mutex);
+    return this->latest;
+  }
+
+  /// Sends beats until one more has been answered.
+  bool reach(const std::string& address, const beat& b) {
+    const int before = this->acks();
+    for (int i = 0; i < most_tries; i++) {
+      this->link->send_beat(address, b);
+      absl::SleepFor(absl::Milliseconds(10));
+      if (this->acks() > before) return true;
+    }
+    return false;
+  }
+
+  std::unique_ptr<peer_link> link;
+
+ private:
+  void take(event_body e) {
+    if (const auto* b = std::get_if<beat_event>(&e)) {
+      {
+        absl::MutexLock lock(&this->mutex);
+        this->taken++;
+        this->latest = b->content;
+      }
+      this->link->reply_beat(b->token, beat_ack{});
+    } else if (std::holds_alternative<beat_ack_event>(e)) {
+      absl::MutexLock lock(&this->mutex);
+      this->answered++;
+    }
+  }
+
+  absl::Mutex mutex;
+  int taken = 0;
+  int answered = 0;
+  beat latest;
+};
+
+beat full_beat() {
+  beat b;
+  b.from = {"a", "hall", address_a, "127.0.0.1:1"};
+  b.sequence = 3;
+  b.sent = absl::UnixEpoch() + absl::Seconds(5);
+  b.probed_at = absl::UnixEpoch() + absl::Seconds(4);
+  b.has_words = true;
+  host_word word;
+  word.host = "h";
+  word.reachable = true;
+  word.at = absl::UnixEpoch() + absl::Seconds(4);
+  word.report.group = "g";
+  word.report.incarnation = 7;
+  word.report.phase = host_phase::ready;
+  word.report.adapters = {"x", "y"};
+  b.words.push_back(word);
+  b.loads.push_back({"h", {2, 1}});
+  b.open_models = {"m"};
+  return b;
+}
+
+TEST(peer, a_beat_arrives_as_it_was_sent) {
+  answering_node a(address_a);
+  answering_node b(address_b);
+  ASSERT_TRUE(a.reach(address_b, full_beat()));
+  EXPECT_EQ(b.last(), full_beat());
+}
+
+TEST(peer, a_peer_that_closes_and_returns_is_reached_again) {
+  answering_node a(address_a);
+  for (int i = 0; i < 3; i++) {
+    answering_node b(address_b);
+    ASSERT_TRUE(a.reach(address_b, full_beat()));
+    ASSERT_TRUE(b.reach(address_a, full_beat()));
+  }
+  // Nobody there: calls fail, and the process lives on.
+  for (int i = 0; i < 20; i++) {
+    a.link->send_beat(address_b, full_beat());
+    absl::SleepFor(absl::Milliseconds(5));
+  }
+  answering_node b(address_b);
+  EXPECT_TRUE(a.reach(address_b, full_beat()));
+}
+
+}  // namespace
+}  // namespace spokesail
