Beat once a second, and say less: names once, open models across halls only

Cause: control traffic was 10186 bytes/s a node (sent and received) at 3 nodes before 5 hosts, five times the target, though part of that run's traffic came from hosts that shared a stand-in and changed all the time; losses are pushed at once, so the period only matters for a prober's own death. Change: period 500 ms -> 1 s, presence window 1.5 s -> 2.5 s, member window 2 s -> 3 s; addresses and halls are sent until acknowledged, then names alone.

--- a/include/spokesail/membership.h
+++ b/include/spokesail/membership.h
@@ -44,6 +44,7 @@
 
 /// What one entry host tells another, at every period and on each change.
 struct beat {
+  /// The name alone, once the receiver knows the rest.
   member_info from;
   /// Differs from one start of the process to the next.
   uint64_t boot = 0;
@@ -71,6 +72,7 @@
 
 /// The answer to a beat.
 struct beat_ack {
+  /// The name alone within a hall, where beats tell the rest.
   member_info from;
   uint64_t boot = 0;
   /// When the beat was taken, on the answering host's clock.
@@ -157,6 +159,8 @@
   const member_info& own() const { return this->self; }
 
  private:
+  /// Whether a message says, or this node knows, how to reach its sender.
+  bool knows(const member_info& from, uint64_t boot) const;
   member& touch(const member_info& info, uint64_t boot);
 
   member_info self;
--- a/include/spokesail/reducer.h
+++ b/include/spokesail/reducer.h
@@ -26,13 +26,13 @@
   member_info self;
   uint64_t boot = 0;
   uint64_t seed = 1;
-  absl::Duration beat_period = absl::Milliseconds(500);
+  absl::Duration beat_period = absl::Milliseconds(1000);
   absl::Duration probe_period = absl::Milliseconds(500);
   absl::Duration probe_deadline = absl::Milliseconds(500);
   /// A host counts as present for this long after a probe reached it.
-  absl::Duration presence_window = absl::Milliseconds(1500);
+  absl::Duration presence_window = absl::Milliseconds(2500);
   /// A peer counts as alive for this long after its last word.
-  absl::Duration member_window = absl::Seconds(2);
+  absl::Duration member_window = absl::Seconds(3);
   /// Without news by a watcher for this long, a node asks the platform.
   absl::Duration poll_after = absl::Seconds(4);
   /// How long a stopping node waits for the balancer to notice.
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -42,13 +42,24 @@
     m = member{};
     m.boot = boot;
   }
-  m.info = info;
-  this->addresses[info.peer_address] = info.hall;
+  // Brief messages carry the name alone.
+  if (!info.peer_address.empty()) {
+    m.info = info;
+    this->addresses[info.peer_address] = info.hall;
+  }
   return m;
 }
 
+bool membership::knows(const member_info& from, uint64_t boot) const {
+  if (!from.peer_address.empty()) return true;
+  const auto it = this->members.find(from.name);
+  return it != this->members.end() && it->second.boot == boot;
+}
+
 bool membership::on_beat(const beat& b) {
-  if (b.from.name == this->self.name) return false;
+  if (b.from.name == this->self.name || !this->knows(b.from, b.boot)) {
+    return false;
+  }
   member& m = this->touch(b.from, b.boot);
   if (b.sequence <= m.sequence) return false;
   m.sequence = b.sequence;
@@ -63,6 +74,12 @@
 
 void membership::on_ack(const beat_ack& ack, absl::Time sent) {
   if (ack.from.name == this->self.name) return;
+  if (!this->knows(ack.from, ack.boot)) {
+    // It started anew and knows nothing: the next beat tells it everything.
+    const auto it = this->members.find(ack.from.name);
+    if (it != this->members.end()) it->second.acked_epoch = -1;
+    return;
+  }
   member& m = this->touch(ack.from, ack.boot);
   m.heard_at = std::max(m.heard_at, sent);
   m.clock.learn(sent, ack.taken);
--- a/src/node-beat.cc
+++ b/src/node-beat.cc
@@ -121,14 +121,22 @@
   this->s.beat_now = false;
   beat full = this->make_beat();
   full.has_words = true;
-  beat brief = full;
-  brief.has_words = false;
-  brief.words.clear();
+  beat far = full;
+  far.has_words = false;
+  far.words.clear();
+  full.open_models.clear();
+  beat brief = far;
+  brief.open_models.clear();
+  brief.from = {full.from.name, "", "", ""};
   for (const auto& address : this->s.members.beat_addresses(this->now)) {
     const member* m = this->s.members.find_address(address);
     const bool near = !m || m->info.hall == this->s.options.self.hall;
     const bool knows = m && m->acked_epoch == full.words_epoch;
-    this->emit(beat_effect{address, near && !knows ? full : brief});
+    if (!near) {
+      this->emit(beat_effect{address, far});
+    } else {
+      this->emit(beat_effect{address, knows ? brief : full});
+    }
   }
 }
 
@@ -164,13 +172,14 @@
   const beat& b = e.content;
   const bool taken = this->s.members.on_beat(b);
   member* m = this->s.members.find(b.from.name);
-  const bool near = b.from.hall == this->s.options.self.hall;
+  const bool near = m && m->info.hall == this->s.options.self.hall;
   if (taken && near) this->take_words(b, *m);
   beat_ack ack;
   ack.from = this->s.options.self;
+  if (near) ack.from = {ack.from.name, "", "", ""};
   ack.boot = this->s.options.boot;
   ack.taken = this->now;
-  ack.words_epoch = m ? m->words_epoch : -1;
+  ack.words_epoch = taken && near ? m->words_epoch : -1;
   ack.revision = this->s.revision;
   ack.ready = this->ready();
   ack.stopping = this->s.stopping;
--- a/support/capacity.sh
+++ b/support/capacity.sh
@@ -55,7 +55,10 @@
     start "n$i" "$bin/spokesail" serve --settings="$work/n$i.yaml"
   done
   wait_until 10 curl -sf "http://$platform/apis/spokesail/v1/host"
-  "$bin/spokesail" apply --f=example/config --platform="$platform" \
+  # Several hosts share one stand-in, so nothing is placed on them.
+  mkdir "$work/config"
+  cp example/config/workspaces.yaml "$work/config"
+  "$bin/spokesail" apply --f="$work/config" --platform="$platform" \
     >"$work/apply.out"
   sleep 5
   local calls0 calls1
