--- a/include/spokesail/config.h
+++ b/include/spokesail/config.h
@@ -58,6 +58,8 @@
   int queue_length = 256;
   /// Weight loads that run at once in one data hall.
   int concurrent_loads = 4;
+  /// Whether spare hosts load the weights of a model of their domain ahead.
+  bool preload_spares = true;
   /// Deadline of a request that names none.
   absl::Duration default_deadline = absl::Seconds(120);
   /// How long a group waits for a lost member before it is replaced.
--- a/include/spokesail/controller.h
+++ b/include/spokesail/controller.h
@@ -14,8 +14,12 @@
 
 namespace spokesail {
 
-/// What a backend server is told to do.
-enum class order_kind { load, release };
+/// What a backend server is told to do: take its place in a group, leave its
+/// group, or load a model's weights while it stands in none.
+enum class order_kind { load, release, preload };
+
+/// An order's name, for the wire and for logs.
+const char* order_name(order_kind kind);
 
 /// An order to one backend server.
 struct order {
@@ -110,6 +114,16 @@
                                                  absl::Time now,
                                                  const std::string& write_id,
                                                  controller_actions& actions);
+  /// What is left of a hall's weight loads, and which hosts stand in groups.
+  struct load_budget {
+    int loading = 0;
+    int limit = 1;
+    std::map<std::string, const group*> owner;
+  };
+  void add_preloads(const controller_view& view, absl::Time now,
+                    load_budget& budget, std::vector<order>& out) const;
+  const model_config* model_of_domain(const controller_view& view,
+                                      const std::string& domain) const;
   std::vector<order> due_orders(const controller_view& view, absl::Time now);
   plan_input make_plan_input(const controller_view& view, absl::Time now) const;
   void note_draining(absl::Time now);
--- a/include/spokesail/placement.h
+++ b/include/spokesail/placement.h
@@ -111,8 +111,7 @@
 std::unique_ptr<domain_policy> make_first_fit();
 /// Takes the domain that is left with the fewest hosts.
 std::unique_ptr<domain_policy> make_best_fit();
-/// Takes the domain whose rest strands the fewest hosts, keeping a spare
-/// where that costs nothing.
+/// Takes the domain whose rest strands the fewest hosts, the fullest of them.
 std::unique_ptr<domain_policy> make_whole_replica_fit();
 
 /// The ways to choose a domain that can be named.
--- a/src/backend.cc
+++ b/src/backend.cc
@@ -96,7 +96,7 @@
   }
 
   order_status send_order(const order& o, absl::Duration deadline) override {
-    json j = {{"kind", o.kind == order_kind::load ? "load" : "release"},
+    json j = {{"kind", order_name(o.kind)},
               {"fence", o.fence},
               {"group", o.group},
               {"incarnation", o.incarnation},
--- a/src/config-reader.cc
+++ b/src/config-reader.cc
@@ -69,6 +69,7 @@
       static_cast<int>(m.integer("queue_length", out.queue_length, 1, 100000));
   out.concurrent_loads = static_cast<int>(
       m.integer("concurrent_loads", out.concurrent_loads, 1, 1000));
+  out.preload_spares = m.boolean("preload_spares", out.preload_spares);
   out.default_deadline =
       m.milliseconds("default_deadline_ms", out.default_deadline, 100, day_ms);
   out.repair_grace =
--- a/src/config.cc
+++ b/src/config.cc
@@ -32,6 +32,7 @@
 static void to_json(json& j, const limits_config& l) {
   j = {{"queue_length", l.queue_length},
        {"concurrent_loads", l.concurrent_loads},
+       {"preload_spares", l.preload_spares},
        {"default_deadline_ms", absl::ToInt64Milliseconds(l.default_deadline)},
        {"repair_grace_ms", absl::ToInt64Milliseconds(l.repair_grace)}};
 }
@@ -40,6 +41,7 @@
   const limits_config d;
   l.queue_length = j.value("queue_length", d.queue_length);
   l.concurrent_loads = j.value("concurrent_loads", d.concurrent_loads);
+  l.preload_spares = j.value("preload_spares", d.preload_spares);
   l.default_deadline = absl::Milliseconds(j.value(
       "default_deadline_ms", absl::ToInt64Milliseconds(d.default_deadline)));
   l.repair_grace = absl::Milliseconds(
--- a/src/controller.cc
+++ b/src/controller.cc
@@ -38,6 +38,18 @@
 
 }  // namespace
 
+const char* order_name(order_kind kind) {
+  switch (kind) {
+    case order_kind::load:
+      return "load";
+    case order_kind::release:
+      return "release";
+    case order_kind::preload:
+      return "preload";
+  }
+  return "unknown";
+}
+
 controller::controller(const std::string& hall, const std::string& self,
                        controller_timing timing)
     : hall(hall),
@@ -195,9 +207,10 @@
     size_t rank;
     bool cold;
   };
-  int loading = 0;
+  load_budget budget;
+  int& loading = budget.loading;
+  auto& owner = budget.owner;
   std::vector<candidate> due;
-  std::map<std::string, const group*> owner;
   for (const auto& g : this->current.groups) {
     for (size_t rank = 0; rank < g.hosts.size(); rank++) {
       owner[g.hosts[rank]] = &g;
@@ -224,7 +237,8 @@
                    [&](const candidate& a, const candidate& b) {
                      return rank_of(a) < rank_of(b);
                    });
-  const int limit = view.config ? view.config->limits.concurrent_loads : 1;
+  if (view.config) budget.limit = view.config->limits.concurrent_loads;
+  const int limit = budget.limit;
   std::vector<order> out;
   for (const auto& c : due) {
     const std::string& host = c.g->hosts[c.rank];
@@ -248,6 +262,7 @@
     o.incarnation = host.report->incarnation;
     out.push_back(std::move(o));
   }
+  this->add_preloads(view, now, budget, out);
   const absl::Time until = this->own_lease.valid_until_time();
   for (auto& o : out) {
     o.fence = this->led_fence;
@@ -258,6 +273,69 @@
   return out;
 }
 
+const model_config* controller::model_of_domain(
+    const controller_view& view, const std::string& domain) const {
+  const model_config* here = nullptr;
+  const auto prefer = [](const model_config* best, const model_config* other) {
+    return !best || other->importance > best->importance;
+  };
+  for (const auto& g : this->current.groups) {
+    const auto leader = view.hosts.find(g.hosts.front());
+    if (leader == view.hosts.end()) continue;
+    if (leader->second.info.domain != domain) continue;
+    const model_config* model = find_model(*view.config, g.model);
+    if (model && prefer(here, model)) here = model;
+  }
+  if (here) return here;
+  // No group stands there: the domain is where a whole one would move to.
+  const auto size = std::count_if(
+      view.hosts.begin(), view.hosts.end(), [&](const auto& entry) {
+        const host_info& info = entry.second.info;
+        return info.domain == domain && info.service.empty();
+      });
+  for (const auto& model : view.config->models) {
+    const auto wanted = model.replicas.find(this->hall);
+    if (wanted == model.replicas.end() || wanted->second == 0) continue;
+    if (model.hosts_per_replica > size) continue;
+    if (prefer(here, &model)) here = &model;
+  }
+  return here;
+}
+
+void controller::add_preloads(const controller_view& view, absl::Time now,
+                              load_budget& budget,
+                              std::vector<order>& out) const {
+  if (!view.config || !view.config->limits.preload_spares) return;
+  for (const auto& [name, host] : view.hosts) {
+    const bool spare = host.report && host.report->group.empty() &&
+                       host.info.service.empty() && !host.info.leaving &&
+                       !host.drained && budget.owner.count(name) == 0;
+    if (!spare) continue;
+    if (host.report->phase == host_phase::loading) {
+      budget.loading++;
+      continue;
+    }
+    const model_config* model = this->model_of_domain(view, host.info.domain);
+    if (!model) continue;
+    const host_report& report = *host.report;
+    const bool warm = report.model == model->name &&
+                      report.version == model->version &&
+                      report.adapters == model->adapters;
+    // Groups that wait for weights have taken their share before.
+    if (warm || budget.loading >= budget.limit) continue;
+    if (!this->may_send(name, now)) continue;
+    budget.loading++;
+    order o;
+    o.kind = order_kind::preload;
+    o.host = name;
+    o.address = host.info.address;
+    o.model = model->name;
+    o.version = model->version;
+    o.adapters = model->adapters;
+    out.push_back(std::move(o));
+  }
+}
+
 void controller::on_order(const std::string& host, order_status status,
                           absl::Time now) {
   const auto it = this->orders.find(host);
--- a/src/node-control.cc
+++ b/src/node-control.cc
@@ -45,12 +45,11 @@
     this->emit(platform_effect{call_owner::placement, *actions.placement_call});
   }
   for (auto& o : actions.orders) {
-    this->log("order_sent",
-              {{"host", o.host},
-               {"kind", o.kind == order_kind::load ? "load" : "release"},
-               {"group", o.group},
-               {"incarnation", std::to_string(o.incarnation)},
-               {"fence", std::to_string(o.fence)}});
+    this->log("order_sent", {{"host", o.host},
+                             {"kind", order_name(o.kind)},
+                             {"group", o.group},
+                             {"incarnation", std::to_string(o.incarnation)},
+                             {"fence", std::to_string(o.fence)}});
     this->emit(order_effect{std::move(o)});
   }
   for (const auto& change : actions.changes) {
--- a/test/hall-faults-test.cc
+++ b/test/hall-faults-test.cc
@@ -58,6 +58,16 @@
   EXPECT_GT(after.groups[0].incarnation, before);
 }
 
+TEST_F(hall_faults, a_spare_has_the_weights_before_it_is_needed) {
+  this->start();
+  this->hall.run_for(absl::Seconds(15));
+  this->hall.kill_host(this->member(0, 1));
+  // Detection, grace and regrouping, without the 5 s of a weight load.
+  const auto limit = limits_config{}.repair_grace + absl::Milliseconds(1500);
+  this->hall.run_for(absl::Seconds(1));
+  EXPECT_TRUE(this->serves(2, limit));
+}
+
 TEST_F(hall_faults, a_short_pause_of_a_member_replaces_nothing) {
   this->start();
   const placement before = this->hall.document();
