--- a/include/spokesail/controller.h
+++ b/include/spokesail/controller.h
@@ -122,8 +122,16 @@
   };
   void add_preloads(const controller_view& view, absl::Time now,
                     load_budget& budget, std::vector<order>& out) const;
-  const model_config* model_of_domain(const controller_view& view,
-                                      const std::string& domain) const;
+  /// How many spare hosts of a domain are to hold a model's weights, and
+  /// whether a group of the model stands in the domain.
+  struct spare_demand {
+    const model_config* model = nullptr;
+    int count = 0;
+    bool member = false;
+  };
+  /// The demands on a domain's spares, most urgent first.
+  std::vector<spare_demand> spare_demands(const controller_view& view,
+                                          const std::string& domain) const;
   std::vector<order> due_orders(const controller_view& view, absl::Time now);
   plan_input make_plan_input(const controller_view& view, absl::Time now) const;
   void note_draining(absl::Time now);
--- a/src/controller.cc
+++ b/src/controller.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <set>
 
 namespace spokesail {
 
@@ -36,6 +37,22 @@
   return o;
 }
 
+bool holds_weights(const host_report& report, const model_config& model) {
+  return report.model == model.name && report.version == model.version &&
+         report.adapters == model.adapters;
+}
+
+order make_preload(const host_info& host, const model_config& model) {
+  order o;
+  o.kind = order_kind::preload;
+  o.host = host.name;
+  o.address = host.address;
+  o.model = model.name;
+  o.version = model.version;
+  o.adapters = model.adapters;
+  return o;
+}
+
 }  // namespace
 
 const char* order_name(order_kind kind) {
@@ -273,66 +290,69 @@
   return out;
 }
 
-const model_config* controller::model_of_domain(
+std::vector<controller::spare_demand> controller::spare_demands(
     const controller_view& view, const std::string& domain) const {
-  const model_config* here = nullptr;
-  const auto prefer = [](const model_config* best, const model_config* other) {
-    return !best || other->importance > best->importance;
-  };
+  std::set<std::string> here;
   for (const auto& g : this->current.groups) {
     const auto leader = view.hosts.find(g.hosts.front());
-    if (leader == view.hosts.end()) continue;
-    if (leader->second.info.domain != domain) continue;
-    const model_config* model = find_model(*view.config, g.model);
-    if (model && prefer(here, model)) here = model;
+    const bool same =
+        leader != view.hosts.end() && leader->second.info.domain == domain;
+    if (same) here.insert(g.model);
   }
-  if (here) return here;
-  // No group stands there: the domain is where a whole one would move to.
-  const auto size = std::count_if(
-      view.hosts.begin(), view.hosts.end(), [&](const auto& entry) {
-        const host_info& info = entry.second.info;
-        return info.domain == domain && info.service.empty();
-      });
+  std::vector<spare_demand> demands;
   for (const auto& model : view.config->models) {
     const auto wanted = model.replicas.find(this->hall);
     if (wanted == model.replicas.end() || wanted->second == 0) continue;
-    if (model.hosts_per_replica > size) continue;
-    if (prefer(here, &model)) here = &model;
+    // A group of this domain needs one host to replace a member; a group of
+    // another domain moves here as a whole.
+    const bool member = here.count(model.name) != 0;
+    demands.push_back({&model, member ? 1 : model.hosts_per_replica, member});
   }
-  return here;
+  std::stable_sort(demands.begin(), demands.end(),
+                   [](const spare_demand& x, const spare_demand& y) {
+                     if (x.member != y.member) return x.member;
+                     return x.model->importance > y.model->importance;
+                   });
+  return demands;
 }
 
 void controller::add_preloads(const controller_view& view, absl::Time now,
                               load_budget& budget,
                               std::vector<order>& out) const {
   if (!view.config || !view.config->limits.preload_spares) return;
+  std::map<std::string, std::vector<const host_view*>> spares;
   for (const auto& [name, host] : view.hosts) {
     const bool spare = host.report && host.report->group.empty() &&
                        host.info.service.empty() && !host.info.leaving &&
                        !host.drained && budget.owner.count(name) == 0;
     if (!spare) continue;
-    if (host.report->phase == host_phase::loading) {
+    spares[host.info.domain].push_back(&host);
+    if (host.report->phase == host_phase::loading) budget.loading++;
+  }
+  for (auto& [domain, hosts] : spares) {
+    auto demands = this->spare_demands(view, domain);
+    // Hosts that have, or are loading, what is asked for stay as they are.
+    std::erase_if(hosts, [&](const host_view* host) {
+      for (auto& demand : demands) {
+        if (demand.count <= 0 || !holds_weights(*host->report, *demand.model)) {
+          continue;
+        }
+        demand.count--;
+        return true;
+      }
+      return host->report->phase == host_phase::loading;
+    });
+    for (const host_view* host : hosts) {
+      const auto open =
+          std::find_if(demands.begin(), demands.end(),
+                       [](const auto& demand) { return demand.count > 0; });
+      // Groups that wait for weights have taken their share before.
+      if (open == demands.end() || budget.loading >= budget.limit) break;
+      if (!this->may_send(host->info.name, now)) continue;
+      open->count--;
       budget.loading++;
-      continue;
+      out.push_back(make_preload(host->info, *open->model));
     }
-    const model_config* model = this->model_of_domain(view, host.info.domain);
-    if (!model) continue;
-    const host_report& report = *host.report;
-    const bool warm = report.model == model->name &&
-                      report.version == model->version &&
-                      report.adapters == model->adapters;
-    // Groups that wait for weights have taken their share before.
-    if (warm || budget.loading >= budget.limit) continue;
-    if (!this->may_send(name, now)) continue;
-    budget.loading++;
-    order o;
-    o.kind = order_kind::preload;
-    o.host = name;
-    o.address = host.info.address;
-    o.model = model->name;
-    o.version = model->version;
-    o.adapters = model->adapters;
-    out.push_back(std::move(o));
   }
 }
 
--- a/src/peer.cc
+++ b/src/peer.cc
@@ -23,7 +23,8 @@
 constexpr auto call_limit = 2 * kj::SECONDS;
 
 /// What the RPC layer adds to each message: call or return header, capability
-/// table, release of the answer. Measured on the wire, in bytes.
+/// table, release of the answer; in bytes. An estimate from the message layout,
+/// not a measurement.
 constexpr size_t envelope_bytes = 112;
 
 template <typename T>
