--- a/include/spokesail/placement.h
+++ b/include/spokesail/placement.h
@@ -94,6 +94,8 @@
   std::vector<std::string> free_hosts;
   int warm = 0;
   int total = 0;
+  /// Hosts of the largest group that stands in the domain.
+  int largest_group = 0;
 };
 
 /// Chooses the fabric domain for a new replica.
@@ -111,7 +113,8 @@
 std::unique_ptr<domain_policy> make_first_fit();
 /// Takes the domain that is left with the fewest hosts.
 std::unique_ptr<domain_policy> make_best_fit();
-/// Takes the domain whose rest strands the fewest hosts, the fullest of them.
+/// Takes the domain whose rest strands the fewest hosts, if possible not the
+/// last spare of a larger group, and then the fullest.
 std::unique_ptr<domain_policy> make_whole_replica_fit();
 
 /// The ways to choose a domain that can be named.
--- a/src/domain-policy.cc
+++ b/src/domain-policy.cc
@@ -63,14 +63,16 @@
   }
 
  private:
-  // Hosts that the replica strands; then the fuller domain, which leaves the
-  // others whole for large replicas; then warm hosts passed over.
-  std::tuple<int, int, int> cost(const domain_supply& supply, int need,
-                                 const std::vector<int>& sizes) const {
+  // Hosts that the replica strands; then whether it takes the last spare of a
+  // larger group; then the fuller domain, which leaves the others whole for
+  // large replicas; then warm hosts passed over.
+  std::tuple<int, bool, int, int> cost(const domain_supply& supply, int need,
+                                       const std::vector<int>& sizes) const {
     const int free = static_cast<int>(supply.free_hosts.size());
     const int before = free - fillable(free, sizes);
     const int after = (free - need) - fillable(free - need, sizes);
-    return {after - before, free, -supply.warm};
+    const bool last_spare = free == need && supply.largest_group > need;
+    return {after - before, last_spare, free, -supply.warm};
   }
 };
 
--- a/src/planner.cc
+++ b/src/planner.cc
@@ -249,6 +249,12 @@
         cold.push_back(name);
       }
     }
+    for (const auto& g : this->next.groups) {
+      const host_view* leader = this->find(g.hosts.front());
+      if (!leader || leader->info.domain != domain) continue;
+      const int size = static_cast<int>(g.hosts.size());
+      supply.largest_group = std::max(supply.largest_group, size);
+    }
     supply.warm = static_cast<int>(supply.free_hosts.size());
     supply.free_hosts.insert(supply.free_hosts.end(), cold.begin(), cold.end());
     return supply;
--- a/test/planner-test.cc
+++ b/test/planner-test.cc
@@ -209,11 +209,18 @@
 TEST(domain_policy, whole_replica_leaves_what_others_can_fill) {
   // Best fit would leave 1 of 3, where a replica of 3 could have gone.
   const std::vector<domain_supply> supplies = {
-      {"a", {"1", "2", "3"}, 0, 3}, {"b", {"4", "5", "6", "7"}, 0, 4}};
+      {"a", {"1", "2", "3"}, 0, 3, 0}, {"b", {"4", "5", "6", "7"}, 0, 4, 0}};
   EXPECT_EQ(make_best_fit()->choose(supplies, 2, {2, 3}), 0U);
   EXPECT_EQ(make_whole_replica_fit()->choose(supplies, 2, {2, 3}), 1U);
 }
 
+TEST(domain_policy, whole_replica_leaves_a_larger_group_its_last_spare) {
+  const std::vector<domain_supply> supplies = {
+      {"a", {"1", "2"}, 0, 6, 4}, {"b", {"3", "4", "5", "6"}, 0, 6, 0}};
+  EXPECT_EQ(make_best_fit()->choose(supplies, 2, {2, 4}), 0U);
+  EXPECT_EQ(make_whole_replica_fit()->choose(supplies, 2, {2, 4}), 1U);
+}
+
 RC_GTEST_PROP(planner_property, never_shares_a_host_and_settles, ()) {
   const int domains = *rc::gen::inRange(1, 4);
   const int per_domain = *rc::gen::inRange(1, 7);
