--- a/include/spokesail/controller.h
+++ b/include/spokesail/controller.h
@@ -52,7 +52,7 @@
   absl::Duration order_repeat = absl::Seconds(2);
   absl::Duration plan_every = absl::Milliseconds(200);
   absl::Duration drain_settle = absl::Seconds(3);
-  policy_kind policy = policy_kind::whole_replica;
+  policy_kind policy = policy_kind::best_fit;
 };
 
 /// What one step of the controller asks for.
