--- a/include/spokesail/admission.h
+++ b/include/spokesail/admission.h
@@ -56,7 +56,9 @@
     double start_tag = 0;
     std::deque<queued_request> waiting;
   };
-  std::map<std::string, line>::iterator turn();
+  /// The workspace whose turn it is, in either kind of map.
+  template <typename Lines>
+  static auto turn(Lines& lines);
 
   std::map<std::string, line> lines;
   double virtual_time = 0;
--- a/src/admission.cc
+++ b/src/admission.cc
@@ -28,12 +28,12 @@
   this->count++;
 }
 
-std::map<std::string, fair_queue::line>::iterator fair_queue::turn() {
-  auto best = this->lines.end();
-  for (auto it = this->lines.begin(); it != this->lines.end(); ++it) {
+template <typename Lines>
+auto fair_queue::turn(Lines& lines) {
+  auto best = lines.end();
+  for (auto it = lines.begin(); it != lines.end(); ++it) {
     if (it->second.waiting.empty()) continue;
-    if (best == this->lines.end() ||
-        it->second.start_tag < best->second.start_tag) {
+    if (best == lines.end() || it->second.start_tag < best->second.start_tag) {
       best = it;
     }
   }
@@ -41,12 +41,12 @@
 }
 
 const queued_request* fair_queue::front() const {
-  const auto best = const_cast<fair_queue*>(this)->turn();
+  const auto best = turn(this->lines);
   return best == this->lines.end() ? nullptr : &best->second.waiting.front();
 }
 
 std::optional<queued_request> fair_queue::pop() {
-  const auto best = this->turn();
+  const auto best = turn(this->lines);
   if (best == this->lines.end()) return std::nullopt;
   auto& line = best->second;
   queued_request request = std::move(line.waiting.front());
--- a/src/main.cc
+++ b/src/main.cc
@@ -4,13 +4,16 @@
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 #include <absl/strings/str_split.h>
 #include <absl/time/clock.h>
 
 #include <algorithm>
 #include <cstdio>
 #include <iostream>
+#include <map>
 #include <nlohmann/json.hpp>
+#include <set>
 
 #include "apply.h"
 #include "detail/http.h"
@@ -115,6 +118,38 @@
   return json::parse(result->body, nullptr, false);
 }
 
+/// The nodes that can be heard of, and those that lack a revision.
+struct rollout {
+  size_t nodes = 0;
+  std::vector<std::string> behind;
+};
+
+/// Asks a node, the members that it knows, the members that they know, and so
+/// on, for the revision that each has in force.
+rollout look_around(const std::string& first, int64_t revision) {
+  rollout out;
+  std::map<std::string, std::string> names = {{first, first}};
+  std::set<std::string> asked;
+  for (;;) {
+    const auto next = std::find_if(
+        names.begin(), names.end(),
+        [&](const auto& entry) { return asked.count(entry.first) == 0; });
+    if (next == names.end()) return out;
+    const auto [address, name] = *next;
+    asked.insert(address);
+    const json status = fetch_status(address);
+    out.nodes++;
+    if (!status.is_object()) {
+      out.behind.push_back(name + " (does not answer)");
+      continue;
+    }
+    if (status["revision"] < revision) out.behind.push_back(name);
+    for (const auto& member : status["members"]) {
+      names.emplace(member["http_address"], member["name"]);
+    }
+  }
+}
+
 /// Waits until every node that can be heard of has the revision in force.
 int wait_in_force(int64_t revision) {
   const std::string node = absl::GetFlag(FLAGS_node);
@@ -124,31 +159,18 @@
   }
   if (node.empty()) return exit_ok;
   const absl::Time started = absl::Now();
-  std::string behind;
-  size_t known = 0;
-  while (absl::Now() - started < absl::Seconds(seconds)) {
-    const json status = fetch_status(node);
-    behind.clear();
-    if (!status.is_object()) {
-      behind = node;
-    } else {
-      known = status["members"].size() + 1;
-      if (status["revision"] < revision) behind = status["node"];
-      for (const auto& member : status["members"]) {
-        if (member["revision"] >= revision) continue;
-        absl::StrAppend(&behind, behind.empty() ? "" : ", ",
-                        member["name"].get<std::string>(),
-                        member["alive"] ? "" : " (not heard of)");
-      }
-    }
-    if (behind.empty()) {
-      std::cout << "in force on " << known << " nodes after "
+  rollout seen;
+  do {
+    seen = look_around(node, revision);
+    if (seen.behind.empty()) {
+      std::cout << "in force on " << seen.nodes << " nodes after "
                 << absl::ToInt64Milliseconds(absl::Now() - started) << " ms\n";
       return exit_ok;
     }
     absl::SleepFor(progress_period);
-  }
-  std::cout << "accepted, but not yet in force on: " << behind << "\n";
+  } while (absl::Now() - started < absl::Seconds(seconds));
+  std::cout << "accepted, but not yet in force on: "
+            << absl::StrJoin(seen.behind, ", ") << "\n";
   return exit_failed;
 }
 
--- a/src/node-control.cc
+++ b/src/node-control.cc
@@ -29,7 +29,6 @@
 void node_step::tick_controller() {
   controller& c = this->s.hall_controller;
   if (!this->s.watching && !c.leads(this->now)) return;
-  // A stopping node lets its lease lapse, unless it is the last one.
   const bool lead_before = this->s.gauges.leads;
   const auto id = this->new_write_id();
   auto actions = c.step(this->make_controller_view(), this->now, id);
