Test that a leaving host gets no work while no placement can change

Cause: a mutant without the check of leaving members lived on, since the planner drains such groups first whenever it can write. The new test takes the platform away right after the host list changed; it fails with the mutant and passes without.

--- a/test/hall-faults-test.cc
+++ b/test/hall-faults-test.cc
@@ -224,6 +224,19 @@
   EXPECT_TRUE(this->serves(2, absl::Seconds(40)));
 }
 
+TEST_F(hall_faults, a_leaving_host_gets_none_even_if_no_placement_can_change) {
+  this->start();
+  const group going = this->hall.document().groups.at(0);
+  this->hall.set_leaving(going.hosts.at(1));
+  this->hall.run_for(absl::Milliseconds(10));
+  this->hall.platform_down = true;
+  this->hall.run_for(absl::Seconds(3));
+  for (int i = 0; i < 30; i++) this->hall.request(0, "m", true);
+  this->hall.run_for(absl::Milliseconds(20));
+  EXPECT_EQ(this->hall.hosts[going.hosts.at(0)].running, 0);
+  EXPECT_GT(this->hall.hosts[this->member(1, 0)].running, 0);
+}
+
 TEST_F(hall_faults, a_changeover_keeps_the_minimum_and_cuts_nothing_off) {
   this->start(2, 2, 1);
   configuration next = one_model(2, 2, 1);
