--- a/include/spokesail/lease.h
+++ b/include/spokesail/lease.h
@@ -65,6 +65,13 @@
   /// The record as last seen.
   const lease_record& last_seen() const { return this->record; }
 
+  /// The document as last seen.
+  const object& last_object() const { return this->base; }
+
+  /// Stops holding the lease now, without a word to the others; they take it
+  /// over once it has run out.
+  void abandon() { this->valid_until = absl::InfinitePast(); }
+
   absl::Time valid_until_time() const { return this->valid_until; }
 
  private:
--- /dev/null
+++ b/include/spokesail/load-table.h
@@ -0,0 +1,54 @@
+// Requests in flight by group and server, of this node and of its peers.
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace spokesail {
+
+/// What one node has in flight at one place (a group or a server).
+struct place_load {
+  std::string place;
+  int running = 0;
+  /// Prompt tokens sent there whose first event has not come.
+  double unread_tokens = 0;
+  bool operator==(const place_load&) const = default;
+};
+
+/// Sums own and peers' requests. A peer's word counts for a bounded time.
+class load_table {
+ public:
+  /// A peer that says nothing for this long is taken to have nothing in
+  /// flight; several gossip periods, so that a lost datagram does not matter.
+  static constexpr absl::Duration peer_time = absl::Milliseconds(1500);
+
+  void begin(const std::string& place, double prompt_tokens);
+  /// Takes prompt tokens as read.
+  void read(const std::string& place, double prompt_tokens);
+  void end(const std::string& place);
+
+  /// Replaces what a peer has in flight.
+  void take_peer(const std::string& peer, std::vector<place_load> loads,
+                 absl::Time now);
+
+  /// All requests at a place, as far as this node knows.
+  place_load total(const std::string& place, absl::Time now) const;
+
+  /// This node's own, for its peers.
+  std::vector<place_load> own() const;
+  int own_running(const std::string& place) const;
+
+ private:
+  struct peer_load {
+    absl::flat_hash_map<std::string, place_load> places;
+    absl::Time at;
+  };
+  absl::flat_hash_map<std::string, place_load> mine;
+  absl::flat_hash_map<std::string, peer_load> peers;
+};
+
+}  // namespace spokesail
--- /dev/null
+++ b/include/spokesail/repeat-budget.h
@@ -0,0 +1,49 @@
+// Bounds how often requests are sent again, by service, as a node's share of
+// a budget that all nodes spend together.
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+
+namespace spokesail {
+
+/// The fleet's budget: in any window, repeats at a service stay within
+/// `ratio` of the requests for it plus `slack`.
+struct repeat_limits {
+  double ratio = 0.2;
+  absl::Duration window = absl::Seconds(10);
+  double slack = 0;
+  bool operator==(const repeat_limits&) const = default;
+};
+
+/// One node's part. A node may repeat `ratio` of its own requests and an equal
+/// part of the slack, so that the sum over all nodes keeps the budget whatever
+/// the others do.
+class repeat_budget {
+ public:
+  explicit repeat_budget(repeat_limits limits) : limits(limits) {}
+
+  void count_request(const std::string& service, absl::Time now);
+
+  /// Takes one repeat out of the budget; false if there is none left.
+  bool take(const std::string& service, int nodes, absl::Time now);
+
+  /// Repeats that are left now.
+  double left(const std::string& service, int nodes, absl::Time now);
+
+ private:
+  struct history {
+    std::deque<absl::Time> requests;
+    std::deque<absl::Time> repeats;
+  };
+  history& recent(const std::string& service, absl::Time now);
+
+  repeat_limits limits;
+  std::map<std::string, history> services;
+};
+
+}  // namespace spokesail
--- /dev/null
+++ b/include/spokesail/server-directory.h
@@ -0,0 +1,96 @@
+// The backend servers that live, as the platform's store tells it.
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "spokesail/server-entry.h"
+
+namespace spokesail {
+
+/// A server as last seen in the store.
+struct listed_server {
+  server_entry entry;
+  /// Revision of its last change.
+  int64_t revision = 0;
+  /// Until when it counts as living although the store has lost its entry;
+  /// infinite past while the entry stands.
+  absl::Time lapses_at = absl::InfinitePast();
+  bool operator==(const listed_server&) const = default;
+};
+
+/// One serving group, put together from its members' own words.
+struct group_view {
+  std::string service;
+  std::string name;
+  int64_t epoch = 0;
+  std::string model;
+  std::string domain;
+  /// Ids by rank; a rank that nobody claims is empty.
+  std::vector<std::string> members;
+  /// Phase of the head, by its own word.
+  member_phase head_phase = member_phase::none;
+  /// Whether each rank up to the model's size is claimed by a live server
+  /// that says it is ready, and none is leaving.
+  bool whole = false;
+  bool operator==(const group_view&) const = default;
+
+  const std::string& head() const { return this->members.front(); }
+  /// Whether it may take requests.
+  bool serving() const {
+    return this->whole && this->head_phase == member_phase::open;
+  }
+};
+
+/// The name of the group that is formed under `epoch`. It carries the model,
+/// so that any node can tell it from the members' words alone.
+std::string group_name(const std::string& model, int64_t epoch);
+
+/// The model in a group's name; empty if the name is not of this form.
+std::string group_model(const std::string& group);
+
+/// All servers known to this node. News never goes back: an entry is replaced
+/// only by one of a higher revision.
+class server_directory {
+ public:
+  /// Takes the full list as of `revision`. Servers that it lacks are gone,
+  /// or lapse by `keep_missing_until`, if that is later than now.
+  void replace(const std::map<std::string, listed_server>& listed,
+               int64_t revision, absl::Time keep_missing_until);
+
+  /// Takes one change. Returns whether it was news.
+  bool update(const listed_server& server);
+
+  /// Takes the end of one entry. If `keep_until` is later than now the server
+  /// counts as living until then.
+  bool remove(const std::string& id, int64_t revision, absl::Time keep_until);
+
+  /// Drops servers whose entries are lost and have lapsed. Returns whether
+  /// there were any.
+  bool expire(absl::Time now);
+
+  const std::map<std::string, listed_server>& servers() const {
+    return this->by_id;
+  }
+  const server_entry* find(const std::string& id) const;
+  int64_t revision() const { return this->latest; }
+
+ private:
+  std::map<std::string, listed_server> by_id;
+  /// Revisions at which servers went, against news that comes late.
+  std::map<std::string, int64_t> gone_at;
+  int64_t latest = 0;
+};
+
+/// A service's groups from what `servers` say, by group name and epoch.
+/// `size_of` gives the hosts a model's group needs, 0 for an unknown model.
+std::vector<group_view> collect_groups(
+    const std::map<std::string, listed_server>& servers,
+    const std::string& service, const std::map<std::string, int>& group_sizes);
+
+}  // namespace spokesail
--- /dev/null
+++ b/include/spokesail/server-entry.h
@@ -0,0 +1,102 @@
+// What backend servers say of themselves.
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace spokesail {
+
+/// Where a host stands in the life of its serving group.
+enum class member_phase { none, joining, ready, open, closing, broken };
+
+/// A phase's name, for logs and documents.
+const char* phase_name(member_phase phase);
+
+/// A host's own word on the group it belongs to.
+struct group_membership {
+  std::string group;
+  /// Grows with each new list of members.
+  int64_t epoch = 0;
+  /// Place in the list of members; 0 leads the group and takes its requests.
+  int rank = 0;
+  member_phase phase = member_phase::none;
+  bool operator==(const group_membership&) const = default;
+};
+
+/// A backend server's entry in the platform.
+struct server_entry {
+  /// Unique over all starts of all servers.
+  std::string id;
+  std::string service;
+  /// IP number and port.
+  std::string address;
+  std::string hall;
+  /// Fabric domain of its host; empty for plain services.
+  std::string domain;
+  int slots = 0;
+  /// Whether it has announced that it will stop.
+  bool draining = false;
+  /// Models whose weights lie on its host.
+  std::vector<std::string> staged;
+  group_membership membership;
+  bool operator==(const server_entry&) const = default;
+};
+
+/// A server's answer when asked for its state. The load in it lags.
+struct server_report {
+  /// Orders that it has begun since its start.
+  int64_t orders_taken = 0;
+  bool order_running = false;
+  int waiting = 0;
+  int running = 0;
+  /// Above 1 when the server is slow.
+  double pace = 1;
+  group_membership membership;
+  bool operator==(const server_report&) const = default;
+};
+
+/// What a group order asks a server to do.
+enum class group_order_kind { join, open, close, leave, stage };
+
+/// An order's name, for logs.
+const char* order_name(group_order_kind kind);
+
+/// An order to a backend server about its group.
+struct group_order {
+  group_order_kind kind = group_order_kind::join;
+  std::string server;
+  std::string address;
+  std::string group;
+  int64_t epoch = 0;
+  std::string model;
+  /// Ids of the members of a join, its head first.
+  std::vector<std::string> members;
+  /// Refused unless the server has begun exactly this many orders; an order
+  /// that is carried out late is thereby outdated by any later one.
+  int64_t expected_orders = 0;
+  /// Fencing number of the sender's lease.
+  int64_t fence = 0;
+  /// Whether a close breaks off what still runs.
+  bool cut_running = false;
+  bool operator==(const group_order&) const = default;
+};
+
+/// How an order ended. After `unknown` it may be carried out, now or later.
+enum class order_result {
+  begun,
+  already_done,
+  conflict,
+  outdated_epoch,
+  other_server,
+  rejected,
+  unreachable,
+  unknown
+};
+
+/// A result's name, for logs.
+const char* order_result_name(order_result result);
+
+}  // namespace spokesail
--- /dev/null
+++ b/src/caller-session.cc
@@ -0,0 +1,200 @@
+#include "caller-session.h"
+
+#include <absl/strings/match.h>
+
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include "detail/socket.h"
+#include "exchange.h"
+#include "request-run.h"
+
+namespace spokesail {
+namespace {
+
+namespace net = boost::asio;
+namespace http = boost::beast::http;
+using detail::use_tuple;
+using net::ip::tcp;
+using request_parser = http::request_parser<http::string_body>;
+
+/// A caller whose request was refused unread gets this long to read why.
+constexpr absl::Duration linger_time = absl::Milliseconds(500);
+
+/// A whole body must come within this many times the head's time.
+constexpr int body_time_factor = 10;
+
+/// After the platform was told that the node stops, it takes this long until
+/// it sends no more connections: two misses at one a second, and some.
+constexpr absl::Duration leave_time = absl::Milliseconds(2600);
+
+/// The status for an error of reading a request; 0 for a connection that
+/// simply ended.
+unsigned status_of(const boost::system::error_code& error) {
+  if (error == http::error::header_limit) return 431;
+  if (error == http::error::body_limit) return 413;
+  if (error == http::error::end_of_stream ||
+      error == http::error::partial_message) {
+    return 0;
+  }
+  return error.category() ==
+                 http::make_error_code(http::error::bad_method).category()
+             ? 400
+             : 0;
+}
+
+/// Whether the request's framing can be understood in one way only.
+bool sound_framing(const request_parser& parser) {
+  const auto& head = parser.get();
+  const auto coding = head.find(http::field::transfer_encoding);
+  if (coding != head.end()) {
+    return parser.chunked() &&
+           head.count(http::field::transfer_encoding) == 1 &&
+           absl::EqualsIgnoreCase(absl::string_view(coding->value().data(),
+                                                    coding->value().size()),
+                                  "chunked") &&
+           head.find(http::field::content_length) == head.end();
+  }
+  return head.count(http::field::content_length) <= 1;
+}
+
+}  // namespace
+
+caller_session::caller_session(node_context& state, tcp::socket connection)
+    : node(state), socket(std::move(connection)) {
+  this->node.sessions.insert(this);
+}
+
+caller_session::~caller_session() { this->node.sessions.erase(this); }
+
+void caller_session::check_limit(absl::Time now) {
+  if (this->phase == session_phase::serving) return;
+  const bool leave = this->phase == session_phase::idle &&
+                     now - this->node.stopping_since >= leave_time;
+  if (now >= this->limit || leave) detail::close_quietly(this->socket);
+}
+
+void caller_session::break_off() {
+  boost::system::error_code ignored;
+  this->socket.set_option(net::socket_base::linger(true, 0), ignored);
+  detail::close_quietly(this->socket);
+}
+
+void caller_session::watch_caller() {
+  this->socket.async_wait(
+      tcp::socket::wait_read,
+      [self = this->shared_from_this()](boost::system::error_code error) {
+        if (error || self->phase != session_phase::serving) return;
+        boost::system::error_code failed;
+        // Bytes that are there are a next request; the caller stays.
+        if (self->socket.available(failed) > 0 && !failed) return;
+        self->gone = true;
+        if (self->current != nullptr) {
+          self->current->abort(abort_cause::caller_gone);
+        }
+      });
+}
+
+net::awaitable<bool> caller_session::write(http_response& response) {
+  response.prepare_payload();
+  auto [error, size] =
+      co_await http::async_write(this->socket, response, use_tuple);
+  if (error) this->gone = true;
+  co_return !error;
+}
+
+net::awaitable<void> caller_session::close_after_answer() {
+  this->phase = session_phase::closing;
+  this->limit = this->node.now() + linger_time;
+  boost::system::error_code ignored;
+  this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+  char sink[4096];
+  for (;;) {
+    auto [error, size] =
+        co_await this->socket.async_read_some(net::buffer(sink), use_tuple);
+    if (error) co_return;
+  }
+}
+
+net::awaitable<void> caller_session::refuse(unsigned status,
+                                            const char* reason) {
+  http_response response(static_cast<http::status>(status), 11);
+  response.set(http::field::content_type, "text/plain");
+  response.keep_alive(false);
+  response.body() = reason;
+  this->node.metrics.count_request("refused", reason);
+  this->node.log.write(log_weight::request, "request_unreadable",
+                       {{"status", std::to_string(status)}, {"why", reason}},
+                       this->node.now());
+  if (co_await this->write(response)) co_await this->close_after_answer();
+}
+
+net::awaitable<bool> caller_session::serve_one() {
+  const caller_limits limits =
+      this->node.routes ? this->node.routes->config().limits : caller_limits{};
+  request_parser parser;
+  parser.header_limit(limits.head_bytes);
+  parser.body_limit(limits.body_bytes);
+  parser.eager(true);
+  this->phase = session_phase::idle;
+  this->limit = this->node.now() + limits.idle_timeout;
+  if (this->buffer.size() == 0) {
+    auto [error] =
+        co_await this->socket.async_wait(tcp::socket::wait_read, use_tuple);
+    if (error) co_return false;
+  }
+  this->phase = session_phase::reading;
+  const absl::Time arrived = this->node.now();
+  this->limit = arrived + limits.head_timeout;
+  auto [head_error, head_size] = co_await http::async_read_header(
+      this->socket, this->buffer, parser, use_tuple);
+  if (head_error) {
+    const unsigned status = status_of(head_error);
+    if (status != 0) co_await this->refuse(status, "request head not accepted");
+    co_return false;
+  }
+  if (!sound_framing(parser)) {
+    co_await this->refuse(400, "ambiguous request length");
+    co_return false;
+  }
+  this->limit = arrived + body_time_factor * limits.head_timeout;
+  if (!parser.is_done()) {
+    if (absl::EqualsIgnoreCase(std::string(parser.get()[http::field::expect]),
+                               "100-continue")) {
+      http_response go_on(http::status::continue_, 11);
+      auto [error, size] =
+          co_await http::async_write(this->socket, go_on, use_tuple);
+      if (error) co_return false;
+    }
+    auto [error, size] = co_await http::async_read(this->socket, this->buffer,
+                                                   parser, use_tuple);
+    if (error) {
+      const unsigned status = status_of(error);
+      if (status != 0) {
+        co_await this->refuse(status, "request body not accepted");
+      }
+      co_return false;
+    }
+  }
+  const bool keep_alive = parser.keep_alive();
+  this->phase = session_phase::serving;
+  if (this->buffer.size() == 0) this->watch_caller();
+  request_run run(this->node, *this, parser.release(), arrived, keep_alive);
+  const bool kept = co_await run.run();
+  boost::system::error_code ignored;
+  this->socket.cancel(ignored);
+  co_return kept && !this->gone;
+}
+
+net::awaitable<void> caller_session::run() {
+  const auto self = this->shared_from_this();
+  while (co_await this->serve_one()) {
+  }
+  if (!this->gone && this->phase == session_phase::serving &&
+      this->socket.is_open()) {
+    co_await this->close_after_answer();
+  }
+  detail::close_quietly(this->socket);
+}
+
+}  // namespace spokesail
--- /dev/null
+++ b/src/detail/socket.h
@@ -0,0 +1,32 @@
+// Small helpers for TCP sockets on the event loop.
+#pragma once
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace spokesail::detail {
+
+/// Completion token: the error code comes as a value.
+inline constexpr auto use_tuple =
+    boost::asio::as_tuple(boost::asio::use_awaitable);
+
+/// Whether a resting connection is still open and has no bytes to read.
+inline bool open_and_silent(boost::asio::ip::tcp::socket& socket) {
+  boost::system::error_code error;
+  char byte = 0;
+  socket.non_blocking(true, error);
+  socket.receive(boost::asio::buffer(&byte, 1),
+                 boost::asio::ip::tcp::socket::message_peek, error);
+  return error == boost::asio::error::would_block;
+}
+
+/// Closes a socket; that it is closed already does not matter.
+inline void close_quietly(boost::asio::ip::tcp::socket& socket) {
+  boost::system::error_code ignored;
+  socket.close(ignored);
+}
+
+}  // namespace spokesail::detail
--- /dev/null
+++ b/src/engine-model.cc
@@ -0,0 +1,72 @@
+#include "spokesail/engine-model.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace spokesail {
+namespace {
+
+/// Mean context of a running request against its prompt and answer together.
+constexpr double mean_context_share = 0.75;
+
+/// Predictions this close (in ms) count as alike. From the spread that lagging
+/// knowledge of the other entry hosts' requests gives them.
+constexpr double alike_ms = 10;
+
+/// What going to another data hall counts as, in ms, beyond its delay.
+constexpr double other_hall_ms = 3;
+
+double step_ms(const engine_profile& engine, double requests) {
+  const double context = requests * mean_context_share *
+                         (engine.usual_prompt + engine.usual_answer) / 1000;
+  return engine.step_ms + engine.step_ms_per_request * requests +
+         engine.step_ms_per_1k_context * context;
+}
+
+}  // namespace
+
+double predict_first_event_ms(const engine_profile& engine,
+                              const model_profile& model,
+                              const group_option& option, double prompt) {
+  const double read =
+      (option.unread_tokens + prompt) / engine.read_tokens_per_ms;
+  const double steps = engine.stride * step_ms(engine, option.running + 1.0);
+  // It waits for half a pass, is read, and then writes one event.
+  return model.pace * option.slowness * (read + 1.5 * steps);
+}
+
+double predict_event_gap_ms(const engine_profile& engine,
+                            const model_profile& model,
+                            const group_option& option, int more) {
+  return model.pace * option.slowness * engine.stride *
+         step_ms(engine, option.running + more);
+}
+
+std::optional<size_t> choose_group(const engine_profile& engine,
+                                   const model_profile& model,
+                                   const std::vector<group_option>& options,
+                                   const request_size& size,
+                                   random_stream& random) {
+  std::vector<double> costs;
+  double least = std::numeric_limits<double>::infinity();
+  for (const auto& option : options) {
+    double cost = std::numeric_limits<double>::infinity();
+    if (option.running < engine.slots) {
+      // The prompt is read while the others there wait.
+      const double events = size.answer / std::max(1, engine.stride);
+      cost = predict_first_event_ms(engine, model, option, size.prompt) +
+             0.1 * events * predict_event_gap_ms(engine, model, option, 1);
+      if (!option.same_hall) cost += other_hall_ms;
+    }
+    costs.push_back(cost);
+    least = std::min(least, cost);
+  }
+  if (least == std::numeric_limits<double>::infinity()) return std::nullopt;
+  std::vector<size_t> alike;
+  for (size_t i = 0; i < costs.size(); ++i) {
+    if (costs[i] <= least + alike_ms) alike.push_back(i);
+  }
+  return alike[random.below(alike.size())];
+}
+
+}  // namespace spokesail
--- /dev/null
+++ b/src/exchange.cc
@@ -0,0 +1,145 @@
+#include "exchange.h"
+
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include "detail/socket.h"
+
+namespace spokesail {
+namespace {
+
+namespace net = boost::asio;
+namespace http = boost::beast::http;
+using detail::use_tuple;
+using net::ip::tcp;
+
+/// Largest head of an answer, in bytes.
+constexpr uint32_t largest_head = 64 << 10;
+
+/// A kept connection is not used in the last part of the time that its server
+/// keeps it, since the server's close may be on its way.
+constexpr absl::Duration keep_margin = absl::Milliseconds(700);
+
+/// How long a connection is kept if the server does not say.
+constexpr absl::Duration default_keep = absl::Seconds(2);
+
+/// A connection is up in a few round trips; one that is not by then goes to a
+/// server that is down or has a full queue of connections.
+constexpr absl::Duration connect_limit = absl::Milliseconds(250);
+
+}  // namespace
+
+const char* abort_cause_name(abort_cause cause) {
+  switch (cause) {
+    case abort_cause::none:
+      return "none";
+    case abort_cause::caller_gone:
+      return "caller_gone";
+    case abort_cause::time_up:
+      return "time_up";
+    case abort_cause::stalled:
+      return "stalled";
+  }
+  return "none";
+}
+
+exchange::exchange(node_context& state, request_place target, double prompt)
+    : node(state),
+      place(std::move(target)),
+      prompt_tokens(prompt),
+      socket(state.loop) {
+  this->node.exchanges.insert(this);
+  this->node.loads.begin(this->place.load_key(), prompt);
+}
+
+exchange::~exchange() {
+  this->node.exchanges.erase(this);
+  if (!this->writing) {
+    this->node.loads.read(this->place.load_key(), this->prompt_tokens);
+  }
+  this->node.loads.end(this->place.load_key());
+}
+
+void exchange::abort(abort_cause cause) {
+  if (this->aborted != abort_cause::none) return;
+  this->aborted = cause;
+  detail::close_quietly(this->socket);
+}
+
+void exchange::note_event() {
+  this->last_event = this->node.now();
+  if (this->writing) return;
+  this->writing = true;
+  this->node.loads.read(this->place.load_key(), this->prompt_tokens);
+}
+
+net::awaitable<std::string> exchange::connect(bool reuse) {
+  if (reuse) {
+    auto kept = this->node.pool.take(this->place.server, this->node.now());
+    if (kept) {
+      this->socket = std::move(*kept);
+      this->reused = true;
+      co_return "";
+    }
+  }
+  boost::system::error_code error;
+  const auto endpoint = parse_endpoint(this->place.address, error);
+  if (error) co_return error.message();
+  const absl::Time whole = this->limit;
+  this->limit = std::min(whole, this->node.now() + connect_limit);
+  auto [failed] = co_await this->socket.async_connect(endpoint, use_tuple);
+  this->limit = whole;
+  if (failed) co_return failed.message();
+  this->socket.set_option(tcp::no_delay(true), error);
+  co_return "";
+}
+
+net::awaitable<std::string> exchange::send(http_request& request) {
+  this->sent = true;
+  this->sent_at = this->node.now();
+  auto [error, size] =
+      co_await http::async_write(this->socket, request, use_tuple);
+  co_return error ? error.message() : std::string();
+}
+
+net::awaitable<std::string> exchange::read_head(bool no_body) {
+  this->parser.emplace();
+  this->parser->header_limit(largest_head);
+  this->parser->body_limit(boost::none);
+  this->parser->eager(true);
+  this->parser->skip(no_body);
+  this->parser->get().body().data = nullptr;
+  this->parser->get().body().size = 0;
+  this->parser->get().body().more = true;
+  auto [error, size] = co_await http::async_read_header(
+      this->socket, this->buffer, *this->parser, use_tuple);
+  if (error == http::error::need_buffer) error = {};
+  co_return error ? error.message() : std::string();
+}
+
+net::awaitable<std::string> exchange::read_some(std::string& out) {
+  auto& body = this->parser->get().body();
+  body.data = this->chunk.data();
+  body.size = this->chunk.size();
+  body.more = true;
+  auto [error, size] = co_await http::async_read_some(
+      this->socket, this->buffer, *this->parser, use_tuple);
+  if (error == http::error::need_buffer) error = {};
+  out.append(this->chunk.data(), this->chunk.size() - body.size);
+  co_return error ? error.message() : std::string();
+}
+
+void exchange::keep(const answer_head& answer) {
+  // Surplus bytes belong to no request.
+  if (!this->parser->is_done() || !this->parser->keep_alive() ||
+      this->buffer.size() != 0 || this->aborted != abort_cause::none) {
+    return;
+  }
+  const absl::Duration time =
+      answer.keep_alive ? *answer.keep_alive - keep_margin : default_keep;
+  if (time <= absl::ZeroDuration()) return;
+  this->node.pool.keep(this->place.server, std::move(this->socket),
+                       this->node.now() + std::min(time, default_keep));
+}
+
+}  // namespace spokesail
--- /dev/null
+++ b/src/exchange.h
@@ -0,0 +1,106 @@
+// One sending of a request to one backend server.
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <array>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <optional>
+#include <string>
+
+#include "node-context.h"
+
+namespace spokesail {
+
+/// Where a request can be sent.
+struct request_place {
+  /// The server that takes it: a group's head or a plain service's server.
+  std::string server;
+  std::string address;
+  /// The group; empty for plain services.
+  std::string group;
+  int64_t epoch = 0;
+  /// Members of the group, to ask when it falls silent.
+  std::vector<std::string> members;
+
+  /// What its load is counted under.
+  const std::string& load_key() const {
+    return this->group.empty() ? this->server : this->group;
+  }
+};
+
+/// Why an exchange was broken off from this side.
+enum class abort_cause { none, caller_gone, time_up, stalled };
+
+const char* abort_cause_name(abort_cause cause);
+
+/// A connection to a backend server while it serves one request. Another part
+/// of the node may break it off; what waits on it then ends with an error.
+class exchange {
+ public:
+  exchange(node_context& node, request_place place, double prompt_tokens);
+  ~exchange();
+  exchange(const exchange&) = delete;
+  exchange& operator=(const exchange&) = delete;
+
+  /// Connects, or takes a kept connection if `reuse` is set. Empty on success,
+  /// otherwise the error.
+  boost::asio::awaitable<std::string> connect(bool reuse);
+
+  /// Sends the request. Empty on success, otherwise the error.
+  boost::asio::awaitable<std::string> send(http_request& request);
+
+  /// Reads the answer's head. Empty on success, otherwise the error.
+  boost::asio::awaitable<std::string> read_head(bool no_body);
+
+  /// Reads some of the body into `out`. Empty on success, otherwise the error.
+  boost::asio::awaitable<std::string> read_some(std::string& out);
+
+  const boost::beast::http::response_header<>& head() const {
+    return this->parser->get().base();
+  }
+  bool body_done() const { return this->parser->is_done(); }
+
+  /// Keeps the connection for another request, if it may serve one.
+  void keep(const answer_head& answer);
+
+  /// Breaks the exchange off.
+  void abort(abort_cause cause);
+
+  /// Takes note of an event of a stream.
+  void note_event();
+
+  node_context& node;
+  const request_place place;
+  const double prompt_tokens;
+  /// Whether a byte of the request may have reached the server.
+  bool sent = false;
+  bool reused = false;
+  abort_cause aborted = abort_cause::none;
+  /// When it is broken off, whatever it waits for.
+  absl::Time limit = absl::InfiniteFuture();
+  /// Whether it is the caller that is waited for.
+  bool blocked = false;
+  /// Whether a stream's events are coming.
+  bool writing = false;
+  absl::Time sent_at = absl::InfiniteFuture();
+  absl::Time last_event = absl::InfinitePast();
+  /// When the first event is overdue.
+  absl::Time first_event_by = absl::InfiniteFuture();
+
+ private:
+  static constexpr size_t read_size = 16 << 10;
+
+  boost::asio::ip::tcp::socket socket;
+  boost::beast::flat_buffer buffer;
+  std::optional<
+      boost::beast::http::response_parser<boost::beast::http::buffer_body>>
+      parser;
+  std::array<char, read_size> chunk;
+};
+
+}  // namespace spokesail
--- /dev/null
+++ b/src/group-controller.cc
@@ -0,0 +1,624 @@
+#include "spokesail/group-controller.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace spokesail {
+namespace {
+
+/// Epochs of one lease term; a term forms far fewer groups than this.
+constexpr int64_t epochs_per_term = 1000000;
+
+/// Time that a member of the last group of the same model takes to rejoin.
+constexpr absl::Duration rejoin_time = absl::Milliseconds(200);
+
+/// How long an incomplete group of an earlier holder may still form.
+constexpr absl::Duration inherited_wait = absl::Milliseconds(2500);
+
+bool phase_may_serve(member_phase phase) {
+  return phase == member_phase::open || phase == member_phase::closing ||
+         phase == member_phase::ready || phase == member_phase::joining;
+}
+
+bool confirms(const group_membership& said, const group_membership& assumed) {
+  if (assumed.phase == member_phase::none) {
+    return said.phase == member_phase::none || said.epoch > assumed.epoch;
+  }
+  const bool same = said.group == assumed.group && said.epoch == assumed.epoch;
+  if (said.epoch > assumed.epoch) return true;
+  return same && (assumed.phase == member_phase::joining ||
+                  said.phase != member_phase::ready);
+}
+
+}  // namespace
+
+/// One service's servers and groups during a step.
+struct group_controller::service_state {
+  const engine_profile* engine = nullptr;
+  std::string service;
+  /// With acknowledged orders taken as carried out.
+  std::map<std::string, listed_server> servers;
+  std::vector<group_view> groups;
+  std::map<std::string, int> group_count;
+
+  const server_entry& entry(const std::string& id) const {
+    return this->servers.at(id).entry;
+  }
+  bool knows(const std::string& id) const {
+    return this->servers.count(id) != 0;
+  }
+};
+
+void group_controller::start_term(int64_t fence_number, absl::Time now) {
+  this->stop_term();
+  this->fence = fence_number;
+  // An earlier holder may just have taken hosts out of a group whose head is
+  // still to stop; which ones cannot be read back.
+  this->inherited_bound = fence_number <= 1 ? absl::InfinitePast()
+                                            : now + this->options.stall_time +
+                                                  this->options.stall_margin -
+                                                  this->options.least_takeover;
+}
+
+void group_controller::stop_term() {
+  this->fence = 0;
+  this->epochs = 0;
+  this->tracks.clear();
+  this->plans.clear();
+  this->released.clear();
+  this->dissolving.clear();
+  this->incomplete.clear();
+  this->loads.clear();
+}
+
+void group_controller::suspect(const std::string& server, absl::Time now) {
+  if (!this->active()) return;
+  const auto found = this->tracks.find(server);
+  if (found == this->tracks.end() || found->second.silent) return;
+  found->second.probe_at = std::min(found->second.probe_at, now);
+}
+
+void group_controller::on_order(const group_order& order, order_result result,
+                                absl::Time now) {
+  const auto found = this->tracks.find(order.server);
+  if (found == this->tracks.end()) return;
+  server_track& track = found->second;
+  if (!track.pending || !(*track.pending == order)) return;
+  track.pending.reset();
+  if (result == order_result::begun || result == order_result::already_done) {
+    if (result == order_result::begun) {
+      track.orders_taken = order.expected_orders + 1;
+    }
+    if (order.kind == group_order_kind::stage) return;
+    group_membership assumed;
+    assumed.group = order.group;
+    assumed.epoch = order.epoch;
+    const auto at =
+        std::find(order.members.begin(), order.members.end(), order.server);
+    assumed.rank = static_cast<int>(at - order.members.begin());
+    if (order.kind == group_order_kind::join) {
+      assumed.phase = member_phase::joining;
+      track.last_model = order.model;
+    }
+    if (order.kind == group_order_kind::open)
+      assumed.phase = member_phase::open;
+    if (order.kind == group_order_kind::close)
+      assumed.phase = member_phase::closing;
+    if (order.kind == group_order_kind::leave && track.leads == order.group) {
+      this->released.insert(order.group);
+    }
+    track.assumed = assumed;
+    track.assumed_until = now + this->options.assume_time;
+    return;
+  }
+  track.orders_taken.reset();
+  if (order.kind == group_order_kind::stage) track.staging_until = now;
+  const bool gone = result == order_result::unreachable ||
+                    result == order_result::other_server;
+  const bool asked = result == order_result::unknown || gone;
+  track.probe_at =
+      now + (asked ? absl::ZeroDuration() : absl::Milliseconds(250));
+}
+
+void group_controller::on_report(const std::string& server,
+                                 const std::optional<server_report>& report,
+                                 absl::Time now) {
+  const auto found = this->tracks.find(server);
+  if (found == this->tracks.end()) return;
+  server_track& track = found->second;
+  track.probing = false;
+  if (!report) {
+    track.silent = true;
+    track.probe_at = now + this->options.retry_probe;
+    return;
+  }
+  track.silent = false;
+  track.probe_at = absl::InfiniteFuture();
+  if (!track.pending) track.orders_taken = report->orders_taken;
+}
+
+std::vector<std::string> group_controller::silent_servers() const {
+  std::vector<std::string> out;
+  for (const auto& [id, track] : this->tracks) {
+    if (track.silent) out.push_back(id);
+  }
+  return out;
+}
+
+bool group_controller::usable(const server_entry& entry) const {
+  const auto found = this->tracks.find(entry.id);
+  return !entry.draining && found != this->tracks.end() &&
+         !found->second.silent;
+}
+
+void group_controller::take_directory(const server_directory& directory,
+                                      absl::Time now) {
+  for (const auto& [id, server] : directory.servers()) {
+    if (server.entry.domain.empty()) continue;
+    server_track& track = this->tracks[id];
+    if (track.assumed && (now >= track.assumed_until ||
+                          confirms(server.entry.membership, *track.assumed))) {
+      track.assumed.reset();
+    }
+  }
+  std::erase_if(this->tracks, [&](const auto& item) {
+    return directory.servers().count(item.first) == 0;
+  });
+}
+
+void group_controller::probe_silent(group_actions& out, absl::Time now) {
+  for (auto& [id, track] : this->tracks) {
+    const bool due = now >= track.probe_at;
+    const bool unknown = !track.orders_taken && !track.pending &&
+                         track.probe_at == absl::InfiniteFuture();
+    if (track.probing || (!due && !unknown)) continue;
+    track.probing = true;
+    out.reports.push_back(id);
+  }
+}
+
+group_controller::service_state group_controller::read_service(
+    const server_directory& directory, const backend_service& service) const {
+  service_state s;
+  s.engine = &*service.engine;
+  s.service = service.name;
+  for (const auto& [id, server] : directory.servers()) {
+    const auto track = this->tracks.find(id);
+    if (server.entry.service != service.name) continue;
+    if (track == this->tracks.end()) continue;
+    listed_server& copy = s.servers[id] = server;
+    if (track->second.assumed) copy.entry.membership = *track->second.assumed;
+  }
+  std::map<std::string, int> sizes;
+  for (const auto& m : s.engine->models) sizes[m.name] = m.group_size;
+  s.groups = collect_groups(s.servers, service.name, sizes);
+  return s;
+}
+
+bool group_controller::send(const server_entry& entry, group_order order,
+                            group_actions& out) {
+  server_track& track = this->tracks[entry.id];
+  if (track.pending || !track.orders_taken) return false;
+  order.server = entry.id;
+  order.address = entry.address;
+  order.expected_orders = *track.orders_taken;
+  order.fence = this->fence;
+  track.pending = order;
+  out.orders.push_back(std::move(order));
+  return true;
+}
+
+group_actions group_controller::step(const server_directory& directory,
+                                     const routing_config& config,
+                                     bool loads_count, absl::Time now) {
+  group_actions out;
+  if (!this->active()) return out;
+  this->take_directory(directory, now);
+  this->probe_silent(out, now);
+  const size_t silent = this->silent_servers().size();
+  const double limit = this->options.cut_off_share * this->tracks.size();
+  if (silent > 2 && static_cast<double>(silent) > limit) {
+    out.notes.push_back({"controller_cut_off", absl::StrCat(silent),
+                         "too many servers do not answer"});
+    out.step_down = true;
+    return out;
+  }
+  for (const auto& service : config.services) {
+    if (!service.engine) continue;
+    this->run_service(directory, service, loads_count, now, out);
+  }
+  return out;
+}
+
+void group_controller::run_service(const server_directory& directory,
+                                   const backend_service& service,
+                                   bool loads_count, absl::Time now,
+                                   group_actions& out) {
+  service_state s = this->read_service(directory, service);
+  std::set<std::string> standing;
+  for (const auto& group : s.groups) {
+    standing.insert(group.name);
+    this->judge_group(s, group, now, out);
+  }
+  for (const auto& [name, plan] : this->plans) {
+    if (standing.count(name) != 0 || plan.give_up_at <= now) continue;
+    if (find_model(*s.engine, plan.model) != nullptr) {
+      s.group_count[plan.model]++;
+    }
+  }
+  std::erase_if(this->plans, [&](const auto& item) {
+    return item.second.give_up_at <= now && standing.count(item.first) == 0;
+  });
+  this->form_groups(s, loads_count, now, out);
+  this->send_joins(s, now, out);
+  this->stage_spares(s, loads_count, now, out);
+  this->clear_memberships(s, now, out);
+}
+
+void group_controller::send_joins(service_state& s, absl::Time now,
+                                  group_actions& out) {
+  std::vector<std::string> failed;
+  for (const auto& [name, plan] : this->plans) {
+    if (find_model(*s.engine, plan.model) == nullptr) continue;
+    const bool sound = std::all_of(
+        plan.members.begin(), plan.members.end(), [&](const auto& id) {
+          return s.knows(id) && this->usable(s.entry(id));
+        });
+    if (!sound) failed.push_back(name);
+    if (!sound || now >= plan.give_up_at) continue;
+    group_order join;
+    join.kind = group_order_kind::join;
+    join.group = name;
+    join.epoch = plan.epoch;
+    join.model = plan.model;
+    join.members = plan.members;
+    for (const auto& id : plan.members) {
+      const server_entry& entry = s.entry(id);
+      if (entry.membership.group == name) continue;
+      if (!this->free_to_join(s, entry, now)) continue;
+      this->send(entry, join, out);
+    }
+  }
+  // A group that some members joined already is dissolved by its own state.
+  for (const auto& name : failed) {
+    const bool stands =
+        std::any_of(s.groups.begin(), s.groups.end(),
+                    [&](const auto& group) { return group.name == name; });
+    if (!stands) this->plans.erase(name);
+  }
+}
+
+void group_controller::clear_memberships(service_state& s, absl::Time now,
+                                         group_actions& out) {
+  std::set<std::string> planned;
+  for (const auto& [name, plan] : this->plans) {
+    planned.insert(plan.members.begin(), plan.members.end());
+  }
+  for (const auto& [id, server] : s.servers) {
+    const group_membership& said = server.entry.membership;
+    if (said.phase == member_phase::none || planned.count(id) != 0) continue;
+    if (!this->free_to_join(s, server.entry, now)) continue;
+    group_order leave;
+    leave.kind = group_order_kind::leave;
+    leave.group = said.group;
+    leave.epoch = said.epoch;
+    this->send(server.entry, leave, out);
+  }
+}
+
+std::optional<std::string> group_controller::reason_to_dissolve(
+    const service_state& s, const group_view& group, absl::Time now) {
+  const model_profile* model = find_model(*s.engine, group.model);
+  if (model == nullptr) return "model is not configured";
+  if (group.head_phase == member_phase::broken) return "head is broken";
+  const auto plan = this->plans.find(group.name);
+  std::vector<std::string> members = group.members;
+  if (plan != this->plans.end()) members = plan->second.members;
+  for (const auto& id : members) {
+    if (id.empty()) continue;
+    if (!s.knows(id)) return absl::StrCat(id, " is gone");
+    const server_entry& entry = s.entry(id);
+    if (entry.draining) return absl::StrCat(id, " is leaving");
+    if (!this->usable(entry)) return absl::StrCat(id, " does not answer");
+  }
+  if (group.whole) {
+    this->incomplete.erase(group.name);
+    return std::nullopt;
+  }
+  if (group.head_phase == member_phase::open ||
+      group.head_phase == member_phase::closing) {
+    return "not whole although open";
+  }
+  if (plan != this->plans.end()) {
+    if (now < plan->second.give_up_at) return std::nullopt;
+    return "did not form in time";
+  }
+  const auto since = this->incomplete.emplace(group.name, now).first->second;
+  if (now - since < inherited_wait) return std::nullopt;
+  return "left incomplete by an earlier holder";
+}
+
+void group_controller::judge_group(service_state& s, const group_view& group,
+                                   absl::Time now, group_actions& out) {
+  if (this->released.count(group.name) != 0) return;
+  if (this->dissolving.count(group.name) != 0) {
+    this->dissolve(s, group, "", now, out);
+    return;
+  }
+  const auto reason = this->reason_to_dissolve(s, group, now);
+  if (reason) {
+    this->dissolve(s, group, *reason, now, out);
+    return;
+  }
+  s.group_count[group.model]++;
+  if (group.whole && group.head_phase == member_phase::ready) {
+    group_order open;
+    open.kind = group_order_kind::open;
+    open.group = group.name;
+    open.epoch = group.epoch;
+    this->send(s.entry(group.head()), open, out);
+  }
+}
+
+void group_controller::dissolve(service_state& s, const group_view& group,
+                                const std::string& reason, absl::Time now,
+                                group_actions& out) {
+  const auto [since, first] = this->dissolving.emplace(group.name, now);
+  if (first) {
+    out.notes.push_back({"group_dissolved", group.name, reason});
+    this->plans.erase(group.name);
+  }
+  const std::string& head = group.head();
+  const bool head_known = !head.empty() && s.knows(head);
+  if (head_known && group.head_phase == member_phase::broken) {
+    this->released.insert(group.name);
+    return;
+  }
+  if (head_known && !this->tracks[head].silent) {
+    const server_entry& entry = s.entry(head);
+    if (!phase_may_serve(entry.membership.phase)) {
+      this->released.insert(group.name);
+      return;
+    }
+    const bool all_answer = std::all_of(
+        group.members.begin(), group.members.end(), [&](const auto& id) {
+          return !id.empty() && s.knows(id) && !this->tracks[id].silent;
+        });
+    const bool planned = all_answer;
+    const bool running = entry.membership.phase == member_phase::open ||
+                         entry.membership.phase == member_phase::closing;
+    if (planned && running && now - since->second < this->options.drain_wait) {
+      if (entry.membership.phase == member_phase::closing) return;
+      group_order close;
+      close.kind = group_order_kind::close;
+      close.group = group.name;
+      close.epoch = group.epoch;
+      this->send(entry, close, out);
+      return;
+    }
+    group_order leave;
+    leave.kind = group_order_kind::leave;
+    leave.group = group.name;
+    leave.epoch = group.epoch;
+    if (this->send(entry, leave, out)) this->tracks[head].leads = group.name;
+    return;
+  }
+  this->bind_survivors(s, group, now, out);
+}
+
+void group_controller::bind_survivors(service_state& s, const group_view& group,
+                                      absl::Time now, group_actions& out) {
+  const absl::Time until =
+      now + this->options.stall_time + this->options.stall_margin;
+  for (size_t rank = 1; rank < group.members.size(); ++rank) {
+    const std::string& id = group.members[rank];
+    if (id.empty() || !s.knows(id)) continue;
+    server_track& track = this->tracks[id];
+    if (track.silent) continue;
+    group_order leave;
+    leave.kind = group_order_kind::leave;
+    leave.group = group.name;
+    leave.epoch = group.epoch;
+    if (this->send(s.entry(id), leave, out)) track.bound_until = until;
+  }
+}
+
+bool group_controller::free_to_join(const service_state& s,
+                                    const server_entry& entry,
+                                    absl::Time now) const {
+  const server_track& track = this->tracks.at(entry.id);
+  if (!this->usable(entry) || track.pending || !track.orders_taken) {
+    return false;
+  }
+  if (track.probing || now < track.bound_until) return false;
+  if (entry.membership.phase == member_phase::none &&
+      now < this->inherited_bound) {
+    return false;
+  }
+  if (s.servers.at(entry.id).lapses_at != absl::InfinitePast()) return false;
+  const group_membership& said = entry.membership;
+  return said.phase == member_phase::none ||
+         this->released.count(said.group) != 0;
+}
+
+absl::Duration group_controller::join_time(const service_state& s,
+                                           const std::string& server,
+                                           const model_profile& model,
+                                           absl::Time now) const {
+  const server_entry& entry = s.entry(server);
+  const server_track& track = this->tracks.at(server);
+  const auto& staged = entry.staged;
+  const bool has =
+      std::find(staged.begin(), staged.end(), model.name) != staged.end();
+  const group_membership& said = entry.membership;
+  const bool member =
+      group_model(said.group) == model.name && said.phase != member_phase::none;
+  if (has && (track.last_model == model.name || member)) return rejoin_time;
+  if (has) return model.staged_load;
+  if (track.staging == model.name && now < track.staging_until) {
+    return track.staging_until - now + model.staged_load;
+  }
+  return model.cold_load;
+}
+
+void group_controller::form_group(service_state& s, const model_profile& model,
+                                  const std::vector<std::string>& members,
+                                  absl::Time now, group_actions& out) {
+  const int64_t epoch = this->fence * epochs_per_term + ++this->epochs;
+  absl::Duration slowest = absl::ZeroDuration();
+  for (const auto& id : members) {
+    const absl::Duration time = this->join_time(s, id, model, now);
+    if (time >= model.cold_load) this->loads.push_back(now);
+    slowest = std::max(slowest, time);
+  }
+  const std::string name = group_name(model.name, epoch);
+  this->plans[name] = {model.name, epoch, members,
+                       now + slowest + this->options.form_slack};
+  s.group_count[model.name]++;
+  out.notes.push_back(
+      {"group_forming", name,
+       absl::StrCat("expected in ", absl::FormatDuration(slowest))});
+}
+
+int group_controller::loads_left(const engine_profile& engine, absl::Time now) {
+  const absl::Time since = now - this->options.load_window;
+  while (!this->loads.empty() && this->loads.front() < since) {
+    this->loads.pop_front();
+  }
+  const double allowed = engine.loads_per_s *
+                         absl::ToDoubleSeconds(this->options.load_window) *
+                         this->options.load_excess;
+  return static_cast<int>(allowed) - this->options.load_reserve -
+         static_cast<int>(this->loads.size());
+}
+
+void group_controller::form_groups(service_state& s, bool loads_count,
+                                   absl::Time now, group_actions& out) {
+  std::set<std::string> planned;
+  for (const auto& [name, plan] : this->plans) {
+    planned.insert(plan.members.begin(), plan.members.end());
+  }
+  std::map<std::string, std::vector<std::string>> free_by_domain;
+  int hosts = 0;
+  for (const auto& [id, server] : s.servers) {
+    if (this->usable(server.entry)) ++hosts;
+    if (!this->free_to_join(s, server.entry, now)) continue;
+    if (planned.count(id) != 0) continue;
+    free_by_domain[server.entry.domain].push_back(id);
+  }
+  const double used = hosts * (1 - this->options.spare_share);
+  struct candidate {
+    const model_profile* model = nullptr;
+    std::vector<std::string> members;
+    absl::Duration time;
+    double fill = 0;
+    size_t left = 0;
+  };
+  for (;;) {
+    std::optional<candidate> best;
+    for (const auto& model : s.engine->models) {
+      const auto size = static_cast<size_t>(model.group_size);
+      const double wanted =
+          std::max(1.0, std::round(used * model.share / model.group_size));
+      const double fill = s.group_count[model.name] / wanted;
+      if (fill >= 1) continue;
+      for (const auto& [domain, ids] : free_by_domain) {
+        if (ids.size() < size) continue;
+        std::vector<std::string> sorted = ids;
+        std::stable_sort(sorted.begin(), sorted.end(),
+                         [&](const auto& a, const auto& b) {
+                           return this->join_time(s, a, model, now) <
+                                  this->join_time(s, b, model, now);
+                         });
+        candidate c;
+        c.model = &model;
+        c.members.assign(sorted.begin(),
+                         sorted.begin() + static_cast<ptrdiff_t>(size));
+        c.time = this->join_time(s, c.members.back(), model, now);
+        c.fill = fill;
+        c.left = ids.size() - size;
+        // Before there are requests a load is quick and free. Later, hosts
+        // are staged first, so that they stay of use to any repair meanwhile.
+        if (loads_count && c.time > model.staged_load) continue;
+        const auto order = [](const candidate& x) {
+          return std::tuple(x.time, x.fill, -x.model->group_size,
+                            -static_cast<int>(x.left));
+        };
+        if (!best || order(c) < order(*best)) best = c;
+      }
+    }
+    if (!best) return;
+    auto& ids = free_by_domain[s.entry(best->members.front()).domain];
+    std::erase_if(ids, [&](const auto& id) {
+      return std::find(best->members.begin(), best->members.end(), id) !=
+             best->members.end();
+    });
+    this->form_group(s, *best->model, best->members, now, out);
+  }
+}
+
+void group_controller::stage_spares(service_state& s, bool loads_count,
+                                    absl::Time now, group_actions& out) {
+  // Members of each model, and spares that hold its weights, by domain.
+  std::map<std::string, std::map<std::string, int>> members;
+  std::map<std::string, std::map<std::string, int>> spares;
+  std::vector<std::string> bare;
+  std::map<std::string, std::string> planned;
+  for (const auto& [name, plan] : this->plans) {
+    for (const auto& id : plan.members) planned[id] = plan.model;
+  }
+  for (const auto& [id, server] : s.servers) {
+    const server_entry& entry = server.entry;
+    const server_track& track = this->tracks.at(id);
+    if (!this->usable(entry)) continue;
+    const std::string model = group_model(entry.membership.group);
+    const bool in_group = entry.membership.phase != member_phase::none &&
+                          this->released.count(entry.membership.group) == 0;
+    if (in_group) {
+      members[entry.domain][model]++;
+      continue;
+    }
+    if (const auto plan = planned.find(id); plan != planned.end()) {
+      members[entry.domain][plan->second]++;
+      continue;
+    }
+    if (now < track.staging_until) {
+      spares[entry.domain][track.staging]++;
+      continue;
+    }
+    for (const auto& staged : entry.staged) spares[entry.domain][staged]++;
+    if (entry.staged.empty() && this->free_to_join(s, entry, now)) {
+      bare.push_back(id);
+    }
+  }
+  for (const auto& id : bare) {
+    if (loads_count && this->loads_left(*s.engine, now) <= 0) return;
+    const std::string& domain = s.entry(id).domain;
+    const model_profile* best = nullptr;
+    double best_need = -1;
+    for (const auto& model : s.engine->models) {
+      // How many repairs one spare of this model has to stand for. A model
+      // without a group here counts a little, so that one may form.
+      const double need = (members[domain][model.name] + 0.5 * model.share) /
+                          (1.0 + spares[domain][model.name]);
+      if (need > best_need) {
+        best = &model;
+        best_need = need;
+      }
+    }
+    if (best == nullptr) return;
+    group_order stage;
+    stage.kind = group_order_kind::stage;
+    stage.model = best->name;
+    if (!this->send(s.entry(id), stage, out)) continue;
+    server_track& track = this->tracks[id];
+    track.staging = best->name;
+    track.staging_until = now + best->cold_load + absl::Seconds(1);
+    spares[domain][best->name]++;
+    this->loads.push_back(now);
+  }
+}
+
+}  // namespace spokesail
--- /dev/null
+++ b/src/group-duty.cc
@@ -0,0 +1,214 @@
+#include "group-duty.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+
+#include "detail/socket.h"
+
+namespace spokesail {
+namespace {
+
+namespace net = boost::asio;
+
+constexpr char lease_name[] = "groups";
+
+/// Period of the controller's steps while it holds the lease.
+constexpr absl::Duration step_period = absl::Milliseconds(40);
+
+/// Period at which other nodes look whether the lease has run out.
+constexpr absl::Duration idle_period = absl::Milliseconds(100);
+
+/// An order or a report that has no answer after this long has lost it; a
+/// server answers in a few milliseconds.
+constexpr absl::Duration order_limit = absl::Milliseconds(500);
+constexpr absl::Duration report_limit = absl::Milliseconds(250);
+
+/// A holder that found itself cut off from the servers leaves the duty to
+/// others for this long.
+constexpr absl::Duration stand_down_time = absl::Seconds(5);
+
+}  // namespace
+
+group_duty::group_duty(node_context& state)
+    : node(state),
+      controller(state.settings.groups),
+      self(absl::StrCat(state.settings.node, "/", state.random.engine())) {
+  this->lease = spokesail::lease(lease_name, this->self, state.settings.lease);
+}
+
+bool group_duty::holds() const {
+  return this->lease.held(this->node.now()) && !this->giving_up;
+}
+
+std::optional<lease_word> group_duty::word() const {
+  if (!this->holds()) return std::nullopt;
+  const object& seen = this->lease.last_object();
+  return lease_word{seen.version, seen.body};
+}
+
+std::vector<std::string> group_duty::silent() const {
+  return this->controller.silent_servers();
+}
+
+void group_duty::observe(const lease_word& said) {
+  this->heard_holder = this->node.now();
+  object seen{{kinds::lease, lease_name}, said.version, said.record, false};
+  this->lease.observe(seen, this->node.now(), this->node.random.unit());
+  this->lease_read = true;
+}
+
+void group_duty::suspect(const std::string& server) {
+  this->controller.suspect(server, this->node.now());
+}
+
+net::awaitable<void> group_duty::write_lease() {
+  const auto call = this->lease.due(
+      this->node.now(),
+      absl::StrCat(this->self, "-", this->node.random.below(1ULL << 40)));
+  if (!call) co_return;
+  const platform_answer answer = co_await this->node.store.call(*call);
+  this->node.metrics.count_store_call(
+      "lease", answer.status == call_status::ok ? "ok" : "failed");
+  const bool held = this->lease.held(this->node.now());
+  this->lease.on_answer(answer, this->node.now(), this->node.random.unit());
+  if (held == this->lease.held(this->node.now())) co_return;
+  this->node.log.belief(held ? "lease_lost" : "lease_taken",
+                        {{"fence", absl::StrCat(this->lease.fence())},
+                         {"holder", this->lease.last_seen().holder}},
+                        this->node.now());
+}
+
+net::awaitable<void> group_duty::keep_lease() {
+  if (this->giving_up || this->node.now() < this->stood_down_until) co_return;
+  if (!this->node.routes || !this->node.directory_listed) co_return;
+  if (!this->lease_read) {
+    const platform_call call{
+        call_kind::read, {kinds::lease, lease_name}, 0, ""};
+    const platform_answer answer = co_await this->node.store.call(call);
+    this->node.metrics.count_store_call("get_lease", "sent");
+    if (answer.status == call_status::unavailable) co_return;
+    this->lease_read = true;
+    if (answer.status == call_status::not_found) {
+      this->lease.observe_absent(this->node.now());
+    } else {
+      this->lease.observe(answer.found, this->node.now(),
+                          this->node.random.unit());
+    }
+  }
+  co_await this->write_lease();
+}
+
+void group_duty::take_term() {
+  const bool held = this->holds();
+  if (held == this->term_active) return;
+  this->term_active = held;
+  if (held) {
+    this->controller.start_term(this->lease.fence(), this->node.now());
+  } else {
+    this->node.log.belief("term_ended",
+                          {{"fence", absl::StrCat(this->lease.fence())}},
+                          this->node.now());
+    this->controller.stop_term();
+  }
+}
+
+net::awaitable<void> group_duty::send_order(group_order order) {
+  const http_request request = this->node.adapter.write_order(order);
+  const fetch_result result =
+      co_await this->node.fetcher.fetch(order.address, request, order_limit);
+  order_result end = order_result::unknown;
+  if (result.status == fetch_status::not_sent) end = order_result::unreachable;
+  if (result.status == fetch_status::ok) {
+    end = this->node.adapter.read_order_answer(result.response);
+  }
+  this->node.metrics.count_order(order_name(order.kind),
+                                 order_result_name(end));
+  this->node.log.belief(
+      "order",
+      {{"order", order_name(order.kind)},
+       {"server", order.server},
+       {"group", order.group},
+       {"model", order.model},
+       {"expected", absl::StrCat(order.expected_orders)},
+       {"fence", absl::StrCat(order.fence)},
+       {"result", order_result_name(end)},
+       {"why",
+        end == order_result::conflict ? result.response.body() : result.error}},
+      this->node.now());
+  this->controller.on_order(order, end, this->node.now());
+}
+
+net::awaitable<void> group_duty::ask_report(std::string server,
+                                            std::string address) {
+  const http_request request = this->node.adapter.write_report_request(server);
+  const fetch_result result =
+      co_await this->node.fetcher.fetch(address, request, report_limit);
+  std::optional<server_report> report;
+  if (result.status == fetch_status::ok) {
+    report = this->node.adapter.read_report(result.response);
+  }
+  if (!report) {
+    this->node.log.belief("server_silent",
+                          {{"server", server}, {"why", result.error}},
+                          this->node.now());
+  }
+  this->controller.on_report(server, report, this->node.now());
+}
+
+void group_duty::step() {
+  if (!this->controller.active() || !this->node.routes) return;
+  const group_actions actions =
+      this->controller.step(this->node.directory, this->node.routes->config(),
+                            this->node.requests_seen, this->node.now());
+  for (const auto& note : actions.notes) {
+    this->node.log.belief(
+        note.event.c_str(),
+        {{"subject", note.subject},
+         {"why", note.reason},
+         {"servers_rev", absl::StrCat(this->node.directory.revision())}},
+        this->node.now());
+  }
+  for (const auto& order : actions.orders) {
+    net::co_spawn(this->node.loop, this->send_order(order), net::detached);
+  }
+  for (const auto& id : actions.reports) {
+    const server_entry* entry = this->node.directory.find(id);
+    if (entry == nullptr) continue;
+    net::co_spawn(this->node.loop, this->ask_report(id, entry->address),
+                  net::detached);
+  }
+  if (actions.step_down) {
+    this->stood_down_until = this->node.now() + stand_down_time;
+    this->lease.abandon();
+  }
+}
+
+net::awaitable<void> group_duty::run() {
+  // The lease is kept beside the steps, since the store may be slow.
+  net::co_spawn(
+      this->node.loop,
+      [this]() -> net::awaitable<void> {
+        for (;;) {
+          co_await this->keep_lease();
+          net::steady_timer timer(this->node.loop);
+          timer.expires_after(absl::ToChronoNanoseconds(idle_period));
+          co_await timer.async_wait(detail::use_tuple);
+        }
+      },
+      net::detached);
+  for (;;) {
+    this->take_term();
+    this->step();
+    net::steady_timer timer(this->node.loop);
+    timer.expires_after(absl::ToChronoNanoseconds(
+        this->term_active ? step_period : idle_period));
+    co_await timer.async_wait(detail::use_tuple);
+  }
+}
+
+}  // namespace spokesail
--- /dev/null
+++ b/src/http-fetch.cc
@@ -0,0 +1,125 @@
+#include "http-fetch.h"
+
+#include <absl/strings/numbers.h>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include "clock.h"
+#include "detail/socket.h"
+
+namespace spokesail {
+namespace {
+
+namespace net = boost::asio;
+namespace http = boost::beast::http;
+using tcp = net::ip::tcp;
+using detail::use_tuple;
+
+/// Largest answer that is read, in bytes: a page of the store's list and some.
+constexpr uint64_t largest_answer = 16 << 20;
+
+/// Kept connections to one address.
+constexpr size_t most_kept = 4;
+
+/// Closes a socket when its time is up.
+class socket_deadline {
+ public:
+  socket_deadline(std::shared_ptr<tcp::socket> socket, absl::Duration limit)
+      : timer(socket->get_executor()) {
+    this->timer.expires_after(absl::ToChronoNanoseconds(limit));
+    this->timer.async_wait([socket](boost::system::error_code error) {
+      if (!error) detail::close_quietly(*socket);
+    });
+  }
+
+ private:
+  net::steady_timer timer;
+};
+
+}  // namespace
+
+tcp::endpoint parse_endpoint(const std::string& address,
+                             boost::system::error_code& error) {
+  const size_t colon = address.rfind(':');
+  int port = 0;
+  if (colon == std::string::npos ||
+      !absl::SimpleAtoi(address.substr(colon + 1), &port) || port < 0 ||
+      port > 65535) {
+    error = net::error::invalid_argument;
+    return {};
+  }
+  const auto ip = net::ip::make_address(address.substr(0, colon), error);
+  return {ip, static_cast<uint16_t>(port)};
+}
+
+std::shared_ptr<tcp::socket> http_fetcher::take(const std::string& address) {
+  auto& kept = this->idle[address];
+  while (!kept.empty()) {
+    auto socket = kept.back().socket;
+    kept.pop_back();
+    if (detail::open_and_silent(*socket)) return socket;
+  }
+  return nullptr;
+}
+
+net::awaitable<fetch_result> http_fetcher::fetch(std::string address,
+                                                 http_request request,
+                                                 absl::Duration limit) {
+  fetch_result out;
+  auto socket = this->take(address);
+  const bool fresh = socket == nullptr;
+  if (fresh) socket = std::make_shared<tcp::socket>(this->executor);
+  socket_deadline deadline(socket, limit);
+  if (fresh) {
+    boost::system::error_code error;
+    const auto endpoint = parse_endpoint(address, error);
+    if (!error) {
+      auto [failed] = co_await socket->async_connect(endpoint, use_tuple);
+      error = failed;
+    }
+    if (error) {
+      out.error = error.message();
+      co_return out;
+    }
+    socket->set_option(tcp::no_delay(true), error);
+  }
+  request.set(http::field::host, address);
+  request.prepare_payload();
+  out.status = fetch_status::no_answer;
+  auto [write_error, written] =
+      co_await http::async_write(*socket, request, use_tuple);
+  if (write_error) {
+    out.error = write_error.message();
+    co_return out;
+  }
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(largest_answer);
+  boost::beast::flat_buffer buffer;
+  auto [read_error, read] =
+      co_await http::async_read(*socket, buffer, parser, use_tuple);
+  if (read_error) {
+    out.error = read_error.message();
+    co_return out;
+  }
+  out.status = fetch_status::ok;
+  const bool keep = parser.get().keep_alive() && buffer.size() == 0;
+  out.response = parser.release();
+  auto& kept = this->idle[address];
+  if (keep && kept.size() < most_kept) kept.push_back({socket, boot_now()});
+  co_return out;
+}
+
+void http_fetcher::close_idle(absl::Duration age, absl::Time now) {
+  for (auto& [address, kept] : this->idle) {
+    std::erase_if(kept,
+                  [&](const auto& item) { return now - item.since > age; });
+  }
+  std::erase_if(this->idle,
+                [](const auto& item) { return item.second.empty(); });
+}
+
+}  // namespace spokesail
--- a/src/main.cc
+++ b/src/main.cc
@@ -17,6 +17,8 @@
 
 #include "apply.h"
 #include "detail/http.h"
+#include "fleet-adapter.h"
+#include "node.h"
 #include "spokesail/config-reader.h"
 #include "spokesail/daemon.h"
 
@@ -93,6 +95,32 @@
       [] { return exit_failed; });
 }
 
+/// The settings file that the platform names, if the flag does not.
+std::string node_settings_file() {
+  const std::string given = absl::GetFlag(FLAGS_settings);
+  if (!given.empty()) return given;
+  const char* named = std::getenv(fleet_settings_variable);
+  return named ? named : "";
+}
+
+int run_node_command(const std::vector<std::string>&) {
+  const std::string file = node_settings_file();
+  if (file.empty()) {
+    return usage_error(absl::StrCat("node needs --settings or the variable ",
+                                    fleet_settings_variable));
+  }
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<int> {
+        BOOST_LEAF_AUTO(s, read_node_settings(file));
+        return run_node(s);
+      },
+      [](const yaml_error& error) {
+        print_faults(error);
+        return exit_usage;
+      },
+      [] { return exit_failed; });
+}
+
 int run_check(const std::vector<std::string>&) {
   const std::string directory = absl::GetFlag(FLAGS_f);
   const std::string file = absl::GetFlag(FLAGS_settings);
@@ -348,6 +376,11 @@
        "run an entry host",
        {"settings"},
        run_serve},
+      {"node",
+       "node [--settings FILE]",
+       "run a node on the fleet's platform",
+       {"settings"},
+       run_node_command},
       {"apply",
        "apply --f DIR --platform ADDR [--node ADDR] [--base N] [--dry_run]",
        "make a directory of YAML files the configuration, as a whole",
--- /dev/null
+++ b/src/node-context.cc
@@ -0,0 +1,66 @@
+#include "node-context.h"
+
+#include <random>
+
+#include "clock.h"
+
+namespace spokesail {
+
+node_context::node_context(const node_settings& node_settings_in,
+                           boost::asio::io_context& io,
+                           platform_adapter& platform, object_store& objects,
+                           http_fetcher& fetch, node_log& lines)
+    : settings(node_settings_in),
+      loop(io),
+      adapter(platform),
+      store(objects),
+      fetcher(fetch),
+      log(lines),
+      pool(io.get_executor()),
+      random{std::mt19937_64(std::random_device()())},
+      repeats(node_settings_in.repeats) {}
+
+absl::Time node_context::now() const { return boot_now(); }
+
+absl::Duration node_context::config_age() const {
+  return this->now() - this->config_proof;
+}
+
+bool node_context::config_fresh() const {
+  return this->config_age() <
+         node_timing::fresh_share * this->settings.revoke_time;
+}
+
+bool node_context::ready() const {
+  return this->routes != nullptr && this->directory_listed &&
+         !this->stopping() && this->config_fresh();
+}
+
+void node_context::avoid_place(const std::string& place) {
+  this->avoid[place] = this->now() + node_timing::avoid_time;
+}
+
+bool node_context::avoided(const std::string& place) const {
+  const auto found = this->avoid.find(place);
+  return found != this->avoid.end() && this->now() < found->second;
+}
+
+void node_context::suspect_server(const std::string& server) {
+  this->suspects[server] = this->now();
+}
+
+const std::vector<group_view>& node_context::groups(
+    const std::string& service) {
+  const auto cached = this->group_cache.find(service);
+  if (cached != this->group_cache.end()) return cached->second;
+  std::map<std::string, int> sizes;
+  const backend_service* found =
+      this->routes ? this->routes->find_service(service) : nullptr;
+  if (found != nullptr && found->engine) {
+    for (const auto& m : found->engine->models) sizes[m.name] = m.group_size;
+  }
+  return this->group_cache[service] =
+             collect_groups(this->directory.servers(), service, sizes);
+}
+
+}  // namespace spokesail
--- /dev/null
+++ b/src/node-context.h
@@ -0,0 +1,112 @@
+// What a node knows and shares among its parts, all on one event loop.
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_set>
+#include <vector>
+
+#include "connection-pool.h"
+#include "http-fetch.h"
+#include "node-log.h"
+#include "node-metrics.h"
+#include "node-settings.h"
+#include "spokesail/engine-model.h"
+#include "spokesail/load-table.h"
+#include "spokesail/object-store.h"
+#include "spokesail/platform-adapter.h"
+#include "spokesail/repeat-budget.h"
+#include "spokesail/server-directory.h"
+
+namespace spokesail {
+
+class exchange;
+class caller_session;
+
+/// Times that the parts of a node share.
+struct node_timing {
+  /// Period of the check of limits, stalls and lapsed entries.
+  static constexpr absl::Duration tick = absl::Milliseconds(20);
+  /// Part of the revoke time after which a node that has no news of the
+  /// configuration refuses requests with keys. The rest is for requests that
+  /// wait at a server before they run.
+  static constexpr double fresh_share = 0.7;
+  /// How long a group or server that failed is passed over.
+  static constexpr absl::Duration avoid_time = absl::Milliseconds(1000);
+};
+
+/// A node's state. Everything here is used on the loop's thread only.
+struct node_context {
+  node_context(const node_settings& settings, boost::asio::io_context& loop,
+               platform_adapter& adapter, object_store& store,
+               http_fetcher& fetcher, node_log& log);
+
+  const node_settings& settings;
+  boost::asio::io_context& loop;
+  platform_adapter& adapter;
+  object_store& store;
+  http_fetcher& fetcher;
+  node_log& log;
+  node_metrics metrics;
+  connection_pool pool;
+  random_stream random;
+
+  /// The configuration in force; null before the first.
+  std::shared_ptr<const routing_table> routes;
+  int64_t config_revision = 0;
+  /// The latest time at which the configuration is known to have been in
+  /// force in the store.
+  absl::Time config_proof = absl::InfinitePast();
+
+  server_directory directory;
+  bool directory_listed = false;
+
+  load_table loads;
+  repeat_budget repeats;
+  /// Nodes that live, this one included, as far as it knows.
+  int live_nodes = 1;
+  bool requests_seen = false;
+
+  /// Groups and servers that are passed over for a while.
+  std::map<std::string, absl::Time> avoid;
+  /// Servers that do not answer, by this node's traffic, and when it saw so.
+  std::map<std::string, absl::Time> suspects;
+  /// Servers that the holder of the lease found not to answer.
+  std::set<std::string> silent;
+
+  std::unordered_set<exchange*> exchanges;
+  std::unordered_set<caller_session*> sessions;
+
+  /// Since when the process is to stop; infinite future if it is not.
+  absl::Time stopping_since = absl::InfiniteFuture();
+
+  absl::Time now() const;
+  bool stopping() const {
+    return this->stopping_since != absl::InfiniteFuture();
+  }
+  /// Age of what is known of the configuration.
+  absl::Duration config_age() const;
+  /// Whether a key may still be trusted.
+  bool config_fresh() const;
+  /// Whether the node takes new connections.
+  bool ready() const;
+
+  void avoid_place(const std::string& place);
+  bool avoided(const std::string& place) const;
+  void suspect_server(const std::string& server);
+
+  /// A service's groups, by the servers' own words.
+  const std::vector<group_view>& groups(const std::string& service);
+  /// To be called when the directory or the configuration has changed.
+  void forget_groups() { this->group_cache.clear(); }
+
+ private:
+  std::map<std::string, std::vector<group_view>> group_cache;
+};
+
+}  // namespace spokesail
--- /dev/null
+++ b/src/node-log.cc
@@ -0,0 +1,63 @@
+#include "node-log.h"
+
+#include <absl/strings/str_cat.h>
+#include <spdlog/async.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include "log.h"
+
+namespace spokesail {
+namespace {
+
+/// Lines that wait for the writer; the oldest go first when it falls behind.
+constexpr size_t queued_lines = 4096;
+
+/// Lines a second of one event. A node carries some tens of requests a second
+/// at the reference deployments.
+constexpr int request_lines = 60;
+constexpr int belief_lines = 300;
+
+}  // namespace
+
+node_log::node_log(const std::string& node) {
+  spdlog::init_thread_pool(queued_lines, 1);
+  auto logger =
+      spdlog::create_async_nb<spdlog::sinks::stdout_sink_st>("spokesail-node");
+  logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%e%z node=" + quoted(node) +
+                      " %v");
+  logger->flush_on(spdlog::level::info);
+  spdlog::set_default_logger(logger);
+}
+
+node_log::~node_log() { spdlog::shutdown(); }
+
+void node_log::begin_second(absl::Time now) {
+  this->second = now;
+  for (auto& [event, q] : this->quotas) {
+    if (q.omitted > 0) {
+      spdlog::info("event=lines_left_out of={} count={}", event, q.omitted);
+    }
+    q = {};
+  }
+}
+
+void node_log::write(log_weight weight, const char* event,
+                     const std::vector<log_field>& fields, absl::Time now) {
+  if (now - this->second >= absl::Seconds(1)) this->begin_second(now);
+  quota& q = this->quotas[event];
+  const int most = weight == log_weight::request ? request_lines : belief_lines;
+  if (q.written >= most) {
+    q.omitted++;
+    this->omitted_total++;
+    return;
+  }
+  q.written++;
+  std::string line = absl::StrCat("event=", event);
+  for (const auto& field : fields) {
+    absl::StrAppend(&line, " ", field.key, "=", quoted(field.value));
+  }
+  spdlog::info(line);
+}
+
+}  // namespace spokesail
--- /dev/null
+++ b/src/node-metrics.cc
@@ -0,0 +1,106 @@
+#include "node-metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace spokesail {
+namespace {
+
+/// Bounds of latency buckets, in seconds: from one engine step to the longest
+/// deadline of the reference deployments.
+const prometheus::Histogram::BucketBoundaries latency_bounds = {
+    0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1, 2, 4, 8};
+
+prometheus::Family<prometheus::Counter>& counter(prometheus::Registry& r,
+                                                 const char* name,
+                                                 const char* help) {
+  return prometheus::BuildCounter().Name(name).Help(help).Register(r);
+}
+
+prometheus::Histogram& histogram(prometheus::Registry& r, const char* name,
+                                 const char* help) {
+  return prometheus::BuildHistogram().Name(name).Help(help).Register(r).Add(
+      {}, latency_bounds);
+}
+
+}  // namespace
+
+node_metrics::node_metrics()
+    : requests(counter(registry, "spokesail_requests_total",
+                       "requests by outcome and reason")),
+      attempts(counter(registry, "spokesail_attempts_total",
+                       "attempts at backend servers by their end")),
+      store_calls(counter(registry, "spokesail_store_calls_total",
+                          "calls to the platform's store")),
+      orders(counter(registry, "spokesail_orders_total",
+                     "orders to servers by kind and result")),
+      gossip_bytes(counter(registry, "spokesail_gossip_bytes_total",
+                           "bytes exchanged with other nodes")),
+      events(counter(registry, "spokesail_events_total",
+                     "things that happened to streams")),
+      state(prometheus::BuildGauge()
+                .Name("spokesail_state")
+                .Help("what the node knows and holds")
+                .Register(registry)),
+      resumed(events.Add({{"event", "resumed"}})),
+      stalled(events.Add({{"event", "stalled"}})),
+      first_event(histogram(registry, "spokesail_first_event_seconds",
+                            "from a request to its first event")),
+      pause(histogram(registry, "spokesail_pause_seconds",
+                      "longest pause between events of a stream")),
+      request_time(histogram(registry, "spokesail_request_seconds",
+                             "from a request to the end of its answer")),
+      queue_time(histogram(registry, "spokesail_queue_seconds",
+                           "from a request to its first attempt")) {}
+
+void node_metrics::count_request(const std::string& outcome,
+                                 const std::string& reason) {
+  this->requests.Add({{"outcome", outcome}, {"reason", reason}}).Increment();
+}
+
+void node_metrics::count_attempt(const std::string& end) {
+  this->attempts.Add({{"end", end}}).Increment();
+}
+
+void node_metrics::count_resume() { this->resumed.Increment(); }
+
+void node_metrics::count_store_call(const std::string& verb,
+                                    const std::string& result) {
+  this->store_calls.Add({{"verb", verb}, {"result", result}}).Increment();
+}
+
+void node_metrics::count_order(const std::string& kind,
+                               const std::string& result) {
+  this->orders.Add({{"kind", kind}, {"result", result}}).Increment();
+}
+
+void node_metrics::count_stall() { this->stalled.Increment(); }
+
+void node_metrics::count_gossip(const char* direction, double bytes) {
+  this->gossip_bytes.Add({{"direction", direction}}).Increment(bytes);
+}
+
+void node_metrics::observe_first_event(double seconds) {
+  this->first_event.Observe(seconds);
+}
+
+void node_metrics::observe_pause(double seconds) {
+  this->pause.Observe(seconds);
+}
+
+void node_metrics::observe_request(double seconds) {
+  this->request_time.Observe(seconds);
+}
+
+void node_metrics::observe_queue(double seconds) {
+  this->queue_time.Observe(seconds);
+}
+
+void node_metrics::set_gauge(const std::string& name, double value) {
+  this->state.Add({{"name", name}}).Set(value);
+}
+
+std::string node_metrics::text() const {
+  return prometheus::TextSerializer().Serialize(this->registry.Collect());
+}
+
+}  // namespace spokesail
--- /dev/null
+++ b/src/node-metrics.h
@@ -0,0 +1,53 @@
+// A node's counters and histograms, in Prometheus' text format.
+#pragma once
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <map>
+#include <string>
+
+namespace spokesail {
+
+/// All metrics of one node. Histograms are in seconds.
+class node_metrics {
+ public:
+  node_metrics();
+
+  void count_request(const std::string& outcome, const std::string& reason);
+  void count_attempt(const std::string& end);
+  void count_resume();
+  void count_store_call(const std::string& verb, const std::string& result);
+  void count_order(const std::string& kind, const std::string& result);
+  void count_stall();
+  void count_gossip(const char* direction, double bytes);
+  void observe_first_event(double seconds);
+  void observe_pause(double seconds);
+  void observe_request(double seconds);
+  void observe_queue(double seconds);
+  void set_gauge(const std::string& name, double value);
+
+  /// All metrics as text.
+  std::string text() const;
+
+ private:
+  prometheus::Registry registry;
+  prometheus::Family<prometheus::Counter>& requests;
+  prometheus::Family<prometheus::Counter>& attempts;
+  prometheus::Family<prometheus::Counter>& store_calls;
+  prometheus::Family<prometheus::Counter>& orders;
+  prometheus::Family<prometheus::Counter>& gossip_bytes;
+  prometheus::Family<prometheus::Counter>& events;
+  prometheus::Family<prometheus::Gauge>& state;
+  prometheus::Counter& resumed;
+  prometheus::Counter& stalled;
+  prometheus::Histogram& first_event;
+  prometheus::Histogram& pause;
+  prometheus::Histogram& request_time;
+  prometheus::Histogram& queue_time;
+};
+
+}  // namespace spokesail
--- /dev/null
+++ b/src/node-settings.cc
@@ -0,0 +1,65 @@
+#include "node-settings.h"
+
+#include "yaml.h"
+
+namespace spokesail {
+namespace {
+
+constexpr double longest_s = 3600;
+
+absl::Duration seconds(yaml_map& map, const std::string& key,
+                       absl::Duration fallback) {
+  return absl::Seconds(
+      map.number(key, absl::ToDoubleSeconds(fallback), 0.001, longest_s));
+}
+
+absl::Duration milliseconds(yaml_map& map, const std::string& key,
+                            absl::Duration fallback) {
+  return absl::Milliseconds(map.number(
+      key, absl::ToDoubleMilliseconds(fallback), 1, longest_s * 1000));
+}
+
+void read_bounds(yaml_map bounds, node_settings& out) {
+  out.revoke_time = milliseconds(bounds, "revoke_ms", out.revoke_time);
+  out.stop_grace = seconds(bounds, "stop_grace_s", out.stop_grace);
+  out.repeats.ratio = bounds.number("repeat_ratio", out.repeats.ratio, 0, 10);
+  out.repeats.window = seconds(bounds, "repeat_window_s", out.repeats.window);
+  out.repeats.slack = bounds.number("repeat_slack", out.repeats.slack, 0, 1e9);
+  group_controller_options& groups = out.groups;
+  groups.stall_time = milliseconds(bounds, "stall_ms", groups.stall_time);
+  groups.load_window = seconds(bounds, "load_window_s", groups.load_window);
+  groups.load_excess = bounds.number("load_excess", groups.load_excess, 0, 10);
+  bounds.finish();
+}
+
+}  // namespace
+
+boost::leaf::result<node_settings> read_node_settings(const std::string& file) {
+  yaml_error error;
+  node_settings out;
+  // A node whose holder of duties is gone takes over within this and the
+  // spread; shorter leases cost store writes, longer ones group downtime.
+  out.lease.duration = absl::Milliseconds(2200);
+  out.lease.renew_every = absl::Milliseconds(700);
+  out.lease.margin = absl::Milliseconds(500);
+  out.lease.takeover_spread = absl::Milliseconds(400);
+  yaml_map root(load_yaml(file, error.faults), file, "", error.faults);
+  if (!error.faults.empty()) return boost::leaf::new_error(std::move(error));
+  out.node = root.name("node");
+  out.hall = root.name("hall");
+  yaml_map listen = root.map("listen");
+  out.caller_address = listen.address("callers", true);
+  out.ready_address = listen.address("ready", true);
+  out.metrics_address = listen.address("metrics", true);
+  out.peer_address = listen.address("peers", true);
+  listen.finish();
+  out.platform_address = root.address("platform", true);
+  out.max_sockets = static_cast<int>(
+      root.integer("max_sockets", out.max_sockets, 64, 1 << 20));
+  read_bounds(root.map("bounds"), out);
+  root.finish();
+  if (!error.faults.empty()) return boost::leaf::new_error(std::move(error));
+  return out;
+}
+
+}  // namespace spokesail
--- /dev/null
+++ b/src/node-settings.h
@@ -0,0 +1,42 @@
+// The settings of one `spokesail node` process, read from a YAML file.
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <boost/leaf.hpp>
+#include <string>
+
+#include "spokesail/group-controller.h"
+#include "spokesail/lease.h"
+#include "spokesail/repeat-budget.h"
+#include "spokesail/settings.h"
+
+namespace spokesail {
+
+/// Everything that a node learns from its settings file.
+struct node_settings {
+  std::string node;
+  std::string hall;
+  /// Where callers connect.
+  std::string caller_address;
+  /// Where the platform asks whether the node takes connections.
+  std::string ready_address;
+  std::string metrics_address;
+  /// Where other nodes send their datagrams.
+  std::string peer_address;
+  std::string platform_address;
+  /// Descriptors that sockets may take.
+  int max_sockets = 1024;
+  /// A key that was taken away must not be honoured this long after.
+  absl::Duration revoke_time = absl::Seconds(5);
+  /// The process is killed this long after it was asked to stop.
+  absl::Duration stop_grace = absl::Seconds(8);
+  repeat_limits repeats;
+  group_controller_options groups;
+  lease_timing lease;
+};
+
+/// Reads and checks a node's settings file. Fails with a `yaml_error`.
+boost::leaf::result<node_settings> read_node_settings(const std::string& file);
+
+}  // namespace spokesail
--- /dev/null
+++ b/src/server-directory.cc
@@ -0,0 +1,156 @@
+#include "spokesail/server-directory.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace spokesail {
+namespace {
+
+/// Marks of servers that went are kept for this many revisions; a change that
+/// old cannot come any more, since the store's history is shorter.
+constexpr int64_t remembered_revisions = 100000;
+
+/// No model's groups are larger; a higher rank is not believed.
+constexpr int largest_group = 1024;
+
+bool ready_phase(member_phase phase) {
+  return phase == member_phase::ready || phase == member_phase::open;
+}
+
+struct group_parts {
+  group_view view;
+  std::vector<member_phase> phases;
+  bool disputed = false;
+  bool leaving = false;
+};
+
+void add_member(group_parts& parts, const server_entry& entry) {
+  const group_membership& said = entry.membership;
+  const auto rank = static_cast<size_t>(said.rank);
+  if (parts.view.members.size() <= rank) {
+    parts.view.members.resize(rank + 1);
+    parts.phases.resize(rank + 1, member_phase::none);
+  }
+  if (!parts.view.members[rank].empty()) parts.disputed = true;
+  parts.view.members[rank] = entry.id;
+  parts.phases[rank] = said.phase;
+  if (entry.draining) parts.leaving = true;
+  if (parts.view.domain.empty()) parts.view.domain = entry.domain;
+}
+
+}  // namespace
+
+std::string group_name(const std::string& model, int64_t epoch) {
+  return absl::StrCat(model, ".", epoch);
+}
+
+std::string group_model(const std::string& group) {
+  const size_t dot = group.rfind('.');
+  return dot == std::string::npos ? "" : group.substr(0, dot);
+}
+
+void server_directory::replace(
+    const std::map<std::string, listed_server>& listed, int64_t revision,
+    absl::Time keep_missing_until) {
+  for (const auto& [id, server] : listed) this->update(server);
+  std::vector<std::string> missing;
+  for (const auto& [id, server] : this->by_id) {
+    if (listed.count(id) == 0 && server.revision <= revision) {
+      missing.push_back(id);
+    }
+  }
+  for (const auto& id : missing) {
+    this->remove(id, revision, keep_missing_until);
+  }
+  this->latest = std::max(this->latest, revision);
+}
+
+bool server_directory::update(const listed_server& server) {
+  const std::string& id = server.entry.id;
+  const auto gone = this->gone_at.find(id);
+  if (gone != this->gone_at.end() && gone->second >= server.revision) {
+    return false;
+  }
+  const auto known = this->by_id.find(id);
+  if (known != this->by_id.end()) {
+    const bool lapsing = known->second.lapses_at != absl::InfinitePast();
+    if (known->second.revision > server.revision) return false;
+    if (known->second.revision == server.revision && !lapsing) return false;
+  }
+  this->by_id[id] = server;
+  this->latest = std::max(this->latest, server.revision);
+  return true;
+}
+
+bool server_directory::remove(const std::string& id, int64_t revision,
+                              absl::Time keep_until) {
+  const auto known = this->by_id.find(id);
+  if (known == this->by_id.end()) return false;
+  if (known->second.revision > revision) return false;
+  if (keep_until != absl::InfinitePast()) {
+    // An entry that is missing already keeps the earlier limit.
+    if (known->second.lapses_at == absl::InfinitePast()) {
+      known->second.lapses_at = keep_until;
+    }
+    return false;
+  }
+  this->by_id.erase(known);
+  this->gone_at[id] = revision;
+  this->latest = std::max(this->latest, revision);
+  return true;
+}
+
+bool server_directory::expire(absl::Time now) {
+  std::vector<std::string> lapsed;
+  for (const auto& [id, server] : this->by_id) {
+    const bool missing = server.lapses_at != absl::InfinitePast();
+    if (missing && server.lapses_at <= now) lapsed.push_back(id);
+  }
+  for (const auto& id : lapsed) {
+    this->gone_at[id] = this->by_id[id].revision;
+    this->by_id.erase(id);
+  }
+  const int64_t oldest = this->latest - remembered_revisions;
+  std::erase_if(this->gone_at,
+                [&](const auto& mark) { return mark.second < oldest; });
+  return !lapsed.empty();
+}
+
+const server_entry* server_directory::find(const std::string& id) const {
+  const auto found = this->by_id.find(id);
+  return found == this->by_id.end() ? nullptr : &found->second.entry;
+}
+
+std::vector<group_view> collect_groups(
+    const std::map<std::string, listed_server>& servers,
+    const std::string& service, const std::map<std::string, int>& group_sizes) {
+  std::map<std::pair<std::string, int64_t>, group_parts> found;
+  for (const auto& [id, server] : servers) {
+    const group_membership& said = server.entry.membership;
+    if (server.entry.service != service || said.phase == member_phase::none) {
+      continue;
+    }
+    if (said.rank < 0 || said.rank >= largest_group) continue;
+    add_member(found[{said.group, said.epoch}], server.entry);
+  }
+  std::vector<group_view> out;
+  for (auto& [key, parts] : found) {
+    group_view& view = parts.view;
+    view.service = service;
+    view.name = key.first;
+    view.epoch = key.second;
+    view.model = group_model(key.first);
+    view.head_phase = parts.phases.front();
+    const auto size = group_sizes.find(view.model);
+    const bool complete =
+        size != group_sizes.end() &&
+        view.members.size() == static_cast<size_t>(size->second) &&
+        std::all_of(parts.phases.begin(), parts.phases.end(), ready_phase);
+    view.whole = complete && !parts.disputed && !parts.leaving;
+    out.push_back(std::move(view));
+  }
+  return out;
+}
+
+}  // namespace spokesail
