Ask a silent group's members before giving it up; restage for missing models

Groups that lost members were not formed again, since spares held the other model, and spares were staged before their domain was known.

Ruled out: a longer fixed silence (loses the pause goal when a member is lost).

Change: silence is held against the engine's figures; beyond it the members are asked, and one that does not answer proves the loss. Before there are requests groups form once the servers are settled; later, hosts are staged for a model that lacks groups.

--- a/include/spokesail/group-controller.h
+++ b/include/spokesail/group-controller.h
@@ -131,6 +131,17 @@
     std::vector<std::string> members;
     absl::Time give_up_at;
   };
+  /// Hosts of one domain that could form a group.
+  struct formation {
+    const model_profile* model = nullptr;
+    std::string domain;
+    std::vector<std::string> members;
+    /// Members that would have to load the weights from the weight store.
+    int loads = 0;
+    absl::Duration slowest = absl::ZeroDuration();
+    /// Free hosts that stay in the domain.
+    size_t left = 0;
+  };
   struct service_state;
 
   void take_directory(const server_directory& directory, absl::Time now);
@@ -154,6 +165,21 @@
                       group_actions& out);
   void form_groups(service_state& s, bool loads_count, absl::Time now,
                    group_actions& out);
+  std::map<std::string, std::vector<std::string>> free_hosts(
+      const service_state& s, absl::Time now) const;
+  /// Groups that stand or form against those that are wanted.
+  double fill_of(const service_state& s, const model_profile& model) const;
+  std::optional<formation> best_formation(
+      const service_state& s, const model_profile& model,
+      const std::map<std::string, std::vector<std::string>>& free,
+      absl::Time now) const;
+  bool settled(const service_state& s, absl::Time now);
+  bool all_filled(const service_state& s) const;
+  void stage_for(service_state& s, const formation& f, absl::Time now,
+                 group_actions& out);
+  bool stage(service_state& s, const std::string& id,
+             const model_profile& model, bool loads_count, absl::Time now,
+             group_actions& out);
   void form_group(service_state& s, const model_profile& model,
                   const std::vector<std::string>& members, absl::Time now,
                   group_actions& out);
@@ -179,6 +205,8 @@
   /// Groups of earlier holders that are not whole, and since when.
   std::map<std::string, absl::Time> incomplete;
   std::deque<absl::Time> loads;
+  size_t known_servers = 0;
+  absl::Time servers_since = absl::InfinitePast();
 };
 
 }  // namespace spokesail
--- a/src/group-controller.cc
+++ b/src/group-controller.cc
@@ -14,6 +14,13 @@
 /// Time that a member of the last group of the same model takes to rejoin.
 constexpr absl::Duration rejoin_time = absl::Milliseconds(200);
 
+/// Before there are requests, groups are formed once no server has come or
+/// gone for this long, so that all of them are there to choose from.
+constexpr absl::Duration settle_time = absl::Milliseconds(600);
+
+/// A staging that takes this much longer than a load is taken to have failed.
+constexpr absl::Duration stage_slack = absl::Seconds(1);
+
 /// How long an incomplete group of an earlier holder may still form.
 constexpr absl::Duration inherited_wait = absl::Milliseconds(2500);
 
@@ -251,12 +258,30 @@
   std::erase_if(this->plans, [&](const auto& item) {
     return item.second.give_up_at <= now && standing.count(item.first) == 0;
   });
-  this->form_groups(s, loads_count, now, out);
+  if (loads_count || this->settled(s, now)) {
+    this->form_groups(s, loads_count, now, out);
+  }
   this->send_joins(s, now, out);
-  this->stage_spares(s, loads_count, now, out);
+  if (loads_count || this->all_filled(s)) {
+    this->stage_spares(s, loads_count, now, out);
+  }
   this->clear_memberships(s, now, out);
 }
 
+bool group_controller::settled(const service_state& s, absl::Time now) {
+  if (s.servers.size() != this->known_servers) {
+    this->known_servers = s.servers.size();
+    this->servers_since = now;
+  }
+  return now - this->servers_since >= settle_time;
+}
+
+bool group_controller::all_filled(const service_state& s) const {
+  return std::all_of(
+      s.engine->models.begin(), s.engine->models.end(),
+      [&](const auto& model) { return this->fill_of(s, model) >= 1; });
+}
+
 void group_controller::send_joins(service_state& s, absl::Time now,
                                   group_actions& out) {
   std::vector<std::string> failed;
@@ -494,71 +519,132 @@
          static_cast<int>(this->loads.size());
 }
 
-void group_controller::form_groups(service_state& s, bool loads_count,
-                                   absl::Time now, group_actions& out) {
+std::map<std::string, std::vector<std::string>> group_controller::free_hosts(
+    const service_state& s, absl::Time now) const {
   std::set<std::string> planned;
   for (const auto& [name, plan] : this->plans) {
     planned.insert(plan.members.begin(), plan.members.end());
   }
-  std::map<std::string, std::vector<std::string>> free_by_domain;
+  std::map<std::string, std::vector<std::string>> by_domain;
+  for (const auto& [id, server] : s.servers) {
+    if (planned.count(id) != 0) continue;
+    if (!this->free_to_join(s, server.entry, now)) continue;
+    by_domain[server.entry.domain].push_back(id);
+  }
+  return by_domain;
+}
+
+double group_controller::fill_of(const service_state& s,
+                                 const model_profile& model) const {
   int hosts = 0;
   for (const auto& [id, server] : s.servers) {
     if (this->usable(server.entry)) ++hosts;
-    if (!this->free_to_join(s, server.entry, now)) continue;
-    if (planned.count(id) != 0) continue;
-    free_by_domain[server.entry.domain].push_back(id);
   }
   const double used = hosts * (1 - this->options.spare_share);
-  struct candidate {
-    const model_profile* model = nullptr;
-    std::vector<std::string> members;
-    absl::Duration time;
-    double fill = 0;
-    size_t left = 0;
-  };
+  const double wanted =
+      std::max(1.0, std::round(used * model.share / model.group_size));
+  const auto count = s.group_count.find(model.name);
+  return (count == s.group_count.end() ? 0 : count->second) / wanted;
+}
+
+std::optional<group_controller::formation> group_controller::best_formation(
+    const service_state& s, const model_profile& model,
+    const std::map<std::string, std::vector<std::string>>& free,
+    absl::Time now) const {
+  const auto size = static_cast<size_t>(model.group_size);
+  std::optional<formation> best;
+  for (const auto& [domain, ids] : free) {
+    if (ids.size() < size) continue;
+    std::vector<std::string> sorted = ids;
+    std::stable_sort(sorted.begin(), sorted.end(),
+                     [&](const auto& a, const auto& b) {
+                       return this->join_time(s, a, model, now) <
+                              this->join_time(s, b, model, now);
+                     });
+    formation f;
+    f.model = &model;
+    f.domain = domain;
+    f.members.assign(sorted.begin(),
+                     sorted.begin() + static_cast<ptrdiff_t>(size));
+    f.left = ids.size() - size;
+    for (const auto& id : f.members) {
+      const absl::Duration time = this->join_time(s, id, model, now);
+      f.slowest = std::max(f.slowest, time);
+      if (time > model.staged_load) f.loads++;
+    }
+    const auto order = [](const formation& x) {
+      return std::tuple(x.loads, x.slowest, -static_cast<int>(x.left));
+    };
+    if (!best || order(f) < order(*best)) best = f;
+  }
+  return best;
+}
+
+void group_controller::form_groups(service_state& s, bool loads_count,
+                                   absl::Time now, group_actions& out) {
+  auto free = this->free_hosts(s, now);
+  std::set<std::string> passed_over;
   for (;;) {
-    std::optional<candidate> best;
-    for (const auto& model : s.engine->models) {
-      const auto size = static_cast<size_t>(model.group_size);
-      const double wanted =
-          std::max(1.0, std::round(used * model.share / model.group_size));
-      const double fill = s.group_count[model.name] / wanted;
-      if (fill >= 1) continue;
-      for (const auto& [domain, ids] : free_by_domain) {
-        if (ids.size() < size) continue;
-        std::vector<std::string> sorted = ids;
-        std::stable_sort(sorted.begin(), sorted.end(),
-                         [&](const auto& a, const auto& b) {
-                           return this->join_time(s, a, model, now) <
-                                  this->join_time(s, b, model, now);
-                         });
-        candidate c;
-        c.model = &model;
-        c.members.assign(sorted.begin(),
-                         sorted.begin() + static_cast<ptrdiff_t>(size));
-        c.time = this->join_time(s, c.members.back(), model, now);
-        c.fill = fill;
-        c.left = ids.size() - size;
-        // Before there are requests a load is quick and free. Later, hosts
-        // are staged first, so that they stay of use to any repair meanwhile.
-        if (loads_count && c.time > model.staged_load) continue;
-        const auto order = [](const candidate& x) {
-          return std::tuple(x.time, x.fill, -x.model->group_size,
-                            -static_cast<int>(x.left));
-        };
-        if (!best || order(c) < order(*best)) best = c;
-      }
+    // The model that lacks most goes first; of equals the larger, since it
+    // fits into fewer places.
+    const model_profile* model = nullptr;
+    double least = 1;
+    for (const auto& m : s.engine->models) {
+      const double fill = this->fill_of(s, m);
+      if (fill >= 1 || passed_over.count(m.name) != 0) continue;
+      const bool better = model == nullptr || fill < least ||
+                          (fill == least && m.group_size > model->group_size);
+      if (!better) continue;
+      model = &m;
+      least = fill;
+    }
+    if (model == nullptr) return;
+    const auto best = this->best_formation(s, *model, free, now);
+    if (!best) {
+      passed_over.insert(model->name);
+      continue;
+    }
+    // Before there are requests a load is quick and free. Later, hosts are
+    // staged first, so that they stay of use to any repair meanwhile.
+    auto& ids = free[best->domain];
+    if (loads_count && best->loads > 0) {
+      this->stage_for(s, *best, now, out);
+      passed_over.insert(model->name);
+    } else {
+      this->form_group(s, *model, best->members, now, out);
     }
-    if (!best) return;
-    auto& ids = free_by_domain[s.entry(best->members.front()).domain];
     std::erase_if(ids, [&](const auto& id) {
       return std::find(best->members.begin(), best->members.end(), id) !=
              best->members.end();
     });
-    this->form_group(s, *best->model, best->members, now, out);
   }
 }
 
+void group_controller::stage_for(service_state& s, const formation& f,
+                                 absl::Time now, group_actions& out) {
+  for (const auto& id : f.members) {
+    if (this->join_time(s, id, *f.model, now) < f.model->cold_load) continue;
+    this->stage(s, id, *f.model, true, now, out);
+  }
+}
+
+bool group_controller::stage(service_state& s, const std::string& id,
+                             const model_profile& model, bool loads_count,
+                             absl::Time now, group_actions& out) {
+  if (now < this->tracks[id].staging_until) return false;
+  if (loads_count && this->loads_left(*s.engine, now) <= 0) return false;
+  group_order order;
+  order.kind = group_order_kind::stage;
+  order.model = model.name;
+  if (!this->send(s.entry(id), order, out)) return false;
+  server_track& track = this->tracks[id];
+  track.staging = model.name;
+  track.staging_until = now + model.cold_load + stage_slack;
+  this->loads.push_back(now);
+  out.notes.push_back({"host_staging", id, model.name});
+  return true;
+}
+
 void group_controller::stage_spares(service_state& s, bool loads_count,
                                     absl::Time now, group_actions& out) {
   // Members of each model, and spares that hold its weights, by domain.
@@ -594,7 +680,6 @@
     }
   }
   for (const auto& id : bare) {
-    if (loads_count && this->loads_left(*s.engine, now) <= 0) return;
     const std::string& domain = s.entry(id).domain;
     const model_profile* best = nullptr;
     double best_need = -1;
@@ -609,15 +694,8 @@
       }
     }
     if (best == nullptr) return;
-    group_order stage;
-    stage.kind = group_order_kind::stage;
-    stage.model = best->name;
-    if (!this->send(s.entry(id), stage, out)) continue;
-    server_track& track = this->tracks[id];
-    track.staging = best->name;
-    track.staging_until = now + best->cold_load + absl::Seconds(1);
+    if (!this->stage(s, id, *best, loads_count, now, out)) continue;
     spares[domain][best->name]++;
-    this->loads.push_back(now);
   }
 }
 
--- a/src/group-duty.cc
+++ b/src/group-duty.cc
@@ -26,7 +26,7 @@
 /// An order or a report that has no answer after this long has lost it; a
 /// server answers in a few milliseconds.
 constexpr absl::Duration order_limit = absl::Milliseconds(500);
-constexpr absl::Duration report_limit = absl::Milliseconds(250);
+constexpr absl::Duration report_limit = absl::Milliseconds(150);
 
 /// A holder that found itself cut off from the servers leaves the duty to
 /// others for this long.
--- a/src/stall-watch.cc
+++ b/src/stall-watch.cc
@@ -3,68 +3,146 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <vector>
 
-#include "exchange.h"
-
 namespace spokesail {
 namespace {
 
-/// A group with streams sends an event every 20 to 60 ms, and reads prompts
-/// of several thousand tokens, at some 45 ms each, between them. Silence
-/// beyond this is taken for a member that is lost.
-constexpr absl::Duration stall_silence = absl::Milliseconds(260);
+namespace net = boost::asio;
+
+/// Silence beyond the longest that the engine's figures explain, before the
+/// members are asked: the ways between hosts, and late timers.
+constexpr absl::Duration ask_slack = absl::Milliseconds(70);
+
+/// A member that has no answer after this long is lost: it answers in a few
+/// milliseconds.
+constexpr absl::Duration ask_limit = absl::Milliseconds(90);
+
+/// The members of one group are asked at most this often by one node; each
+/// question is priced.
+constexpr absl::Duration ask_again = absl::Milliseconds(600);
+
+/// A group whose members all answer and that is silent for this long all the
+/// same has members that do not reach each other.
+constexpr absl::Duration hopeless_silence = absl::Milliseconds(1200);
 
 /// A loop that was itself held up for this long cannot tell.
 constexpr absl::Duration own_pause = absl::Milliseconds(150);
 
 }  // namespace
 
-void stall_watch::check(absl::Time now) {
-  const bool held_up = now - this->last_check > own_pause;
-  this->last_check = now;
-  std::map<std::string, absl::Time> heard;
+absl::Duration stall_watch::explained_silence(
+    const request_place& place) const {
+  const auto model_name = group_model(place.group);
+  const place_load load = this->node.loads.total(place.group, this->node.now());
+  for (const auto& service : this->node.routes->config().services) {
+    if (!service.engine) continue;
+    const engine_profile& engine = *service.engine;
+    const model_profile* model = find_model(engine, model_name);
+    if (model == nullptr) continue;
+    group_option option;
+    option.running = load.running;
+    // One pass reads at most this many tokens between its steps.
+    const double most_read =
+        static_cast<double>(engine.stride) * engine.read_chunk;
+    const double read =
+        std::min(load.unread_tokens, most_read) / engine.read_tokens_per_ms;
+    return absl::Milliseconds(model->pace * read +
+                              predict_event_gap_ms(engine, *model, option, 0));
+  }
+  return absl::ZeroDuration();
+}
+
+std::map<std::string, stall_watch::group_sight> stall_watch::look(
+    absl::Time now) {
+  std::map<std::string, group_sight> groups;
   for (const exchange* ex : this->node.exchanges) {
     if (ex->place.group.empty()) continue;
-    absl::Time& at =
-        heard.try_emplace(ex->place.group, absl::InfinitePast()).first->second;
-    at = std::max(at, ex->last_event);
+    if (ex->aborted != abort_cause::none) continue;
+    const auto [at, first] = groups.try_emplace(ex->place.group);
+    group_sight& sight = at->second;
+    if (first) {
+      sight.place = &ex->place;
+      sight.explained = this->explained_silence(ex->place);
+    }
+    sight.last_event = std::max(sight.last_event, ex->last_event);
+    if (ex->blocked) continue;
+    if (ex->writing || now > ex->first_event_by) sight.waited_for = true;
   }
+  return groups;
+}
+
+void stall_watch::check(absl::Time now) {
+  const bool held_up = now - this->last_check > own_pause;
+  this->last_check = now;
   const std::vector<exchange*> all(this->node.exchanges.begin(),
                                    this->node.exchanges.end());
   for (exchange* ex : all) {
-    if (ex->aborted != abort_cause::none) continue;
-    if (now >= ex->limit) {
+    if (ex->aborted == abort_cause::none && now >= ex->limit) {
       ex->abort(abort_cause::time_up);
+    }
+  }
+  if (held_up || !this->node.routes) return;
+  for (const auto& [group, sight] : this->look(now)) {
+    if (!sight.waited_for) continue;
+    const absl::Duration silence = now - sight.last_event;
+    if (silence < sight.explained + ask_slack) continue;
+    absl::Time& last_asked =
+        this->asked.try_emplace(group, absl::InfinitePast()).first->second;
+    if (now - last_asked < ask_again) {
+      const bool hopeless =
+          silence != absl::InfiniteDuration() && silence > hopeless_silence;
+      if (hopeless) this->give_up(group, "silent although all members answer");
       continue;
     }
-    if (held_up || ex->blocked || ex->place.group.empty()) continue;
-    const absl::Duration silence = now - heard[ex->place.group];
-    const bool stalled =
-        ex->writing ? silence > stall_silence
-                    : now > ex->first_event_by && silence > stall_silence;
-    if (!stalled) continue;
-    this->give_up(*ex, now);
-    ex->abort(abort_cause::stalled);
+    last_asked = now;
+    const request_place place = *sight.place;
+    for (const auto& id : place.members) {
+      net::co_spawn(this->node.loop, this->ask_member(group, id),
+                    net::detached);
+    }
+  }
+}
+
+net::awaitable<void> stall_watch::ask_member(std::string group,
+                                             std::string server) {
+  const server_entry* entry = this->node.directory.find(server);
+  if (entry == nullptr) {
+    this->give_up(group, "a member is gone");
+    co_return;
+  }
+  const std::string address = entry->address;
+  const http_request request = this->node.adapter.write_report_request(server);
+  const fetch_result result =
+      co_await this->node.fetcher.fetch(address, request, ask_limit);
+  if (result.status == fetch_status::ok &&
+      this->node.adapter.read_report(result.response)) {
+    co_return;
   }
+  this->node.suspect_server(server);
+  if (this->on_suspect) this->on_suspect(server);
+  this->give_up(group, absl::StrCat(server, " does not answer"));
 }
 
-void stall_watch::give_up(const exchange& seen, absl::Time now) {
-  if (this->node.avoided(seen.place.group)) return;
-  this->node.avoid_place(seen.place.group);
+void stall_watch::give_up(const std::string& group, const std::string& why) {
+  const absl::Time now = this->node.now();
+  int streams = 0;
+  const std::vector<exchange*> all(this->node.exchanges.begin(),
+                                   this->node.exchanges.end());
+  for (exchange* ex : all) {
+    if (ex->place.group != group || ex->aborted != abort_cause::none) continue;
+    ++streams;
+    ex->abort(abort_cause::stalled);
+  }
+  if (streams == 0 && this->node.avoided(group)) return;
+  this->node.avoid_place(group);
   this->node.metrics.count_stall();
   this->node.log.belief(
-      "group_silent",
-      {{"group", seen.place.group},
-       {"head", seen.place.server},
-       {"writing", seen.writing ? "1" : "0"},
-       {"silent_ms", absl::StrCat(absl::ToInt64Milliseconds(
-                         now - std::max(seen.last_event, seen.sent_at)))}},
+      "group_given_up",
+      {{"group", group}, {"why", why}, {"streams", absl::StrCat(streams)}},
       now);
-  for (const auto& id : seen.place.members) {
-    this->node.suspect_server(id);
-    if (this->on_suspect) this->on_suspect(id);
-  }
 }
 
 }  // namespace spokesail
--- a/src/stall-watch.h
+++ b/src/stall-watch.h
@@ -3,15 +3,19 @@
 
 #include <absl/time/time.h>
 
+#include <boost/asio/awaitable.hpp>
 #include <functional>
 #include <map>
 #include <string>
 
+#include "exchange.h"
 #include "node-context.h"
 
 namespace spokesail {
 
-/// Breaks off exchanges whose time is up or whose group has fallen silent.
+/// Breaks off exchanges whose time is up, or whose group has lost a member.
+/// When the streams of a group are silent for longer than its engine explains,
+/// its members are asked; one that does not answer proves the loss.
 class stall_watch {
  public:
   explicit stall_watch(node_context& node) : node(node) {}
@@ -19,14 +23,29 @@
   /// Looks at all exchanges. To be called at every tick.
   void check(absl::Time now);
 
-  /// Called with each member of a group that has fallen silent.
+  /// Called with a server that does not answer.
   std::function<void(const std::string&)> on_suspect;
 
  private:
-  void give_up(const exchange& seen, absl::Time now);
+  /// What this node sees of one group's streams.
+  struct group_sight {
+    absl::Time last_event = absl::InfinitePast();
+    /// Longest silence that the engine's figures explain.
+    absl::Duration explained;
+    const request_place* place = nullptr;
+    /// Whether a stream that has begun, or should have, is silent.
+    bool waited_for = false;
+  };
+  std::map<std::string, group_sight> look(absl::Time now);
+  absl::Duration explained_silence(const request_place& place) const;
+  boost::asio::awaitable<void> ask_member(std::string group,
+                                          std::string server);
+  void give_up(const std::string& group, const std::string& why);
 
   node_context& node;
   absl::Time last_check = absl::InfinitePast();
+  /// When the members of a group were last asked.
+  std::map<std::string, absl::Time> asked;
 };
 
 }  // namespace spokesail
