Free the members of a silent head by their own leave; test the controller

Cause: half of the small groups' losses hit the head; the others then waited 5.4 s before they could serve again. And a leave is answered 200 although the server counts it: the next order met a 409 and a report, 330 ms a repair.

Change: no waiting after a leave; leaves count; one model's groups are placed largest first; a first spare of each model goes before a second; a stopping node takes no request after 2.9 s.

--- a/include/spokesail/group-controller.h
+++ b/include/spokesail/group-controller.h
@@ -18,12 +18,6 @@
 
 /// Times and bounds of the group controller.
 struct group_controller_options {
-  /// A head whose group lost a member serves nobody and gives up after this
-  /// long; until then its members may not join another group. From the
-  /// platform's stall bound.
-  absl::Duration stall_time = absl::Seconds(5);
-  /// Added to `stall_time`, for the way of an order and clock rates.
-  absl::Duration stall_margin = absl::Milliseconds(400);
   /// How long an acknowledged order stands for a server's own word, which
   /// reaches this node through the store.
   absl::Duration assume_time = absl::Milliseconds(1200);
@@ -33,9 +27,6 @@
   absl::Duration form_slack = absl::Seconds(3);
   /// How long running streams may end when a member is about to leave.
   absl::Duration drain_wait = absl::Milliseconds(1500);
-  /// Least time between the last order of a holder that died and the first of
-  /// its successor: the lease's duration, less its margin.
-  absl::Duration least_takeover = absl::Milliseconds(1500);
   /// Part of a service's hosts kept free for repairs, 0 to 1. Measured on the
   /// reference deployments: a domain of eight keeps two.
   double spare_share = 0.25;
@@ -74,9 +65,10 @@
 /// by the servers' own words, with what should stand, and gives the next
 /// orders; it keeps nothing that a new holder could not read back.
 ///
-/// No server is told to join a group while the head of its last group may
-/// still serve: the head has left it or is broken by its own word, or the
-/// head's stall time has passed since a member left.
+/// No server is told to join a group while it belongs to another whose head
+/// may still serve: the head has left or is broken by its own word, or the
+/// server itself has acknowledged that it left. A head that lost a member so
+/// serves nobody from then on.
 class group_controller {
  public:
   explicit group_controller(group_controller_options options)
@@ -118,7 +110,6 @@
     bool silent = false;
     bool probing = false;
     absl::Time probe_at = absl::InfiniteFuture();
-    absl::Time bound_until = absl::InfinitePast();
     absl::Time staging_until = absl::InfinitePast();
     std::string staging;
     std::string last_model;
@@ -147,8 +138,7 @@
   void take_directory(const server_directory& directory, absl::Time now);
   void probe_silent(group_actions& out, absl::Time now);
   bool usable(const server_entry& entry) const;
-  bool free_to_join(const service_state& s, const server_entry& entry,
-                    absl::Time now) const;
+  bool free_to_join(const service_state& s, const server_entry& entry) const;
   void run_service(const server_directory& directory,
                    const backend_service& service, bool loads_count,
                    absl::Time now, group_actions& out);
@@ -161,12 +151,12 @@
                                                 absl::Time now);
   void dissolve(service_state& s, const group_view& group,
                 const std::string& reason, absl::Time now, group_actions& out);
-  void bind_survivors(service_state& s, const group_view& group, absl::Time now,
+  void free_survivors(service_state& s, const group_view& group,
                       group_actions& out);
   void form_groups(service_state& s, bool loads_count, absl::Time now,
                    group_actions& out);
   std::map<std::string, std::vector<std::string>> free_hosts(
-      const service_state& s, absl::Time now) const;
+      const service_state& s) const;
   /// Groups that stand or form against those that are wanted.
   double fill_of(const service_state& s, const model_profile& model) const;
   std::optional<formation> best_formation(
@@ -184,7 +174,7 @@
                   const std::vector<std::string>& members, absl::Time now,
                   group_actions& out);
   void send_joins(service_state& s, absl::Time now, group_actions& out);
-  void clear_memberships(service_state& s, absl::Time now, group_actions& out);
+  void clear_memberships(service_state& s, group_actions& out);
   void stage_spares(service_state& s, bool loads_count, absl::Time now,
                     group_actions& out);
   absl::Duration join_time(const service_state& s, const std::string& server,
@@ -195,7 +185,6 @@
   group_controller_options options;
   int64_t fence = 0;
   int64_t epochs = 0;
-  absl::Time inherited_bound = absl::InfinitePast();
   std::map<std::string, server_track> tracks;
   std::map<std::string, group_plan> plans;
   /// Groups whose head surely serves no more.
--- a/src/caller-session.cc
+++ b/src/caller-session.cc
@@ -24,10 +24,6 @@
 /// A whole body must come within this many times the head's time.
 constexpr int body_time_factor = 10;
 
-/// After the platform was told that the node stops, it takes this long until
-/// it sends no more connections: two misses at one a second, and some.
-constexpr absl::Duration leave_time = absl::Milliseconds(2600);
-
 /// The status for an error of reading a request; 0 for a connection that
 /// simply ended.
 unsigned status_of(const boost::system::error_code& error) {
@@ -69,8 +65,7 @@
 
 void caller_session::check_limit(absl::Time now) {
   if (this->phase == session_phase::serving) return;
-  const bool leave = this->phase == session_phase::idle &&
-                     now - this->node.stopping_since >= leave_time;
+  const bool leave = this->phase == session_phase::idle && this->node.closing();
   if (now >= this->limit || leave) detail::close_quietly(this->socket);
 }
 
--- a/src/group-controller.cc
+++ b/src/group-controller.cc
@@ -61,12 +61,7 @@
 void group_controller::start_term(int64_t fence_number, absl::Time now) {
   this->stop_term();
   this->fence = fence_number;
-  // An earlier holder may just have taken hosts out of a group whose head is
-  // still to stop; which ones cannot be read back.
-  this->inherited_bound = fence_number <= 1 ? absl::InfinitePast()
-                                            : now + this->options.stall_time +
-                                                  this->options.stall_margin -
-                                                  this->options.least_takeover;
+  this->servers_since = now;
 }
 
 void group_controller::stop_term() {
@@ -95,9 +90,10 @@
   if (!track.pending || !(*track.pending == order)) return;
   track.pending.reset();
   if (result == order_result::begun || result == order_result::already_done) {
-    if (result == order_result::begun) {
-      track.orders_taken = order.expected_orders + 1;
-    }
+    // A leave is done at once, so it is answered as done although it counts.
+    const bool counted =
+        result == order_result::begun || order.kind == group_order_kind::leave;
+    if (counted) track.orders_taken = order.expected_orders + 1;
     if (order.kind == group_order_kind::stage) return;
     group_membership assumed;
     assumed.group = order.group;
@@ -265,7 +261,7 @@
   if (loads_count || this->all_filled(s)) {
     this->stage_spares(s, loads_count, now, out);
   }
-  this->clear_memberships(s, now, out);
+  this->clear_memberships(s, out);
 }
 
 bool group_controller::settled(const service_state& s, absl::Time now) {
@@ -302,7 +298,7 @@
     for (const auto& id : plan.members) {
       const server_entry& entry = s.entry(id);
       if (entry.membership.group == name) continue;
-      if (!this->free_to_join(s, entry, now)) continue;
+      if (!this->free_to_join(s, entry)) continue;
       this->send(entry, join, out);
     }
   }
@@ -315,8 +311,7 @@
   }
 }
 
-void group_controller::clear_memberships(service_state& s, absl::Time now,
-                                         group_actions& out) {
+void group_controller::clear_memberships(service_state& s, group_actions& out) {
   std::set<std::string> planned;
   for (const auto& [name, plan] : this->plans) {
     planned.insert(plan.members.begin(), plan.members.end());
@@ -324,7 +319,7 @@
   for (const auto& [id, server] : s.servers) {
     const group_membership& said = server.entry.membership;
     if (said.phase == member_phase::none || planned.count(id) != 0) continue;
-    if (!this->free_to_join(s, server.entry, now)) continue;
+    if (!this->free_to_join(s, server.entry)) continue;
     group_order leave;
     leave.kind = group_order_kind::leave;
     leave.group = said.group;
@@ -430,38 +425,29 @@
     if (this->send(entry, leave, out)) this->tracks[head].leads = group.name;
     return;
   }
-  this->bind_survivors(s, group, now, out);
+  this->free_survivors(s, group, out);
 }
 
-void group_controller::bind_survivors(service_state& s, const group_view& group,
-                                      absl::Time now, group_actions& out) {
-  const absl::Time until =
-      now + this->options.stall_time + this->options.stall_margin;
+void group_controller::free_survivors(service_state& s, const group_view& group,
+                                      group_actions& out) {
   for (size_t rank = 1; rank < group.members.size(); ++rank) {
     const std::string& id = group.members[rank];
-    if (id.empty() || !s.knows(id)) continue;
-    server_track& track = this->tracks[id];
-    if (track.silent) continue;
+    if (id.empty() || !s.knows(id) || this->tracks[id].silent) continue;
     group_order leave;
     leave.kind = group_order_kind::leave;
     leave.group = group.name;
     leave.epoch = group.epoch;
-    if (this->send(s.entry(id), leave, out)) track.bound_until = until;
+    this->send(s.entry(id), leave, out);
   }
 }
 
 bool group_controller::free_to_join(const service_state& s,
-                                    const server_entry& entry,
-                                    absl::Time now) const {
+                                    const server_entry& entry) const {
   const server_track& track = this->tracks.at(entry.id);
   if (!this->usable(entry) || track.pending || !track.orders_taken) {
     return false;
   }
-  if (track.probing || now < track.bound_until) return false;
-  if (entry.membership.phase == member_phase::none &&
-      now < this->inherited_bound) {
-    return false;
-  }
+  if (track.probing) return false;
   if (s.servers.at(entry.id).lapses_at != absl::InfinitePast()) return false;
   const group_membership& said = entry.membership;
   return said.phase == member_phase::none ||
@@ -520,7 +506,7 @@
 }
 
 std::map<std::string, std::vector<std::string>> group_controller::free_hosts(
-    const service_state& s, absl::Time now) const {
+    const service_state& s) const {
   std::set<std::string> planned;
   for (const auto& [name, plan] : this->plans) {
     planned.insert(plan.members.begin(), plan.members.end());
@@ -528,7 +514,7 @@
   std::map<std::string, std::vector<std::string>> by_domain;
   for (const auto& [id, server] : s.servers) {
     if (planned.count(id) != 0) continue;
-    if (!this->free_to_join(s, server.entry, now)) continue;
+    if (!this->free_to_join(s, server.entry)) continue;
     by_domain[server.entry.domain].push_back(id);
   }
   return by_domain;
@@ -582,18 +568,19 @@
 
 void group_controller::form_groups(service_state& s, bool loads_count,
                                    absl::Time now, group_actions& out) {
-  auto free = this->free_hosts(s, now);
+  auto free = this->free_hosts(s);
   std::set<std::string> passed_over;
   for (;;) {
-    // The model that lacks most goes first; of equals the larger, since it
-    // fits into fewer places.
+    // At first the largest groups are placed, since they fit into the fewest
+    // places; later the model that lacks most goes first.
     const model_profile* model = nullptr;
     double least = 1;
     for (const auto& m : s.engine->models) {
       const double fill = this->fill_of(s, m);
       if (fill >= 1 || passed_over.count(m.name) != 0) continue;
-      const bool better = model == nullptr || fill < least ||
-                          (fill == least && m.group_size > model->group_size);
+      const bool larger = model != nullptr && m.group_size > model->group_size;
+      const bool better =
+          model == nullptr || (loads_count ? fill < least : larger);
       if (!better) continue;
       model = &m;
       least = fill;
@@ -675,7 +662,7 @@
       continue;
     }
     for (const auto& staged : entry.staged) spares[entry.domain][staged]++;
-    if (entry.staged.empty() && this->free_to_join(s, entry, now)) {
+    if (entry.staged.empty() && this->free_to_join(s, entry)) {
       bare.push_back(id);
     }
   }
@@ -684,10 +671,13 @@
     const model_profile* best = nullptr;
     double best_need = -1;
     for (const auto& model : s.engine->models) {
-      // How many repairs one spare of this model has to stand for. A model
-      // without a group here counts a little, so that one may form.
-      const double need = (members[domain][model.name] + 0.5 * model.share) /
-                          (1.0 + spares[domain][model.name]);
+      // A first spare stands for the next loss among the members; each further
+      // one only for a loss that comes before hosts are staged anew, which is
+      // less likely than in proportion. A model without a group here counts a
+      // little, so that one may form.
+      const double served = members[domain][model.name] + 0.5 * model.share;
+      const double need =
+          served / std::pow(1.0 + spares[domain][model.name], 1.5);
       if (need > best_need) {
         best = &model;
         best_need = need;
--- a/src/node-context.h
+++ b/src/node-context.h
@@ -38,6 +38,10 @@
   static constexpr double fresh_share = 0.7;
   /// How long a group or server that failed is passed over.
   static constexpr absl::Duration avoid_time = absl::Milliseconds(1000);
+  /// A node that was told to stop takes requests for this long: until its
+  /// platform, which asks once a second and wants two misses, sends no more
+  /// connections. One taken later may not end before the process does.
+  static constexpr absl::Duration last_requests = absl::Milliseconds(2900);
 };
 
 /// A node's state. Everything here is used on the loop's thread only.
@@ -89,6 +93,10 @@
   bool stopping() const {
     return this->stopping_since != absl::InfiniteFuture();
   }
+  /// Whether it is too late to take another request before the stop.
+  bool closing() const {
+    return this->now() - this->stopping_since >= node_timing::last_requests;
+  }
   /// Age of what is known of the configuration.
   absl::Duration config_age() const;
   /// Whether a key may still be trusted.
--- a/src/node-settings.cc
+++ b/src/node-settings.cc
@@ -26,7 +26,6 @@
   out.repeats.window = seconds(bounds, "repeat_window_s", out.repeats.window);
   out.repeats.slack = bounds.number("repeat_slack", out.repeats.slack, 0, 1e9);
   group_controller_options& groups = out.groups;
-  groups.stall_time = milliseconds(bounds, "stall_ms", groups.stall_time);
   groups.load_window = seconds(bounds, "load_window_s", groups.load_window);
   groups.load_excess = bounds.number("load_excess", groups.load_excess, 0, 10);
   bounds.finish();
--- a/src/node.cc
+++ b/src/node.cc
@@ -37,10 +37,6 @@
 /// The process ends this long before it would be killed.
 constexpr absl::Duration end_margin = absl::Milliseconds(400);
 
-/// A process that has nothing left to do still takes connections for this
-/// long after it was told to stop: its platform may send some.
-constexpr absl::Duration least_stop = absl::Milliseconds(2800);
-
 /// Period of the check of sessions' limits and of kept connections.
 constexpr absl::Duration housekeeping = absl::Milliseconds(200);
 
@@ -228,6 +224,10 @@
     std::erase_if(this->state.avoid,
                   [&](const auto& item) { return item.second <= now; });
     if (this->state.directory.expire(now)) this->state.forget_groups();
+    if (this->state.closing() && this->callers.is_open()) {
+      boost::system::error_code ignored;
+      this->callers.close(ignored);
+    }
     const bool ready = this->state.ready();
     if (ready == this->was_ready) return;
     this->was_ready = ready;
@@ -244,7 +244,7 @@
     if (!this->state.stopping()) return false;
     const absl::Duration since = now - this->state.stopping_since;
     if (since >= this->settings.stop_grace - end_margin) return true;
-    return since >= least_stop && this->state.sessions.empty();
+    return this->state.closing() && this->state.sessions.empty();
   }
 
   net::awaitable<void> take_signals() {
--- a/src/request-run.cc
+++ b/src/request-run.cc
@@ -38,6 +38,8 @@
 /// When a refused caller should come back: groups reopen or free a slot
 /// within about this time.
 constexpr absl::Duration full_retry = absl::Milliseconds(400);
+/// Another node can take the request at once.
+constexpr absl::Duration stopping_retry = absl::Milliseconds(20);
 constexpr absl::Duration no_config_retry = absl::Milliseconds(500);
 
 /// A first event is overdue after this many times its prediction and this
@@ -132,6 +134,9 @@
     return refusal{400, "request head not understood", {}};
   }
   this->info = *read;
+  if (this->node.closing()) {
+    return refusal{503, "node is stopping", stopping_retry};
+  }
   if (!this->table) {
     return refusal{503, "no configuration yet", no_config_retry};
   }
--- /dev/null
+++ b/standin/fleet-emulator.cc
@@ -0,0 +1,325 @@
+#include "fleet-emulator.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace spokesail::standin {
+namespace {
+
+constexpr absl::Duration least_late = absl::Seconds(2);
+constexpr absl::Duration late_span = absl::Seconds(10);
+
+/// An order's answer that the sender waits for in vain is not told; what it
+/// sees is this.
+constexpr order_result no_answer = order_result::unknown;
+
+}  // namespace
+
+fleet_emulator::fleet_emulator(backend_service what, emulator_timing times,
+                               uint64_t seed)
+    : service(std::move(what)), timing(times), random{std::mt19937_64(seed)} {}
+
+std::string fleet_emulator::add(const std::string& domain, absl::Time now) {
+  server s;
+  s.entry.id = absl::StrCat("s", ++this->next_id);
+  s.entry.service = this->service.name;
+  s.entry.address = absl::StrCat("10.0.0.", this->next_id, ":80");
+  s.entry.hall = "hall";
+  s.entry.domain = domain;
+  const std::string id = s.entry.id;
+  this->servers[id] = s;
+  this->publish(this->servers[id], now);
+  return id;
+}
+
+void fleet_emulator::publish(const server& s, absl::Time now) {
+  listed_server listed{s.entry, ++this->revision, absl::InfinitePast()};
+  this->pending.push_back({now + this->timing.entry_lag, listed, false});
+}
+
+void fleet_emulator::kill(const std::string& id, absl::Time now) {
+  server& s = this->servers.at(id);
+  if (!s.alive) return;
+  s.alive = false;
+  listed_server listed{s.entry, ++this->revision, absl::InfinitePast()};
+  this->pending.push_back({now + this->timing.lapse, listed, true});
+}
+
+void fleet_emulator::set_dark(const std::string& id, bool dark, absl::Time) {
+  this->servers.at(id).dark = dark;
+}
+
+void fleet_emulator::drain(const std::string& id, absl::Time now) {
+  server& s = this->servers.at(id);
+  if (!s.alive) return;
+  s.entry.draining = true;
+  this->publish(s, now);
+}
+
+bool fleet_emulator::member_in_place(const server& head,
+                                     const std::string& id) const {
+  const auto found = this->servers.find(id);
+  if (found == this->servers.end()) return false;
+  const server& s = found->second;
+  return s.alive && !s.dark &&
+         s.entry.membership.group == head.entry.membership.group &&
+         s.entry.membership.epoch == head.entry.membership.epoch &&
+         s.members == head.members &&
+         s.entry.membership.phase != member_phase::none;
+}
+
+void fleet_emulator::watch_head(server& head, absl::Time now) {
+  const group_membership& said = head.entry.membership;
+  const bool serves = said.rank == 0 && (said.phase == member_phase::open ||
+                                         said.phase == member_phase::closing);
+  if (!serves) {
+    head.stalled_since = absl::InfiniteFuture();
+    return;
+  }
+  const bool all =
+      !head.dark && std::all_of(head.members.begin(), head.members.end(),
+                                [&](const auto& id) {
+                                  return this->member_in_place(head, id);
+                                });
+  // A head that stands still stays so: nothing heals a group in place.
+  if (!all) head.stalled_since = std::min(head.stalled_since, now);
+  if (now - head.stalled_since < this->timing.stall) return;
+  head.entry.membership.phase = member_phase::broken;
+  head.stalled_since = absl::InfiniteFuture();
+  this->publish(head, now);
+}
+
+void fleet_emulator::check_open(const server& head) {
+  const model_profile* model =
+      find_model(*this->service.engine, head.last_model);
+  if (model == nullptr ||
+      head.members.size() != static_cast<size_t>(model->group_size)) {
+    this->broken.push_back(
+        absl::StrCat("opened without its size: ", head.entry.membership.group));
+  }
+  for (const auto& id : head.members) {
+    const auto found = this->servers.find(id);
+    if (found == this->servers.end()) continue;
+    const server& member = found->second;
+    // A member that was ready and is lost excuses the opening.
+    if (!member.alive || member.dark) continue;
+    const group_membership& said = member.entry.membership;
+    const bool ready =
+        said.phase == member_phase::ready || said.phase == member_phase::open;
+    if (said.group == head.entry.membership.group && ready) continue;
+    this->broken.push_back(absl::StrCat("opened before a member was ready: ",
+                                        head.entry.membership.group, " ", id));
+  }
+}
+
+void fleet_emulator::begin_load(server& s, const std::string& model,
+                                absl::Time now) {
+  const model_profile* profile = find_model(*this->service.engine, model);
+  s.loading = model;
+  s.load_done = now + profile->cold_load;
+  s.entry.staged.clear();
+  this->loads.push_back(now);
+}
+
+void fleet_emulator::advance(absl::Time now) {
+  std::vector<late_order> due;
+  std::erase_if(this->late, [&](const auto& item) {
+    if (item.at > now) return false;
+    due.push_back(item);
+    return true;
+  });
+  for (const auto& item : due) this->carry_out(item.order, now);
+  for (auto& [id, s] : this->servers) {
+    if (!s.alive) continue;
+    if (now >= s.load_done) {
+      s.entry.staged = {s.loading};
+      s.loading.clear();
+      s.load_done = absl::InfiniteFuture();
+      this->publish(s, now);
+    }
+    if (now >= s.phase_done) {
+      s.phase_done = absl::InfiniteFuture();
+      group_membership& said = s.entry.membership;
+      if (said.phase == member_phase::joining) {
+        said.phase = member_phase::ready;
+      } else if (said.phase == member_phase::ready) {
+        said.phase = member_phase::open;
+        this->check_open(s);
+      } else if (said.phase == member_phase::closing) {
+        said.phase = member_phase::ready;
+      }
+      this->publish(s, now);
+    }
+  }
+  for (auto& [id, s] : this->servers) {
+    if (s.alive) this->watch_head(s, now);
+  }
+  std::erase_if(this->pending, [&](const auto& item) {
+    if (item.at > now) return false;
+    if (item.gone) {
+      this->seen.remove(item.server.entry.id, item.server.revision,
+                        absl::InfinitePast());
+    } else {
+      this->seen.update(item.server);
+    }
+    return true;
+  });
+}
+
+void fleet_emulator::check_join(const server& s, const group_order& order,
+                                absl::Time) {
+  const group_membership& said = s.entry.membership;
+  if (said.phase == member_phase::none || said.group == order.group) return;
+  const auto head = this->servers.find(s.members.front());
+  if (head == this->servers.end() || !head->second.alive) return;
+  const group_membership& led = head->second.entry.membership;
+  const bool same = led.group == said.group && led.epoch == said.epoch;
+  if (!same) return;
+  if (led.phase == member_phase::open || led.phase == member_phase::closing) {
+    this->broken.push_back(absl::StrCat(s.entry.id, " joined ", order.group,
+                                        " while ", said.group, " was ",
+                                        phase_name(led.phase)));
+  }
+}
+
+order_result fleet_emulator::join(server& s, const group_order& order,
+                                  absl::Time now) {
+  if (order.epoch < s.epoch_seen) return order_result::outdated_epoch;
+  const group_membership& said = s.entry.membership;
+  const bool same = said.group == order.group && said.epoch == order.epoch;
+  if (same && s.members != order.members) return order_result::outdated_epoch;
+  if (same && said.phase != member_phase::none) {
+    return order_result::already_done;
+  }
+  this->check_join(s, order, now);
+  const model_profile* model = find_model(*this->service.engine, order.model);
+  if (model == nullptr) return order_result::rejected;
+  const auto& staged = s.entry.staged;
+  const bool has =
+      std::find(staged.begin(), staged.end(), order.model) != staged.end();
+  absl::Duration time = model->staged_load;
+  if (s.last_model == order.model && has) {
+    time = this->timing.rejoin;
+  } else if (!has) {
+    if (s.loading != order.model) this->begin_load(s, order.model, now);
+    time = s.load_done - now + model->staged_load;
+  }
+  s.epoch_seen = order.epoch;
+  s.members = order.members;
+  s.last_model = order.model;
+  const auto at =
+      std::find(order.members.begin(), order.members.end(), s.entry.id);
+  s.entry.membership = {order.group, order.epoch,
+                        static_cast<int>(at - order.members.begin()),
+                        member_phase::joining};
+  s.phase_done = now + time;
+  return order_result::begun;
+}
+
+order_result fleet_emulator::carry_out(const group_order& order,
+                                       absl::Time now) {
+  const auto found = this->servers.find(order.server);
+  if (found == this->servers.end() || !found->second.alive) {
+    return order_result::unreachable;
+  }
+  server& s = found->second;
+  if (order.expected_orders != s.orders) return order_result::conflict;
+  group_membership& said = s.entry.membership;
+  const bool named = said.group == order.group && said.epoch == order.epoch &&
+                     said.phase != member_phase::none;
+  order_result result = order_result::conflict;
+  switch (order.kind) {
+    case group_order_kind::join:
+      result = this->join(s, order, now);
+      break;
+    case group_order_kind::open:
+      if (named && said.rank == 0 && said.phase == member_phase::ready) {
+        s.phase_done = now + this->service.engine->open_time;
+        result = order_result::begun;
+      }
+      break;
+    case group_order_kind::close:
+      if (named && said.phase == member_phase::open) {
+        said.phase = member_phase::closing;
+        s.phase_done = now + absl::Seconds(1);
+        result = order_result::begun;
+      }
+      break;
+    case group_order_kind::leave:
+      if (named) {
+        said = {};
+        s.phase_done = absl::InfiniteFuture();
+        // Done at once, and counted all the same.
+        s.orders++;
+        this->publish(s, now);
+        return order_result::already_done;
+      }
+      break;
+    case group_order_kind::stage:
+      this->begin_load(s, order.model, now);
+      result = order_result::begun;
+      break;
+  }
+  if (result == order_result::begun) {
+    s.orders++;
+    this->publish(s, now);
+  }
+  return result;
+}
+
+order_result fleet_emulator::give(const group_order& order, absl::Time now) {
+  const auto found = this->servers.find(order.server);
+  if (found == this->servers.end() || !found->second.alive) {
+    return order_result::unreachable;
+  }
+  if (found->second.dark) return no_answer;
+  const double drawn = this->random.unit();
+  if (drawn < this->faults.late) {
+    this->late.push_back(
+        {order, now + least_late + this->random.unit() * late_span});
+    return no_answer;
+  }
+  if (drawn < this->faults.late + this->faults.lost) return no_answer;
+  const order_result result = this->carry_out(order, now);
+  const double all =
+      this->faults.late + this->faults.lost + this->faults.answer_lost;
+  return drawn < all ? no_answer : result;
+}
+
+std::optional<server_report> fleet_emulator::report(
+    const std::string& id) const {
+  const auto found = this->servers.find(id);
+  if (found == this->servers.end() || !found->second.alive ||
+      found->second.dark) {
+    return std::nullopt;
+  }
+  server_report out;
+  out.orders_taken = found->second.orders;
+  out.membership = found->second.entry.membership;
+  return out;
+}
+
+int fleet_emulator::serving(const std::string& model) const {
+  int count = 0;
+  for (const auto& [id, s] : this->servers) {
+    const group_membership& said = s.entry.membership;
+    if (!s.alive || s.dark || said.phase != member_phase::open) continue;
+    if (s.last_model != model) continue;
+    const bool all =
+        std::all_of(s.members.begin(), s.members.end(),
+                    [&](const auto& m) { return this->member_in_place(s, m); });
+    if (all) ++count;
+  }
+  return count;
+}
+
+std::vector<std::string> fleet_emulator::living() const {
+  std::vector<std::string> out;
+  for (const auto& [id, s] : this->servers) {
+    if (s.alive) out.push_back(id);
+  }
+  return out;
+}
+
+}  // namespace spokesail::standin
--- /dev/null
+++ b/standin/fleet-emulator.h
@@ -0,0 +1,131 @@
+// An emulator of model engines that form groups, in virtual time, with the
+// faults that their platform brings. It judges what it is ordered to do.
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "spokesail/hash.h"
+#include "spokesail/routing-config.h"
+#include "spokesail/server-directory.h"
+
+namespace spokesail::standin {
+
+/// Faults that strike orders, as shares from 0 to 1.
+struct order_faults {
+  /// Taken and carried out, the answer lost.
+  double answer_lost = 0;
+  /// Not answered, carried out 2 to 12 s later.
+  double late = 0;
+  /// Neither answered nor carried out.
+  double lost = 0;
+  bool operator==(const order_faults&) const = default;
+};
+
+/// Times of the emulated fleet that the engine profile does not give.
+struct emulator_timing {
+  /// From a change of a server until readers of the store see it.
+  absl::Duration entry_lag = absl::Milliseconds(40);
+  /// From a server's death until its entry goes.
+  absl::Duration lapse = absl::Milliseconds(3600);
+  /// A head whose group lost a member gives up after this.
+  absl::Duration stall = absl::Seconds(5);
+  absl::Duration rejoin = absl::Milliseconds(200);
+  bool operator==(const emulator_timing&) const = default;
+};
+
+/// One emulated engine service.
+class fleet_emulator {
+ public:
+  fleet_emulator(backend_service service, emulator_timing timing,
+                 uint64_t seed);
+
+  /// Adds a server with nothing staged. Returns its id.
+  std::string add(const std::string& domain, absl::Time now);
+
+  /// Kills a server; its entry goes after the lapse.
+  void kill(const std::string& id, absl::Time now);
+
+  /// Cuts a server off from callers and from its group, or heals the cut.
+  void set_dark(const std::string& id, bool dark, absl::Time now);
+
+  /// Announces that a server is leaving.
+  void drain(const std::string& id, absl::Time now);
+
+  /// Moves loads, joins, openings, stalls, late orders and entries on.
+  void advance(absl::Time now);
+
+  /// Gives an order. The result is what the sender sees.
+  order_result give(const group_order& order, absl::Time now);
+
+  /// A server's report; nothing if it does not answer.
+  std::optional<server_report> report(const std::string& id) const;
+
+  /// What readers of the store see.
+  const server_directory& directory() const { return this->seen; }
+
+  /// Groups that truly serve: open, with all members in place.
+  int serving(const std::string& model) const;
+
+  /// Ids of servers that run.
+  std::vector<std::string> living() const;
+
+  /// Rules that an order or an opening broke, in words.
+  const std::vector<std::string>& breaches() const { return this->broken; }
+
+  order_faults faults;
+  /// Loads from the weight store that began, by time.
+  std::vector<absl::Time> loads;
+
+ private:
+  struct server {
+    server_entry entry;
+    bool alive = true;
+    bool dark = false;
+    int64_t orders = 0;
+    int64_t epoch_seen = 0;
+    std::vector<std::string> members;
+    absl::Time phase_done = absl::InfiniteFuture();
+    std::string loading;
+    absl::Time load_done = absl::InfiniteFuture();
+    std::string last_model;
+    /// Of a head: since when a member has been missing.
+    absl::Time stalled_since = absl::InfiniteFuture();
+  };
+  struct late_order {
+    group_order order;
+    absl::Time at;
+  };
+  struct news {
+    absl::Time at;
+    listed_server server;
+    bool gone = false;
+  };
+
+  order_result carry_out(const group_order& order, absl::Time now);
+  order_result join(server& s, const group_order& order, absl::Time now);
+  void check_join(const server& s, const group_order& order, absl::Time now);
+  void check_open(const server& head);
+  bool member_in_place(const server& head, const std::string& id) const;
+  void watch_head(server& head, absl::Time now);
+  void publish(const server& s, absl::Time now);
+  void begin_load(server& s, const std::string& model, absl::Time now);
+
+  backend_service service;
+  emulator_timing timing;
+  random_stream random;
+  std::map<std::string, server> servers;
+  std::vector<late_order> late;
+  std::vector<news> pending;
+  server_directory seen;
+  std::vector<std::string> broken;
+  int64_t revision = 0;
+  int next_id = 0;
+};
+
+}  // namespace spokesail::standin
--- /dev/null
+++ b/test/group-controller-test.cc
@@ -0,0 +1,314 @@
+// The group controller against the emulator, in virtual time.
+#include "spokesail/group-controller.h"
+
+#include <absl/strings/str_cat.h>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <deque>
+
+#include "fleet-emulator.h"
+
+namespace spokesail {
+namespace {
+
+using standin::fleet_emulator;
+
+constexpr absl::Duration step_time = absl::Milliseconds(40);
+
+backend_service engine_service() {
+  engine_profile engine;
+  engine.slots = 26;
+  engine.stride = 5;
+  engine.step_ms = 6;
+  engine.read_tokens_per_ms = 46;
+  engine.read_chunk = 2048;
+  engine.loads_per_s = 4;
+  engine.loads_at_once = 6;
+  engine.open_time = absl::Milliseconds(300);
+  engine.models = {
+      {"large", 4, 0.67, 1, absl::Seconds(16), absl::Milliseconds(1600)},
+      {"small", 2, 0.33, 0.6, absl::Seconds(12), absl::Milliseconds(1100)}};
+  return {"lm", 100, engine};
+}
+
+/// A fleet, a controller and the time.
+class fleet_run {
+ public:
+  explicit fleet_run(uint64_t seed, int domains = 6, int hosts = 8)
+      : fleet(engine_service(), {}, seed), random{std::mt19937_64(seed)} {
+    this->config.services = {engine_service()};
+    for (int d = 0; d < domains; ++d) {
+      for (int h = 0; h < hosts; ++h) {
+        this->fleet.add(absl::StrCat("d", d), this->now);
+      }
+    }
+    this->begin_term();
+  }
+
+  void begin_term() { this->controller.start_term(++this->fence, this->now); }
+
+  void step() {
+    this->now += step_time;
+    this->fleet.advance(this->now);
+    while (!this->answers.empty() && this->answers.front().at <= this->now) {
+      const answer a = this->answers.front();
+      this->answers.pop_front();
+      if (a.fence != this->fence) continue;
+      this->controller.on_order(a.order, a.result, this->now);
+    }
+    const group_actions actions = this->controller.step(
+        this->fleet.directory(), this->config, this->loads_count, this->now);
+    for (const auto& order : actions.orders) {
+      const order_result result = this->fleet.give(order, this->now);
+      const bool told = result != order_result::unknown;
+      const absl::Duration wait =
+          told ? absl::Milliseconds(5) : absl::Milliseconds(500);
+      this->answers.push_back({order, result, this->now + wait, this->fence});
+      std::stable_sort(
+          this->answers.begin(), this->answers.end(),
+          [](const auto& a, const auto& b) { return a.at < b.at; });
+    }
+    for (const auto& id : actions.reports) {
+      this->controller.on_report(id, this->fleet.report(id), this->now);
+    }
+  }
+
+  void run_for(absl::Duration time) {
+    const absl::Time until = this->now + time;
+    while (this->now < until) this->step();
+  }
+
+  /// The traffic's part: callers notice members that are lost.
+  void notice(const std::string& id) {
+    this->controller.suspect(id, this->now);
+  }
+
+  std::string some_server() {
+    const auto all = this->fleet.living();
+    return all[this->random.below(all.size())];
+  }
+
+  /// Loads that began in the fullest window after `since`.
+  int most_loads(absl::Duration window, absl::Time since) const {
+    int most = 0;
+    for (const auto& from : this->fleet.loads) {
+      if (from < since) continue;
+      const auto in = std::count_if(
+          this->fleet.loads.begin(), this->fleet.loads.end(),
+          [&](const auto& at) { return at >= from && at < from + window; });
+      most = std::max(most, static_cast<int>(in));
+    }
+    return most;
+  }
+
+  struct answer {
+    group_order order;
+    order_result result;
+    absl::Time at;
+    int64_t fence = 0;
+  };
+  absl::Time now = absl::FromUnixSeconds(1000);
+  fleet_emulator fleet;
+  group_controller controller{group_controller_options{}};
+  routing_config config;
+  bool loads_count = false;
+  int64_t fence = 0;
+  std::deque<answer> answers;
+  random_stream random;
+};
+
+/// A fleet whose groups serve, with requests.
+fleet_run standing_fleet(uint64_t seed) {
+  fleet_run run(seed);
+  run.run_for(absl::Seconds(30));
+  run.loads_count = true;
+  return run;
+}
+
+TEST(group_controller, forms_groups_by_share_and_keeps_spares) {
+  const fleet_run run = standing_fleet(1);
+  EXPECT_EQ(run.fleet.serving("large"), 6);
+  EXPECT_EQ(run.fleet.serving("small"), 6);
+  EXPECT_TRUE(run.fleet.breaches().empty());
+}
+
+TEST(group_controller, spreads_groups_over_domains) {
+  const fleet_run run = standing_fleet(1);
+  std::map<std::string, int> large;
+  for (const auto& [id, server] : run.fleet.directory().servers()) {
+    const auto& said = server.entry.membership;
+    if (said.rank == 0 && group_model(said.group) == "large") {
+      large[server.entry.domain]++;
+    }
+  }
+  EXPECT_EQ(large.size(), 6U);
+}
+
+std::string member_of(const fleet_run& run, const std::string& model,
+                      int rank) {
+  for (const auto& [id, server] : run.fleet.directory().servers()) {
+    const auto& said = server.entry.membership;
+    if (said.phase == member_phase::none || said.rank != rank) continue;
+    if (group_model(said.group) == model) return id;
+  }
+  return "";
+}
+
+TEST(group_controller, repairs_with_a_staged_spare_once_a_member_is_lost) {
+  fleet_run run = standing_fleet(2);
+  const std::string lost = member_of(run, "large", 2);
+  run.fleet.kill(lost, run.now);
+  run.notice(lost);
+  run.run_for(absl::Milliseconds(2600));
+  EXPECT_EQ(run.fleet.serving("large"), 6);
+  EXPECT_TRUE(run.fleet.breaches().empty());
+}
+
+TEST(group_controller, frees_the_members_of_a_head_that_is_cut_off) {
+  fleet_run run = standing_fleet(3);
+  const std::string head = member_of(run, "large", 0);
+  // The head is cut off, not dead: it may serve callers on the other side.
+  run.fleet.set_dark(head, true, run.now);
+  run.notice(head);
+  run.run_for(absl::Seconds(3));
+  EXPECT_TRUE(run.fleet.breaches().empty());
+  EXPECT_EQ(run.fleet.serving("large"), 6);
+}
+
+TEST(group_controller, a_new_holder_does_not_join_hosts_whose_head_may_serve) {
+  fleet_run run = standing_fleet(4);
+  const std::string head = member_of(run, "large", 0);
+  run.fleet.set_dark(head, true, run.now);
+  run.notice(head);
+  // The holder takes the others out of the group, and is gone.
+  run.run_for(absl::Milliseconds(300));
+  const absl::Time dead = run.now;
+  while (run.now - dead < absl::Milliseconds(1700)) {
+    run.now += step_time;
+    run.fleet.advance(run.now);
+  }
+  run.begin_term();
+  run.run_for(absl::Seconds(15));
+  EXPECT_TRUE(run.fleet.breaches().empty());
+}
+
+TEST(group_controller, moves_a_group_off_a_host_that_is_leaving) {
+  fleet_run run = standing_fleet(5);
+  const std::string leaving = member_of(run, "small", 1);
+  run.fleet.drain(leaving, run.now);
+  run.run_for(absl::Seconds(6));
+  const server_entry* entry = run.fleet.directory().find(leaving);
+  ASSERT_NE(entry, nullptr);
+  EXPECT_EQ(run.fleet.serving("small"), 6);
+  EXPECT_TRUE(run.fleet.breaches().empty());
+}
+
+TEST(group_controller, stages_hosts_for_the_model_that_lacks_groups) {
+  fleet_run run = standing_fleet(6);
+  const std::set<std::string> struck = {"d0", "d1", "d2"};
+  for (const auto& [id, server] : run.fleet.directory().servers()) {
+    const server_entry& entry = server.entry;
+    if (struck.count(entry.domain) == 0) continue;
+    if (entry.staged == std::vector<std::string>{"small"}) {
+      run.fleet.kill(id, run.now);
+    }
+  }
+  run.run_for(absl::Seconds(1));
+  EXPECT_EQ(run.fleet.serving("small"), 3);
+  run.run_for(absl::Seconds(40));
+  EXPECT_EQ(run.fleet.serving("small"), 5);
+  EXPECT_TRUE(run.fleet.breaches().empty());
+}
+
+TEST(group_controller, gives_up_its_duty_when_most_servers_are_silent) {
+  fleet_run run = standing_fleet(7);
+  int count = 0;
+  for (const auto& id : run.fleet.living()) {
+    if (++count > 20) break;
+    run.fleet.set_dark(id, true, run.now);
+    run.notice(id);
+  }
+  for (int i = 0; i < 20; ++i) {
+    run.now += step_time;
+    const auto actions =
+        run.controller.step(run.fleet.directory(), run.config, true, run.now);
+    for (const auto& id : actions.reports) {
+      run.controller.on_report(id, run.fleet.report(id), run.now);
+    }
+    if (!actions.step_down) continue;
+    EXPECT_TRUE(actions.orders.empty());
+    return;
+  }
+  FAIL() << "did not step down";
+}
+
+TEST(group_controller, keeps_loads_under_the_ceiling) {
+  fleet_run run = standing_fleet(8);
+  const absl::Time since = run.now;
+  for (int i = 0; i < 30; ++i) run.fleet.add(absl::StrCat("d", i % 6), run.now);
+  run.run_for(absl::Seconds(20));
+  EXPECT_LE(run.most_loads(absl::Seconds(5), since), 25);
+  EXPECT_GT(run.most_loads(absl::Seconds(5), since), 5);
+}
+
+/// One random fault.
+void strike(fleet_run& run) {
+  const std::string id = run.some_server();
+  switch (run.random.below(7)) {
+    case 0:
+      run.fleet.kill(id, run.now);
+      run.notice(id);
+      break;
+    case 1:
+      run.fleet.set_dark(id, true, run.now);
+      run.notice(id);
+      break;
+    case 2:
+      for (const auto& other : run.fleet.living()) {
+        run.fleet.set_dark(other, false, run.now);
+      }
+      break;
+    case 3:
+      run.fleet.drain(id, run.now);
+      break;
+    case 4:
+      run.fleet.add(absl::StrCat("d", run.random.below(6)), run.now);
+      break;
+    case 5: {
+      // The holder dies; another takes over once the lease has run out.
+      const absl::Time since = run.now;
+      while (run.now - since < absl::Milliseconds(1700)) {
+        run.now += step_time;
+        run.fleet.advance(run.now);
+      }
+      run.answers.clear();
+      run.begin_term();
+      break;
+    }
+    default:
+      run.fleet.faults = {0.1 * run.random.unit(), 0.3 * run.random.unit(),
+                          0.1 * run.random.unit()};
+  }
+}
+
+RC_GTEST_PROP(group_controller, breaks_no_rule_whatever_strikes, ()) {
+  const auto seed = *rc::gen::arbitrary<uint64_t>();
+  fleet_run run = standing_fleet(seed);
+  for (int i = 0; i < 20; ++i) {
+    strike(run);
+    run.run_for(absl::Milliseconds(100 + 40 * run.random.below(60)));
+  }
+  run.fleet.faults = {};
+  for (const auto& id : run.fleet.living()) {
+    run.fleet.set_dark(id, false, run.now);
+  }
+  run.run_for(absl::Seconds(60));
+  for (const auto& breach : run.fleet.breaches()) RC_LOG() << breach << "\n";
+  RC_ASSERT(run.fleet.breaches().empty());
+  RC_ASSERT(run.fleet.serving("large") > 0);
+  RC_ASSERT(run.fleet.serving("small") > 0);
+}
+
+}  // namespace
+}  // namespace spokesail
