--- a/src/http-fetch.cc
+++ b/src/http-fetch.cc
@@ -88,6 +88,7 @@
     socket->set_option(tcp::no_delay(true), error);
   }
   request.set(http::field::host, address);
+  request.set(http::field::user_agent, this->agent);
   request.prepare_payload();
   out.status = fetch_status::no_answer;
   auto [write_error, written] =
--- a/src/http-fetch.h
+++ b/src/http-fetch.h
@@ -1,4 +1,4 @@
-// One-shot HTTP calls on the event loop: store, orders, reports.
+// HTTP calls with one whole answer on the event loop: store, orders, reports.
 #pragma once
 
 #include <absl/time/time.h>
@@ -40,8 +40,9 @@
 /// closed. A call that fails on a kept connection is not sent again.
 class http_fetcher {
  public:
-  explicit http_fetcher(boost::asio::any_io_executor executor)
-      : executor(std::move(executor)) {}
+  /// `agent` names this process to those it calls.
+  http_fetcher(boost::asio::any_io_executor executor, std::string agent)
+      : executor(std::move(executor)), agent(std::move(agent)) {}
 
   /// Sends one request and reads the whole answer, in `limit` all told.
   boost::asio::awaitable<fetch_result> fetch(std::string address,
@@ -60,6 +61,7 @@
       const std::string& address);
 
   boost::asio::any_io_executor executor;
+  std::string agent;
   std::map<std::string, std::vector<kept>> idle;
 };
 
--- a/src/node-context.h
+++ b/src/node-context.h
@@ -1,4 +1,4 @@
-// What a node knows and shares among its parts, all on one event loop.
+// What a node knows, shared by its parts, which all run on one event loop.
 #pragma once
 
 #include <absl/time/time.h>
--- /dev/null
+++ b/src/node-process.h
@@ -0,0 +1,81 @@
+// All parts of a node on one event loop.
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+#include <string>
+
+#include "group-duty.h"
+#include "http-fetch.h"
+#include "news-relay.h"
+#include "node-context.h"
+#include "node-gossip.h"
+#include "peer-link.h"
+#include "spokesail/object-store.h"
+#include "spokesail/platform-adapter.h"
+#include "stall-watch.h"
+#include "store-sync.h"
+
+namespace spokesail {
+
+/// A node, from its listeners to its duties. Used on the loop's thread only.
+class node_process {
+ public:
+  node_process(const node_settings& settings, boost::asio::io_context& loop,
+               node_log& log);
+
+  /// Binds all addresses. False, with a log line, if one cannot be had.
+  bool listen();
+
+  /// Starts all parts.
+  void start();
+
+  /// Begins to stop; `on_end` is called when the process may end.
+  void stop(const std::string& why);
+
+  /// Called once a stop is done.
+  std::function<void()> on_end;
+
+  node_context& context() { return this->state; }
+  bool watches_store() const { return this->relay.watches_store(); }
+
+ private:
+  void connect_parts();
+  void spawn(boost::asio::awaitable<void> task);
+  bool open(boost::asio::ip::tcp::acceptor& acceptor,
+            const std::string& address);
+  boost::asio::awaitable<void> accept_callers();
+  boost::asio::awaitable<void> serve_small(
+      boost::asio::ip::tcp::acceptor& acceptor, bool ready);
+  boost::asio::awaitable<void> answer_small(boost::asio::ip::tcp::socket socket,
+                                            bool ready);
+  boost::asio::awaitable<void> sleep(absl::Duration time);
+  boost::asio::awaitable<void> tick();
+  void set_gauges();
+  void keep_house(absl::Time now);
+  bool may_end(absl::Time now) const;
+
+  const node_settings& settings;
+  boost::asio::io_context& loop;
+  node_log& log;
+  std::unique_ptr<platform_adapter> adapter;
+  http_fetcher fetcher;
+  std::unique_ptr<object_store> store;
+  node_context state;
+  store_sync sync;
+  peer_link link;
+  node_gossip gossip;
+  news_relay relay;
+  group_duty duty;
+  stall_watch stalls;
+  boost::asio::ip::tcp::acceptor callers{loop};
+  boost::asio::ip::tcp::acceptor readiness{loop};
+  boost::asio::ip::tcp::acceptor metrics{loop};
+  bool was_ready = false;
+};
+
+}  // namespace spokesail
--- a/src/node.cc
+++ b/src/node.cc
@@ -1,309 +1,32 @@
 #include "node.h"
 
-#include <absl/strings/str_cat.h>
-
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/write.hpp>
 #include <csignal>
 
-#include "caller-session.h"
 #include "clock.h"
 #include "detail/socket.h"
-#include "exchange.h"
-#include "fleet-adapter.h"
-#include "group-duty.h"
-#include "news-relay.h"
-#include "node-gossip.h"
-#include "stall-watch.h"
-#include "store-sync.h"
+#include "node-process.h"
 
 namespace spokesail {
 namespace {
 
 namespace net = boost::asio;
-namespace http = boost::beast::http;
-using detail::use_tuple;
-using net::ip::tcp;
-
-/// Connections that wait to be accepted.
-constexpr int accept_backlog = 1024;
-
-/// Descriptors that stay free for the store, orders and metrics.
-constexpr size_t spare_sockets = 64;
-
-/// The process ends this long before it would be killed.
-constexpr absl::Duration end_margin = absl::Milliseconds(400);
-
-/// Period of the check of sessions' limits and of kept connections.
-constexpr absl::Duration housekeeping = absl::Milliseconds(200);
-
-/// Kept connections to servers and store rest at most this long.
-constexpr absl::Duration fetch_idle = absl::Seconds(4);
-
-class node_process {
- public:
-  node_process(const node_settings& settings, net::io_context& loop,
-               node_log& log)
-      : settings(settings),
-        loop(loop),
-        log(log),
-        adapter(make_fleet_adapter()),
-        fetcher(loop.get_executor()),
-        store(make_fleet_store(fetcher, settings.platform_address)),
-        state(settings, loop, *adapter, *store, fetcher, log),
-        sync(state),
-        link(state),
-        gossip(state, link),
-        relay(state, link),
-        duty(state),
-        stalls(state),
-        signals(loop, SIGTERM, SIGINT, SIGHUP) {}
-
-  /// Binds all addresses. False, with a log line, if one cannot be had.
-  bool listen() {
-    return this->open(this->callers, this->settings.caller_address) &&
-           this->open(this->readiness, this->settings.ready_address) &&
-           this->open(this->metrics, this->settings.metrics_address);
-  }
-
-  void start() {
-    this->gossip.lease = [this] { return this->duty.word(); };
-    this->gossip.silent = [this] { return this->duty.silent(); };
-    this->gossip.on_lease = [this](const lease_word& word) {
-      this->duty.observe(word);
-    };
-    this->gossip.on_suspect = [this](const std::string& id) {
-      this->duty.suspect(id);
-    };
-    this->stalls.on_suspect = [this](const std::string& id) {
-      this->duty.suspect(id);
-    };
-    this->link.on_gossip = [this](const std::string& peer, const auto& said) {
-      this->gossip.take(peer, said);
-    };
-    this->link.on_request = [this](const std::string& peer, const auto& asked) {
-      this->relay.answer(peer, asked);
-    };
-    this->link.on_news = [this](const std::string& peer, const auto& said) {
-      this->relay.take(peer, said);
-    };
-    this->relay.urgent = [this] { return this->duty.holds(); };
-    this->relay.on_config = [this] { this->sync.read_config(); };
-    this->sync.watches = [this] { return this->relay.watches_store(); };
-    this->sync.on_servers = [this] { this->relay.push(); };
-    this->sync.urgent = [this] { return this->duty.holds(); };
-    this->spawn(this->sync.follow_config());
-    this->spawn(this->sync.follow_servers());
-    this->spawn(this->link.keep_peers());
-    this->spawn(this->link.receive());
-    this->spawn(this->gossip.run());
-    this->spawn(this->relay.run());
-    this->spawn(this->duty.run());
-    this->spawn(this->accept_callers());
-    this->spawn(this->serve_small(this->readiness, true));
-    this->spawn(this->serve_small(this->metrics, false));
-    this->spawn(this->tick());
-    this->spawn(this->take_signals());
-  }
-
- private:
-  void spawn(net::awaitable<void> task) {
-    net::co_spawn(this->loop, std::move(task), net::detached);
-  }
-
-  bool open(tcp::acceptor& acceptor, const std::string& address) {
-    boost::system::error_code error;
-    const auto endpoint = parse_endpoint(address, error);
-    if (!error) acceptor.open(tcp::v4(), error);
-    if (!error)
-      acceptor.set_option(net::socket_base::reuse_address(true), error);
-    if (!error) acceptor.bind(endpoint, error);
-    if (!error) acceptor.listen(accept_backlog, error);
-    if (!error) return true;
-    this->log.belief("cannot_listen",
-                     {{"address", address}, {"why", error.message()}},
-                     this->state.now());
-    return false;
-  }
-
-  net::awaitable<void> accept_callers() {
-    for (;;) {
-      auto [error, socket] = co_await this->callers.async_accept(use_tuple);
-      if (error == net::error::operation_aborted) co_return;
-      if (error) {
-        this->log.belief("accept_failed", {{"why", error.message()}},
-                         this->state.now());
-        co_await this->sleep(node_timing::tick);
-        continue;
-      }
-      const size_t used = this->state.sessions.size() +
-                          this->state.exchanges.size() +
-                          this->state.pool.size() + spare_sockets;
-      if (used >= static_cast<size_t>(this->settings.max_sockets)) continue;
-      boost::system::error_code ignored;
-      socket.set_option(tcp::no_delay(true), ignored);
-      auto session =
-          std::make_shared<caller_session>(this->state, std::move(socket));
-      net::co_spawn(
-          this->loop,
-          [session]() -> net::awaitable<void> { co_await session->run(); },
-          net::detached);
-    }
-  }
-
-  /// Serves readiness or metrics.
-  net::awaitable<void> serve_small(tcp::acceptor& acceptor, bool ready) {
-    for (;;) {
-      auto [error, socket] = co_await acceptor.async_accept(use_tuple);
-      if (error == net::error::operation_aborted) co_return;
-      if (error) {
-        co_await this->sleep(node_timing::tick);
-        continue;
-      }
-      net::co_spawn(this->loop, this->answer_small(std::move(socket), ready),
-                    net::detached);
-    }
-  }
-
-  net::awaitable<void> answer_small(tcp::socket socket, bool ready) {
-    boost::beast::flat_buffer buffer;
-    for (;;) {
-      http_request request;
-      auto [error, size] =
-          co_await http::async_read(socket, buffer, request, use_tuple);
-      if (error) co_return;
-      http_response response(http::status::not_found, 11);
-      if (ready && request.target() == this->adapter->ready_path()) {
-        response.result(this->state.ready()
-                            ? http::status::ok
-                            : http::status::service_unavailable);
-      }
-      if (!ready && request.target() == "/metrics") {
-        this->set_gauges();
-        response.result(http::status::ok);
-        response.set(http::field::content_type, "text/plain; version=0.0.4");
-        response.body() = this->state.metrics.text();
-      }
-      response.keep_alive(request.keep_alive());
-      response.prepare_payload();
-      auto [failed, sent] =
-          co_await http::async_write(socket, response, use_tuple);
-      if (failed || !request.keep_alive()) co_return;
-    }
-  }
 
-  void set_gauges() {
-    node_metrics& m = this->state.metrics;
-    m.set_gauge("sessions", static_cast<double>(this->state.sessions.size()));
-    m.set_gauge("exchanges", static_cast<double>(this->state.exchanges.size()));
-    m.set_gauge("kept_connections",
-                static_cast<double>(this->state.pool.size()));
-    m.set_gauge("servers",
-                static_cast<double>(this->state.directory.servers().size()));
-    m.set_gauge("live_nodes", this->state.live_nodes);
-    m.set_gauge("lease_held", this->duty.holds() ? 1 : 0);
-    m.set_gauge("config_age_seconds",
-                absl::ToDoubleSeconds(
-                    std::min(this->state.config_age(), absl::Hours(1))));
-    m.set_gauge("log_lines_left_out",
-                static_cast<double>(this->log.left_out()));
-  }
-
-  net::awaitable<void> sleep(absl::Duration time) {
-    net::steady_timer timer(this->loop);
-    timer.expires_after(absl::ToChronoNanoseconds(time));
-    co_await timer.async_wait(use_tuple);
-  }
-
-  net::awaitable<void> tick() {
-    absl::Time kept_house = absl::InfinitePast();
-    for (;;) {
-      co_await this->sleep(node_timing::tick);
-      const absl::Time now = this->state.now();
-      this->stalls.check(now);
-      if (now - kept_house >= housekeeping) {
-        kept_house = now;
-        this->keep_house(now);
-      }
-      if (this->may_end(now)) this->loop.stop();
+net::awaitable<void> take_signals(net::signal_set& signals, node_log& log,
+                                  node_process& process) {
+  for (;;) {
+    auto [error, number] = co_await signals.async_wait(detail::use_tuple);
+    if (error) co_return;
+    if (number == SIGHUP) {
+      // Nothing in a node's settings changes while it runs.
+      log.belief("reload", {{"effect", "none"}}, boot_now());
+      continue;
     }
+    process.stop("signal " + std::to_string(number));
   }
-
-  void keep_house(absl::Time now) {
-    const auto sessions = this->state.sessions;
-    for (caller_session* session : sessions) session->check_limit(now);
-    this->state.pool.expire(now);
-    this->fetcher.close_idle(fetch_idle, now);
-    std::erase_if(this->state.avoid,
-                  [&](const auto& item) { return item.second <= now; });
-    if (this->state.directory.expire(now)) this->state.forget_groups();
-    if (this->state.closing() && this->callers.is_open()) {
-      boost::system::error_code ignored;
-      this->callers.close(ignored);
-    }
-    const bool ready = this->state.ready();
-    if (ready == this->was_ready) return;
-    this->was_ready = ready;
-    this->log.belief(
-        ready ? "ready" : "not_ready",
-        {{"config_age_ms",
-          absl::StrCat(absl::ToInt64Milliseconds(this->state.config_age()))},
-         {"servers_listed", this->state.directory_listed ? "1" : "0"},
-         {"stopping", this->state.stopping() ? "1" : "0"}},
-        now);
-  }
-
-  bool may_end(absl::Time now) const {
-    if (!this->state.stopping()) return false;
-    const absl::Duration since = now - this->state.stopping_since;
-    if (since >= this->settings.stop_grace - end_margin) return true;
-    return this->state.closing() && this->state.sessions.empty();
-  }
-
-  net::awaitable<void> take_signals() {
-    for (;;) {
-      auto [error, number] = co_await this->signals.async_wait(use_tuple);
-      if (error) co_return;
-      if (number == SIGHUP) {
-        // Nothing in a node's settings changes while it runs.
-        this->log.belief("reload", {{"effect", "none"}}, this->state.now());
-        continue;
-      }
-      if (this->state.stopping()) continue;
-      this->state.stopping_since = this->state.now();
-      this->duty.stop();
-      this->log.belief(
-          "stopping",
-          {{"signal", absl::StrCat(number)},
-           {"sessions", absl::StrCat(this->state.sessions.size())},
-           {"exchanges", absl::StrCat(this->state.exchanges.size())}},
-          this->state.now());
-    }
-  }
-
-  const node_settings& settings;
-  net::io_context& loop;
-  node_log& log;
-  std::unique_ptr<platform_adapter> adapter;
-  http_fetcher fetcher;
-  std::unique_ptr<object_store> store;
-  node_context state;
-  store_sync sync;
-  peer_link link;
-  node_gossip gossip;
-  news_relay relay;
-  group_duty duty;
-  stall_watch stalls;
-  net::signal_set signals;
-  tcp::acceptor callers{loop};
-  tcp::acceptor readiness{loop};
-  tcp::acceptor metrics{loop};
-  bool was_ready = false;
-};
+}
 
 }  // namespace
 
@@ -311,12 +34,15 @@
   std::signal(SIGPIPE, SIG_IGN);
   node_log log(settings.node);
   net::io_context loop(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE);
+  net::signal_set signals(loop, SIGTERM, SIGINT, SIGHUP);
   auto process = std::make_unique<node_process>(settings, loop, log);
   log.belief("start",
              {{"hall", settings.hall}, {"callers", settings.caller_address}},
              boot_now());
   if (!process->listen()) return 1;
+  process->on_end = [&loop] { loop.stop(); };
   process->start();
+  net::co_spawn(loop, take_signals(signals, log, *process), net::detached);
   loop.run();
   log.belief("stop", {}, boot_now());
   // Open connections end with the process; their coroutines are not resumed.
--- a/standin/fleet-emulator.cc
+++ b/standin/fleet-emulator.cc
@@ -20,11 +20,12 @@
                                uint64_t seed)
     : service(std::move(what)), timing(times), random{std::mt19937_64(seed)} {}
 
-std::string fleet_emulator::add(const std::string& domain, absl::Time now) {
+std::string fleet_emulator::add(const std::string& domain, absl::Time now,
+                                const std::string& address) {
   server s;
   s.entry.id = absl::StrCat("s", ++this->next_id);
   s.entry.service = this->service.name;
-  s.entry.address = absl::StrCat("10.0.0.", this->next_id, ":80");
+  s.entry.address = address;
   s.entry.hall = "hall";
   s.entry.domain = domain;
   const std::string id = s.entry.id;
@@ -314,6 +315,21 @@
   return count;
 }
 
+bool fleet_emulator::open_head(const std::string& id) const {
+  const auto found = this->servers.find(id);
+  if (found == this->servers.end() || !found->second.alive) return false;
+  const group_membership& said = found->second.entry.membership;
+  return said.rank == 0 && said.phase == member_phase::open;
+}
+
+bool fleet_emulator::group_in_place(const std::string& id) const {
+  const server& head = this->servers.at(id);
+  return !head.dark && std::all_of(head.members.begin(), head.members.end(),
+                                   [&](const auto& member) {
+                                     return this->member_in_place(head, member);
+                                   });
+}
+
 std::vector<std::string> fleet_emulator::living() const {
   std::vector<std::string> out;
   for (const auto& [id, s] : this->servers) {
--- a/standin/fleet-emulator.h
+++ b/standin/fleet-emulator.h
@@ -46,7 +46,8 @@
                  uint64_t seed);
 
   /// Adds a server with nothing staged. Returns its id.
-  std::string add(const std::string& domain, absl::Time now);
+  std::string add(const std::string& domain, absl::Time now,
+                  const std::string& address = "10.0.0.1:80");
 
   /// Kills a server; its entry goes after the lapse.
   void kill(const std::string& id, absl::Time now);
@@ -72,6 +73,11 @@
   /// Groups that truly serve: open, with all members in place.
   int serving(const std::string& model) const;
 
+  /// Whether a server takes requests: it heads an open group.
+  bool open_head(const std::string& id) const;
+  /// Whether a server's group has all its members in place.
+  bool group_in_place(const std::string& id) const;
+
   /// Ids of servers that run.
   std::vector<std::string> living() const;
 
--- /dev/null
+++ b/standin/fleet-standin.h
@@ -0,0 +1,132 @@
+// A small fleet on loopback: the platform's store, model engines that form
+// groups, and a plain service, with the faults that tests bring about.
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fleet-emulator.h"
+
+namespace spokesail::standin {
+
+/// What the fleet does wrong, until it is changed.
+struct fleet_faults {
+  /// Callers of the store, by user agent, that get 503.
+  std::set<std::string> refused_nodes;
+  /// The store answers nobody.
+  bool store_silent = false;
+  /// Plain calls run, and their connection ends without an answer.
+  bool lose_plain_answers = false;
+  /// Plain servers turn calls away unrun.
+  bool shed_plain = false;
+  /// Plain answers bear another request's id.
+  bool cross_plain_answers = false;
+  /// Streams are reset after this many events; 0 for none.
+  int break_after_events = 0;
+  /// Streams of one head fall silent.
+  std::string silent_head;
+};
+
+/// What the servers saw.
+struct fleet_record {
+  /// Runs by request id.
+  std::map<std::string, int> runs;
+  /// Bodies of plain calls by request id.
+  std::map<std::string, std::string> bodies;
+  /// Workspace of each request, as the server was told.
+  std::map<std::string, std::string> workspaces;
+  /// Watches and lists that the store has answered.
+  int store_reads = 0;
+};
+
+/// The whole fleet, on one event loop.
+class fleet_standin {
+ public:
+  using request = boost::beast::http::request<boost::beast::http::string_body>;
+  using response =
+      boost::beast::http::response<boost::beast::http::string_body>;
+
+  fleet_standin(boost::asio::io_context& loop, int domains, int hosts);
+
+  /// Starts to serve.
+  void start();
+
+  std::string store_address() const { return this->store_at; }
+
+  /// Writes the configuration, as the operator does.
+  void configure(const nlohmann::json& spec);
+  /// A configuration with a stream route, a repeatable and a plain one that
+  /// may run once, for workspace `north` with the keys given.
+  nlohmann::json sample_config(const std::vector<std::string>& keys) const;
+
+  int serving(const std::string& model) const {
+    return this->emulator.serving(model);
+  }
+  fleet_emulator& engines() { return this->emulator; }
+  /// The head of a group that serves `model`; empty if there is none.
+  std::string serving_head(const std::string& model) const;
+
+  /// Kills a server: its connections are reset and its port is closed.
+  void kill(const std::string& id);
+
+  fleet_faults faults;
+  fleet_record record;
+
+ private:
+  struct stored {
+    nlohmann::json spec;
+    int64_t revision = 0;
+    bool gone = false;
+  };
+  struct host {
+    std::string id;
+    bool plain = false;
+    std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor;
+    std::set<std::shared_ptr<boost::asio::ip::tcp::socket>> connections;
+  };
+  using socket_ptr = std::shared_ptr<boost::asio::ip::tcp::socket>;
+
+  boost::asio::awaitable<void> accept_store();
+  boost::asio::awaitable<void> serve_store(socket_ptr socket);
+  boost::asio::awaitable<response> store_answer(const request& in);
+  boost::asio::awaitable<response> read_kind(const std::string& kind,
+                                             const std::string& query);
+  response write_object(const request& in, const std::string& kind,
+                        const std::string& name);
+  boost::asio::awaitable<void> accept_host(host& h);
+  boost::asio::awaitable<void> serve_host(host& h, socket_ptr socket);
+  boost::asio::awaitable<bool> serve_call(host& h, socket_ptr socket,
+                                          const request& in);
+  boost::asio::awaitable<bool> serve_stream(host& h, socket_ptr socket,
+                                            const request& in);
+  response order_answer(host& h, const request& in);
+  response report_answer(host& h);
+  boost::asio::awaitable<void> tick();
+  void publish_servers();
+  void put(const std::string& kind, const std::string& name,
+           const nlohmann::json& spec);
+  nlohmann::json object_json(const std::string& name, const stored& o) const;
+  std::string add_host(bool plain);
+
+  boost::asio::io_context& loop;
+  fleet_emulator emulator;
+  boost::asio::ip::tcp::acceptor store;
+  std::string store_at;
+  std::map<std::string, std::map<std::string, stored>> kinds;
+  int64_t revision = 0;
+  std::vector<std::unique_ptr<host>> hosts;
+};
+
+}  // namespace spokesail::standin
--- /dev/null
+++ b/test/fleet-adapter-test.cc
@@ -0,0 +1,218 @@
+// The translations of the fleet's platform.
+#include "fleet-adapter.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+namespace spokesail {
+namespace {
+
+namespace http = boost::beast::http;
+using json = nlohmann::json;
+
+const std::unique_ptr<platform_adapter> adapter = make_fleet_adapter();
+
+object object_of(const std::string& kind, const std::string& name,
+                 const json& spec) {
+  return {{kind, name}, 3, spec.dump(), false};
+}
+
+TEST(fleet_adapter, reads_routes_services_and_workspaces) {
+  const json spec = {
+      {"version", 7},
+      {"routes",
+       {{{"name", "r1"},
+         {"host", "h"},
+         {"prefix", "/a/"},
+         {"kind", "streaming"},
+         {"resumable", true},
+         {"timeout_ms", 8000},
+         {"goal_ms", 500},
+         {"gap_aim_ms", 300},
+         {"attempts", 2},
+         {"priority", 1},
+         {"public", false},
+         {"split",
+          {{{"service", "x"}, {"weight", 90}},
+           {{"service", "y"}, {"weight", 10}}}}},
+        {{"name", "r2"},
+         {"host", "h"},
+         {"prefix", "/b/"},
+         {"kind", "unsafe"},
+         {"service", "y"}}}},
+      {"services",
+       {{{"name", "x"},
+         {"max_conns", 474},
+         {"engine",
+          {{"slots", 26},
+           {"read_per_s", 46000.0},
+           {"models",
+            {{{"name", "m"},
+              {"size", 4},
+              {"share", 0.67},
+              {"load_s", 16.0},
+              {"warm_s", 1.6}}}}}}}}},
+      {"tenants", {{{"name", "t"}, {"api_keys", {"k"}}, {"priority", 1}}}}};
+  const auto config = adapter->read_config(object_of("config", "main", spec));
+  ASSERT_TRUE(config);
+  EXPECT_EQ(config->version, 7);
+  const route_rule& first = config->routes[0];
+  EXPECT_TRUE(first.streaming && first.resumable && first.repeatable);
+  EXPECT_EQ(first.targets.size(), 2U);
+  EXPECT_EQ(first.targets[0].weight, 90);
+  EXPECT_EQ(first.timeout, absl::Seconds(8));
+  EXPECT_EQ(first.goal, absl::Milliseconds(500));
+  EXPECT_FALSE(config->routes[1].repeatable);
+  EXPECT_EQ(config->routes[1].targets[0].service, "y");
+  const engine_profile& engine = *config->services[0].engine;
+  EXPECT_EQ(engine.read_tokens_per_ms, 46);
+  EXPECT_EQ(engine.models[0].cold_load, absl::Seconds(16));
+  EXPECT_EQ(engine.models[0].staged_load, absl::Milliseconds(1600));
+  EXPECT_EQ(config->workspaces[0].keys, std::vector<std::string>{"k"});
+}
+
+TEST(fleet_adapter, a_stream_that_cannot_be_resumed_may_run_once) {
+  const json spec = {{"routes", {{{"name", "r"}, {"kind", "streaming"}}}}};
+  const auto config = adapter->read_config(object_of("config", "main", spec));
+  EXPECT_FALSE(config->routes[0].repeatable);
+}
+
+TEST(fleet_adapter, reads_a_servers_word_on_its_group) {
+  const json spec = {
+      {"service", "x"},
+      {"addr", "10.0.0.1:80"},
+      {"zone", "z"},
+      {"state", "draining"},
+      {"seq", 44},
+      {"domain", "d"},
+      {"staged", {"m"}},
+      {"group",
+       {{"name", "m.5"}, {"epoch", 5}, {"rank", 1}, {"state", "ready"}}}};
+  const auto entry = adapter->read_server(object_of("servers", "i-1", spec));
+  ASSERT_TRUE(entry);
+  EXPECT_EQ(entry->id, "i-1");
+  EXPECT_TRUE(entry->draining);
+  EXPECT_EQ(entry->membership,
+            (group_membership{"m.5", 5, 1, member_phase::ready}));
+}
+
+TEST(fleet_adapter, takes_the_number_of_orders_from_the_report) {
+  http_response answer(http::status::ok, 11);
+  answer.body() = R"({"seq":4,"running":12,"waiting":1,"busy":true})";
+  const auto report = adapter->read_report(answer);
+  ASSERT_TRUE(report);
+  EXPECT_EQ(report->orders_taken, 4);
+  EXPECT_EQ(report->running, 12);
+  answer.result(http::status::service_unavailable);
+  EXPECT_FALSE(adapter->read_report(answer));
+}
+
+TEST(fleet_adapter, names_the_server_and_the_condition_of_an_order) {
+  group_order order;
+  order.kind = group_order_kind::join;
+  order.server = "i-1";
+  order.group = "m.5";
+  order.epoch = 5;
+  order.model = "m";
+  order.members = {"i-1", "i-2"};
+  order.expected_orders = 3;
+  const auto request = adapter->write_order(order);
+  EXPECT_EQ(request["X-Expect-Instance"], "i-1");
+  const json body = json::parse(request.body());
+  EXPECT_EQ(body["expect_rev"], 3);
+  EXPECT_EQ(body["members"].size(), 2U);
+}
+
+TEST(fleet_adapter, overwrites_what_a_caller_may_not_set) {
+  http_fields head;
+  head.set("X-Tenant", "someone");
+  head.set("X-Expect-Instance", "i-9");
+  head.set("Authorization", "Bearer k");
+  head.set("X-Model", "m");
+  adapter->write_attempt({"i-1", "", absl::Milliseconds(900), 4, -1}, head);
+  EXPECT_EQ(head.find("X-Tenant"), head.end());
+  EXPECT_EQ(head.find("Authorization"), head.end());
+  EXPECT_EQ(head["X-Expect-Instance"], "i-1");
+  EXPECT_EQ(head["X-Deadline-Ms"], "900");
+  EXPECT_EQ(head["X-Model"], "m");
+}
+
+TEST(fleet_adapter, believes_only_a_server_that_says_it_did_not_run) {
+  http_fields plain;
+  EXPECT_FALSE(adapter->read_answer(503, plain).not_run);
+  EXPECT_TRUE(adapter->read_answer(421, plain).not_run);
+  plain.set("X-Not-Executed", "1");
+  EXPECT_TRUE(adapter->read_answer(503, plain).not_run);
+}
+
+TEST(fleet_adapter, reads_a_callers_head) {
+  http_fields head;
+  head.set("X-Request-Id", "r1");
+  head.set("Authorization", "Bearer k");
+  head.set("X-Deadline-Ms", "8000");
+  head.set("X-Token-Usage", "1460,80");
+  head.set("Last-Event-Id", "12");
+  std::string fault;
+  const auto read = adapter->read_caller(head, fault);
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read->key, "k");
+  EXPECT_EQ(read->patience, absl::Seconds(8));
+  EXPECT_EQ(read->prompt_tokens, 1460);
+  EXPECT_EQ(read->answer_limit, 80);
+  EXPECT_EQ(read->last_event, 12);
+  head.insert("X-Request-Id", "r2");
+  EXPECT_FALSE(adapter->read_caller(head, fault));
+}
+
+/// JSON of any shape under the names that the readers look for.
+json any_json(int depth) {
+  const int kind = *rc::gen::inRange(0, depth > 0 ? 7 : 5);
+  if (kind == 0) return nullptr;
+  if (kind == 1) return *rc::gen::arbitrary<int64_t>();
+  if (kind == 2) return *rc::gen::arbitrary<bool>();
+  if (kind == 3) return *rc::gen::element<std::string>("", "ready", "x");
+  if (kind == 4) return *rc::gen::arbitrary<double>();
+  json out = kind == 5 ? json::array() : json::object();
+  const int size = *rc::gen::inRange(0, 5);
+  for (int i = 0; i < size; ++i) {
+    if (kind == 5) {
+      out.push_back(any_json(depth - 1));
+      continue;
+    }
+    const auto name = *rc::gen::element<std::string>(
+        "version", "routes", "services", "tenants", "limits", "engine",
+        "models", "split", "group", "service", "addr", "staged", "rank", "name",
+        "seq", "api_keys", "timeout_ms");
+    out[name] = any_json(depth - 1);
+  }
+  return out;
+}
+
+RC_GTEST_PROP(fleet_adapter, no_object_or_answer_does_harm, ()) {
+  const json any = any_json(4);
+  const object o = object_of("any", "x", any);
+  adapter->read_config(o);
+  adapter->read_server(o);
+  http_response answer(http::status::ok, 11);
+  answer.body() = any.dump();
+  adapter->read_report(answer);
+}
+
+RC_GTEST_PROP(fleet_adapter, no_head_does_harm,
+              (const std::string& a, const std::string& b)) {
+  http_fields head;
+  head.set("X-Request-Id", a);
+  head.set("X-Deadline-Ms", b);
+  head.set("X-Token-Usage", a);
+  head.set("Last-Event-Id", b);
+  head.set("Length-Hint", a);
+  head.set("Keep-Alive", b);
+  std::string fault;
+  adapter->read_caller(head, fault);
+  adapter->read_answer(200, head);
+}
+
+}  // namespace
+}  // namespace spokesail
--- /dev/null
+++ b/test/node-message-test.cc
@@ -0,0 +1,77 @@
+#include "node-message.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace spokesail {
+namespace {
+
+listed_server sample_server() {
+  listed_server server;
+  server.entry = {"s1",   "lm",      "10.0.0.1:80",
+                  "hall", "d0",      8,
+                  true,   {"large"}, {"large.7", 7, 1, member_phase::open}};
+  server.revision = 12;
+  return server;
+}
+
+node_message sample(std::variant<gossip, news_request, news> content) {
+  return {"node-1", "hall", 77, 3, std::move(content)};
+}
+
+TEST(node_message, gossip_comes_back_as_it_was) {
+  gossip g;
+  g.places = {{"large.7", 3, 512}, {"p0", 1, 0}};
+  g.suspects = {"s1"};
+  g.lease = lease_word{5, R"({"holder":"x"})"};
+  g.requests_seen = true;
+  g.silent = {"s2", "s3"};
+  const auto bytes = encode(sample(g));
+  const auto back = decode_message(bytes.data(), bytes.size());
+  ASSERT_TRUE(back);
+  EXPECT_EQ(*back, sample(g));
+}
+
+TEST(node_message, news_come_back_as_they_were) {
+  news n;
+  n.nonce = 9;
+  n.config_revision = 4;
+  n.config_age = absl::Milliseconds(120);
+  n.store_reachable = false;
+  n.from_revision = 10;
+  n.to_revision = 12;
+  n.servers = {{sample_server(), false, absl::Milliseconds(30)},
+               {sample_server(), true, absl::ZeroDuration()}};
+  const auto bytes = encode(sample(n));
+  const auto back = decode_message(bytes.data(), bytes.size());
+  ASSERT_TRUE(back);
+  EXPECT_EQ(*back, sample(n));
+}
+
+TEST(node_message, a_request_comes_back_as_it_was) {
+  const auto bytes = encode(sample(news_request{3, 11}));
+  const auto back = decode_message(bytes.data(), bytes.size());
+  ASSERT_TRUE(back);
+  EXPECT_EQ(*back, sample(news_request{3, 11}));
+}
+
+RC_GTEST_PROP(node_message, no_bytes_do_harm,
+              (const std::vector<uint8_t>& bytes)) {
+  decode_message(reinterpret_cast<const char*>(bytes.data()), bytes.size());
+}
+
+RC_GTEST_PROP(node_message, spoiled_messages_do_no_harm, ()) {
+  news n;
+  n.servers = {{sample_server(), false, absl::ZeroDuration()}};
+  std::string bytes = encode(sample(n));
+  const auto hits = *rc::gen::inRange(1, 6);
+  for (int i = 0; i < hits; ++i) {
+    const auto at = *rc::gen::inRange<size_t>(0, bytes.size());
+    bytes[at] = static_cast<char>(*rc::gen::inRange(0, 256));
+  }
+  bytes.resize(*rc::gen::inRange<size_t>(0, bytes.size() + 1));
+  decode_message(bytes.data(), bytes.size());
+}
+
+}  // namespace
+}  // namespace spokesail
--- /dev/null
+++ b/test/node-test.cc
@@ -0,0 +1,439 @@
+// A node and a small fleet on loopback: what callers get when things fail.
+// Outcomes are asserted, never how long something took.
+#include <absl/strings/str_cat.h>
+#include <gtest/gtest.h>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <future>
+#include <regex>
+#include <thread>
+
+#include "clock.h"
+#include "fleet-standin.h"
+#include "node-process.h"
+
+namespace spokesail {
+namespace {
+
+namespace net = boost::asio;
+namespace http = boost::beast::http;
+using net::ip::tcp;
+using standin::fleet_standin;
+using fleet_request = fleet_standin::request;
+
+/// Longest that a test waits for something that has to come about.
+constexpr absl::Duration patience = absl::Seconds(20);
+
+constexpr int stream_events = 12;
+
+std::string free_address() {
+  net::io_context io;
+  tcp::acceptor probe(io, tcp::endpoint(net::ip::make_address("127.0.0.1"), 0));
+  return absl::StrCat("127.0.0.1:", probe.local_endpoint().port());
+}
+
+node_log& test_log() {
+  static auto* log = new node_log("test");
+  return *log;
+}
+
+/// A fleet with nodes before it; its loop runs on a thread of its own.
+class node_test : public testing::Test {
+ protected:
+  node_test() : fleet(std::make_unique<fleet_standin>(*this->loop, 1, 6)) {
+    this->fleet->configure(this->fleet->sample_config({"key-1", "key-2"}));
+    this->fleet->start();
+  }
+
+  ~node_test() override {
+    this->loop->stop();
+    if (this->thread.joinable()) this->thread.join();
+    // Coroutines that still wait hold on to the nodes; all go with the process.
+    this->loop.release();
+    for (auto& node : this->nodes) node.release();
+    this->fleet.release();
+  }
+
+  void add_node(const std::string& name) {
+    auto s = std::make_unique<node_settings>();
+    s->node = name;
+    s->hall = "hall";
+    s->caller_address = free_address();
+    s->ready_address = free_address();
+    s->metrics_address = free_address();
+    s->peer_address = free_address();
+    s->platform_address = this->fleet->store_address();
+    s->revoke_time = absl::Seconds(3);
+    s->stop_grace = absl::Seconds(8);
+    s->repeats.slack = 100;
+    s->lease.duration = absl::Milliseconds(1200);
+    s->lease.renew_every = absl::Milliseconds(300);
+    s->lease.margin = absl::Milliseconds(300);
+    s->lease.takeover_spread = absl::Milliseconds(100);
+    this->nodes.push_back(
+        std::make_unique<node_process>(*s, *this->loop, test_log()));
+    ASSERT_TRUE(this->nodes.back()->listen());
+    this->nodes.back()->start();
+    this->settings.push_back(std::move(s));
+  }
+
+  void run() {
+    this->thread = std::thread([this] { this->loop->run(); });
+  }
+
+  /// Runs `work` on the loop's thread.
+  template <typename Work>
+  auto on_loop(Work work) {
+    std::packaged_task<decltype(work())()> task(std::move(work));
+    auto result = task.get_future();
+    net::post(*this->loop, [&task] { task(); });
+    return result.get();
+  }
+
+  bool wait_until(const std::function<bool()>& done) {
+    const absl::Time until = boot_now() + patience;
+    while (boot_now() < until) {
+      if (this->on_loop(done)) return true;
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    return false;
+  }
+
+  /// Starts `count` nodes and waits until they serve.
+  void start(int count) {
+    for (int i = 0; i < count; ++i) this->add_node(absl::StrCat("node-", i));
+    this->run();
+    ASSERT_TRUE(this->wait_until([this] {
+      if (this->fleet->serving("large") < 2) return false;
+      for (auto& node : this->nodes) {
+        node_context& state = node->context();
+        int serving = 0;
+        for (const auto& group : state.groups("lm")) serving += group.serving();
+        if (!state.ready() || serving < 2) return false;
+      }
+      return true;
+    }));
+  }
+
+  static fleet_request request(const std::string& id, const std::string& target,
+                               const std::string& key = "key-1") {
+    fleet_request out(http::verb::post, target, 11);
+    out.set(http::field::host, "callers.example");
+    out.set("X-Request-Id", id);
+    out.set("X-Deadline-Ms", "4000");
+    if (!key.empty()) out.set(http::field::authorization, "Bearer " + key);
+    return out;
+  }
+
+  static fleet_request stream_request(const std::string& id) {
+    auto out = request(id, "/draft/minutes");
+    out.set("X-Model", "large");
+    out.set("X-Token-Usage", "100,60");
+    out.body() = "prompt";
+    return out;
+  }
+
+  tcp::socket connect(int node = 0) {
+    boost::system::error_code error;
+    tcp::socket socket(this->client);
+    socket.connect(parse_endpoint(this->settings[node]->caller_address, error));
+    return socket;
+  }
+
+  fleet_standin::response ask(fleet_request out, int node = 0) {
+    auto socket = this->connect(node);
+    out.prepare_payload();
+    http::write(socket, out);
+    boost::beast::flat_buffer buffer;
+    fleet_standin::response in;
+    boost::system::error_code error;
+    http::read(socket, buffer, in, error);
+    EXPECT_FALSE(error) << error.message();
+    return in;
+  }
+
+  /// What comes back for raw bytes, until the connection closes.
+  std::string ask_raw(const std::string& bytes) {
+    auto socket = this->connect();
+    net::write(socket, net::buffer(bytes));
+    std::string in;
+    boost::system::error_code error;
+    net::read(socket, net::dynamic_buffer(in), error);
+    return in;
+  }
+
+  static std::vector<int> event_ids(const std::string& body) {
+    std::vector<int> out;
+    const std::regex id("id: ([0-9]+)\n");
+    for (std::sregex_iterator at(body.begin(), body.end(), id), end; at != end;
+         ++at) {
+      out.push_back(std::stoi((*at)[1]));
+    }
+    return out;
+  }
+
+  static std::vector<int> all_ids() {
+    std::vector<int> out;
+    for (int i = 0; i < stream_events; ++i) out.push_back(i);
+    return out;
+  }
+
+  int runs(const std::string& id) {
+    return this->on_loop([&] { return this->fleet->record.runs[id]; });
+  }
+
+  std::unique_ptr<net::io_context> loop = std::make_unique<net::io_context>();
+  std::unique_ptr<fleet_standin> fleet;
+  std::vector<std::unique_ptr<node_settings>> settings;
+  std::vector<std::unique_ptr<node_process>> nodes;
+  std::thread thread;
+  net::io_context client;
+};
+
+TEST_F(node_test, serves_a_stream_whole_and_tells_the_workspace) {
+  this->start(1);
+  const auto answer = this->ask(stream_request("r1"));
+  EXPECT_EQ(answer.result_int(), 200U);
+  EXPECT_EQ(event_ids(answer.body()), all_ids());
+  EXPECT_NE(answer.find("X-Response-Stamp"), answer.end());
+  EXPECT_EQ(answer["X-Request-Id"], "r1");
+  EXPECT_EQ(this->on_loop([&] { return this->fleet->record.workspaces["r1"]; }),
+            "north");
+}
+
+TEST_F(node_test, goes_on_with_a_broken_stream_in_the_same_answer) {
+  this->start(1);
+  this->on_loop([&] { return this->fleet->faults.break_after_events = 4; });
+  const auto answer = this->ask(stream_request("r1"));
+  EXPECT_EQ(event_ids(answer.body()), all_ids());
+  EXPECT_EQ(this->runs("r1"), 2);
+}
+
+TEST_F(node_test, leaves_a_group_that_lost_a_member_and_repairs_it) {
+  this->start(1);
+  const std::string member = this->on_loop([&] {
+    const std::string head = this->fleet->serving_head("large");
+    const auto& servers = this->fleet->engines().directory().servers();
+    const auto& led = servers.at(head).entry.membership;
+    for (const auto& [id, server] : servers) {
+      const auto& said = server.entry.membership;
+      if (said.group == led.group && said.rank == 1) return id;
+    }
+    return std::string();
+  });
+  ASSERT_FALSE(member.empty());
+  this->on_loop([&] {
+    this->fleet->engines().set_dark(member, true, absl::Now());
+    return 0;
+  });
+  for (int i = 0; i < 8; ++i) {
+    const auto answer = this->ask(stream_request(absl::StrCat("r", i)));
+    EXPECT_EQ(event_ids(answer.body()), all_ids());
+  }
+  EXPECT_TRUE(
+      this->wait_until([this] { return this->fleet->serving("large") >= 2; }));
+}
+
+TEST_F(node_test, says_502_when_a_call_that_may_run_once_has_lost_its_answer) {
+  this->start(1);
+  this->on_loop([&] { return this->fleet->faults.lose_plain_answers = true; });
+  EXPECT_EQ(this->ask(request("r1", "/file/minutes")).result_int(), 502U);
+  EXPECT_EQ(this->runs("r1"), 1);
+}
+
+TEST_F(node_test, says_503_only_when_no_server_has_run_the_call) {
+  this->start(1);
+  this->on_loop([&] { return this->fleet->faults.shed_plain = true; });
+  const auto answer = this->ask(request("r1", "/file/minutes"));
+  EXPECT_EQ(answer.result_int(), 503U);
+  EXPECT_NE(answer.find(http::field::retry_after), answer.end());
+  EXPECT_EQ(this->runs("r1"), 0);
+}
+
+TEST_F(node_test, never_passes_on_the_answer_to_another_request) {
+  this->start(1);
+  this->on_loop([&] { return this->fleet->faults.cross_plain_answers = true; });
+  EXPECT_EQ(this->ask(request("r1", "/file/minutes")).result_int(), 502U);
+  EXPECT_EQ(this->ask(request("r2", "/look/minutes")).result_int(), 502U);
+}
+
+TEST_F(node_test, keeps_a_plain_answer_as_it_is) {
+  this->start(1);
+  auto out = request("r1", "/look/minutes?page=2");
+  out.body() = "some body";
+  const auto answer = this->ask(out);
+  EXPECT_EQ(answer.result_int(), 200U);
+  EXPECT_EQ(answer.body(), "path /look/minutes?page=2");
+  EXPECT_EQ(this->on_loop([&] { return this->fleet->record.bodies["r1"]; }),
+            "some body");
+}
+
+TEST_F(node_test, refuses_keys_that_are_unknown_or_taken_away) {
+  this->start(1);
+  EXPECT_EQ(this->ask(request("r1", "/look/a", "none")).result_int(), 401U);
+  EXPECT_EQ(this->ask(request("r2", "/look/a", "key-2")).result_int(), 200U);
+  this->on_loop([&] {
+    this->fleet->configure(this->fleet->sample_config({"key-1"}));
+    return 0;
+  });
+  ASSERT_TRUE(this->wait_until([this] {
+    const auto& routes = this->nodes[0]->context().routes;
+    return routes->find_workspace("key-2") == nullptr;
+  }));
+  EXPECT_EQ(this->ask(request("r3", "/look/a", "key-2")).result_int(), 401U);
+  EXPECT_EQ(this->ask(request("r4", "/nowhere/a")).result_int(), 404U);
+}
+
+TEST_F(node_test, trusts_no_key_once_its_knowledge_is_too_old) {
+  this->start(1);
+  this->on_loop([&] { return this->fleet->faults.store_silent = true; });
+  ASSERT_TRUE(this->wait_until(
+      [this] { return !this->nodes[0]->context().config_fresh(); }));
+  EXPECT_EQ(this->ask(request("r1", "/look/a")).result_int(), 503U);
+  EXPECT_FALSE(
+      this->on_loop([&] { return this->nodes[0]->context().ready(); }));
+  EXPECT_EQ(this->runs("r1"), 0);
+  this->on_loop([&] { return this->fleet->faults.store_silent = false; });
+  ASSERT_TRUE(
+      this->wait_until([this] { return this->nodes[0]->context().ready(); }));
+  EXPECT_EQ(this->ask(request("r2", "/look/a")).result_int(), 200U);
+}
+
+TEST_F(node_test, a_follower_leaves_a_relay_that_the_store_turns_away) {
+  this->start(3);
+  // Whichever of them relays is turned away; a key goes at the same time.
+  const std::vector<std::string> names = {"node-0", "node-1", "node-2"};
+  const std::string relay = rendezvous("relay", names, 1).front();
+  this->on_loop([&] {
+    this->fleet->faults.refused_nodes = {relay};
+    this->fleet->configure(this->fleet->sample_config({"key-1"}));
+    return 0;
+  });
+  EXPECT_TRUE(this->wait_until([&] {
+    for (size_t i = 0; i < names.size(); ++i) {
+      if (names[i] == relay) continue;
+      const auto& routes = this->nodes[i]->context().routes;
+      if (routes->find_workspace("key-2") != nullptr) return false;
+    }
+    return true;
+  }));
+}
+
+TEST_F(node_test, few_nodes_watch_the_store) {
+  this->start(3);
+  EXPECT_TRUE(this->wait_until([this] {
+    int watching = 0;
+    for (auto& node : this->nodes) watching += node->watches_store();
+    // The relay, and the holder of the lease if it is another.
+    return watching <= 2;
+  }));
+}
+
+TEST_F(node_test, ends_what_it_has_taken_before_it_stops) {
+  this->start(1);
+  auto socket = this->connect();
+  auto out = stream_request("r1");
+  out.prepare_payload();
+  http::write(socket, out);
+  ASSERT_TRUE(
+      this->wait_until([this] { return this->fleet->record.runs["r1"] == 1; }));
+  this->on_loop([&] {
+    this->nodes[0]->stop("test");
+    return 0;
+  });
+  boost::beast::flat_buffer buffer;
+  fleet_standin::response in;
+  http::read(socket, buffer, in);
+  EXPECT_EQ(event_ids(in.body()), all_ids());
+  // The head was out before the stop; the connection ends after the answer.
+  fleet_standin::response next;
+  boost::system::error_code error;
+  http::read(socket, buffer, next, error);
+  EXPECT_EQ(error, http::error::end_of_stream);
+}
+
+TEST_F(node_test, takes_no_request_late_in_its_stop) {
+  this->start(1);
+  auto socket = this->connect();
+  this->on_loop([&] {
+    this->nodes[0]->stop("test");
+    // As if the stop had begun a while ago.
+    node_context& state = this->nodes[0]->context();
+    state.stopping_since = state.now() - node_timing::last_requests;
+    return 0;
+  });
+  auto out = stream_request("r1");
+  out.prepare_payload();
+  boost::system::error_code error;
+  http::write(socket, out, error);
+  boost::beast::flat_buffer buffer;
+  fleet_standin::response in;
+  http::read(socket, buffer, in, error);
+  // Either closed unread, or told that it has not run.
+  if (!error) {
+    EXPECT_EQ(in.result_int(), 503U);
+  }
+  EXPECT_EQ(this->runs("r1"), 0);
+}
+
+TEST_F(node_test, lets_nothing_through_whose_length_is_ambiguous) {
+  this->start(1);
+  const std::string head =
+      "POST /look/a HTTP/1.1\r\nHost: callers.example\r\n"
+      "X-Request-Id: r1\r\nAuthorization: Bearer key-1\r\n";
+  const std::string inner =
+      "POST /file/x HTTP/1.1\r\nHost: callers.example\r\n"
+      "X-Request-Id: r2\r\nAuthorization: Bearer key-1\r\n\r\n";
+  const std::vector<std::string> framings = {
+      "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
+      "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabc",
+      "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+      "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+      "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+      "Content-Length: -1\r\n\r\n",
+      "Content-Length : 3\r\n\r\nabc"};
+  for (const auto& framing : framings) {
+    const std::string answer = this->ask_raw(head + framing + inner);
+    EXPECT_EQ(answer.find("HTTP/1.1 200"), std::string::npos) << framing;
+    EXPECT_NE(answer.find(" 400 "), std::string::npos) << framing << answer;
+  }
+  EXPECT_EQ(this->runs("r1"), 0);
+  EXPECT_EQ(this->runs("r2"), 0);
+}
+
+TEST_F(node_test, says_which_limit_a_request_exceeds) {
+  this->start(1);
+  auto large = request("r1", "/look/a");
+  large.body() = std::string(70000, 'x');
+  EXPECT_EQ(this->ask(large).result_int(), 413U);
+  auto long_head = request("r2", "/look/a");
+  long_head.set("X-Filler", std::string(20000, 'x'));
+  EXPECT_EQ(this->ask(long_head).result_int(), 431U);
+  auto nameless = request("r3", "/look/a");
+  nameless.erase("X-Request-Id");
+  EXPECT_EQ(this->ask(nameless).result_int(), 400U);
+}
+
+TEST_F(node_test, ends_the_run_of_a_caller_that_left) {
+  this->start(1);
+  {
+    auto socket = this->connect();
+    auto out = stream_request("r1");
+    out.prepare_payload();
+    http::write(socket, out);
+    ASSERT_TRUE(this->wait_until(
+        [this] { return this->fleet->record.runs["r1"] == 1; }));
+  }
+  EXPECT_TRUE(this->wait_until(
+      [this] { return this->nodes[0]->context().exchanges.empty(); }));
+  EXPECT_EQ(this->runs("r1"), 1);
+}
+
+}  // namespace
+}  // namespace spokesail
--- /dev/null
+++ b/test/server-directory-test.cc
@@ -0,0 +1,124 @@
+#include "spokesail/server-directory.h"
+
+#include <gtest/gtest.h>
+
+namespace spokesail {
+namespace {
+
+const absl::Time start = absl::FromUnixSeconds(100);
+const std::map<std::string, int> sizes = {{"large", 2}};
+
+listed_server server(const std::string& id, int64_t revision, int rank = 0,
+                     member_phase phase = member_phase::none) {
+  listed_server out;
+  out.entry.id = id;
+  out.entry.service = "lm";
+  out.entry.domain = "d0";
+  out.entry.membership = {phase == member_phase::none ? "" : "large.7", 7, rank,
+                          phase};
+  out.revision = revision;
+  return out;
+}
+
+TEST(server_directory, never_goes_back) {
+  server_directory d;
+  EXPECT_TRUE(d.update(server("s1", 5, 0, member_phase::open)));
+  EXPECT_FALSE(d.update(server("s1", 4)));
+  EXPECT_EQ(d.find("s1")->membership.phase, member_phase::open);
+  EXPECT_TRUE(d.remove("s1", 6, absl::InfinitePast()));
+  EXPECT_FALSE(d.update(server("s1", 6)));
+  EXPECT_EQ(d.find("s1"), nullptr);
+}
+
+TEST(server_directory, a_list_takes_out_what_it_lacks) {
+  server_directory d;
+  d.update(server("s1", 1));
+  d.update(server("s2", 2));
+  d.replace({{"s2", server("s2", 2)}}, 9, absl::InfinitePast());
+  EXPECT_EQ(d.find("s1"), nullptr);
+  EXPECT_NE(d.find("s2"), nullptr);
+  EXPECT_EQ(d.revision(), 9);
+}
+
+TEST(server_directory, a_list_older_than_an_entry_leaves_it) {
+  server_directory d;
+  d.update(server("s1", 12));
+  d.replace({}, 9, absl::InfinitePast());
+  EXPECT_NE(d.find("s1"), nullptr);
+}
+
+TEST(server_directory, keeps_a_missing_server_until_its_grace_is_over) {
+  server_directory d;
+  d.update(server("s1", 1));
+  d.replace({}, 9, start + absl::Seconds(2));
+  EXPECT_NE(d.find("s1"), nullptr);
+  EXPECT_FALSE(d.expire(start + absl::Seconds(1)));
+  EXPECT_TRUE(d.expire(start + absl::Seconds(2)));
+  EXPECT_EQ(d.find("s1"), nullptr);
+}
+
+TEST(server_directory, a_server_that_is_back_does_not_lapse) {
+  server_directory d;
+  d.update(server("s1", 1));
+  d.replace({}, 9, start + absl::Seconds(2));
+  EXPECT_TRUE(d.update(server("s1", 10)));
+  EXPECT_FALSE(d.expire(start + absl::Seconds(5)));
+  EXPECT_NE(d.find("s1"), nullptr);
+}
+
+group_view group_of(const std::vector<listed_server>& members) {
+  std::map<std::string, listed_server> all;
+  for (const auto& m : members) all[m.entry.id] = m;
+  const auto groups = collect_groups(all, "lm", sizes);
+  return groups.empty() ? group_view{} : groups.front();
+}
+
+TEST(collect_groups, a_group_serves_once_all_say_ready_and_its_head_open) {
+  EXPECT_TRUE(group_of({server("a", 1, 0, member_phase::open),
+                        server("b", 1, 1, member_phase::ready)})
+                  .serving());
+  EXPECT_FALSE(group_of({server("a", 1, 0, member_phase::open)}).serving());
+  EXPECT_FALSE(group_of({server("a", 1, 0, member_phase::open),
+                         server("b", 1, 1, member_phase::joining)})
+                   .serving());
+  EXPECT_FALSE(group_of({server("a", 1, 0, member_phase::ready),
+                         server("b", 1, 1, member_phase::ready)})
+                   .serving());
+  EXPECT_FALSE(group_of({server("a", 1, 0, member_phase::broken),
+                         server("b", 1, 1, member_phase::ready)})
+                   .serving());
+}
+
+TEST(collect_groups, a_rank_that_two_claim_makes_no_group) {
+  EXPECT_FALSE(group_of({server("a", 1, 0, member_phase::open),
+                         server("b", 1, 1, member_phase::ready),
+                         server("c", 1, 1, member_phase::ready)})
+                   .serving());
+}
+
+TEST(collect_groups, a_leaving_member_takes_the_group_out) {
+  auto leaving = server("b", 1, 1, member_phase::ready);
+  leaving.entry.draining = true;
+  EXPECT_FALSE(
+      group_of({server("a", 1, 0, member_phase::open), leaving}).serving());
+}
+
+TEST(collect_groups, members_of_another_epoch_do_not_count) {
+  auto old = server("b", 1, 1, member_phase::ready);
+  old.entry.membership.epoch = 6;
+  EXPECT_FALSE(
+      group_of({server("a", 1, 0, member_phase::open), old}).serving());
+}
+
+TEST(collect_groups, a_senseless_rank_is_not_believed) {
+  EXPECT_EQ(group_of({server("a", 1, -1, member_phase::open)}).name, "");
+  EXPECT_EQ(group_of({server("a", 1, 1 << 30, member_phase::open)}).name, "");
+}
+
+TEST(group_name, carries_the_model) {
+  EXPECT_EQ(group_model(group_name("large.v2", 9)), "large.v2");
+  EXPECT_EQ(group_model("nodot"), "");
+}
+
+}  // namespace
+}  // namespace spokesail
