Give the lease up at a stop; let a stream wait for a group; explain ID

Change: a holder that stops writes a lease without holder and passes that on; a request that a server had already waits up to 1.5 s for another; a rejoin counts as a load no more when loads are quicker than it. spokesail explain ID FILE... tells a request's lines, what its nodes believed then, and the cause.

--- a/include/spokesail/lease.h
+++ b/include/spokesail/lease.h
@@ -72,6 +72,13 @@
   /// over once it has run out.
   void abandon() { this->valid_until = absl::InfinitePast(); }
 
+  /// Stops holding the lease now; `due` then gives the write that says so, and
+  /// others may take it over at once.
+  void release();
+
+  /// Whether the document says that nobody holds the lease.
+  bool released() const { return this->known && this->record.holder.empty(); }
+
   absl::Time valid_until_time() const { return this->valid_until; }
 
  private:
@@ -83,6 +90,7 @@
   lease_record record;
   object base;
   bool known = false;
+  bool releasing = false;
   absl::Time takeover_at = absl::InfiniteFuture();
   absl::Time valid_until = absl::InfinitePast();
   absl::Time renew_at = absl::InfinitePast();
--- /dev/null
+++ b/src/explain.cc
@@ -0,0 +1,156 @@
+#include "explain.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace spokesail {
+namespace {
+
+/// Events that change what a node believes, and so belong to the story of any
+/// request that it serves after them.
+const std::set<std::string> own_beliefs = {
+    "config_in_force", "store_lost", "store_regained", "not_ready",
+    "ready",           "stopping",   "relay_chosen",   "relay_failed",
+    "servers_listed",  "start"};
+
+/// Events about a group, by the field that names it.
+const std::map<std::string, std::string> group_events = {
+    {"group_given_up", "group"},
+    {"group_dissolved", "subject"},
+    {"group_forming", "subject"},
+    {"order", "group"}};
+
+/// The value that starts at `at`, in quotes or up to a blank; moves `at` on.
+std::string read_value(const std::string& line, size_t& at) {
+  std::string out;
+  if (at >= line.size() || line[at] != '"') {
+    const size_t end = std::min(line.find(' ', at), line.size());
+    out = line.substr(at, end - at);
+    at = end;
+    return out;
+  }
+  for (++at; at < line.size() && line[at] != '"'; ++at) {
+    if (line[at] == '\\' && at + 1 < line.size()) ++at;
+    out += line[at];
+  }
+  ++at;
+  return out;
+}
+
+std::string told(const log_record& r) {
+  return absl::StrCat(
+      r.time, " ", r.node, " ", r.event,
+      r.text.substr(
+          std::min(r.text.size(), r.text.find("event=") + 6 + r.event.size())));
+}
+
+std::string cause_of(const log_record& end, const log_record* attempt) {
+  const std::string outcome = end.value("outcome");
+  std::string out = absl::StrCat("The request ended as ", outcome);
+  if (end.value("status") != "0") {
+    absl::StrAppend(&out, " with status ", end.value("status"));
+  }
+  if (!end.value("why").empty()) {
+    absl::StrAppend(&out, " because: ", end.value("why"));
+  }
+  absl::StrAppend(&out, ". It was sent ", end.value("sends"),
+                  " time(s) and may have run ", end.value("runs"), " time(s)");
+  if (attempt != nullptr) {
+    absl::StrAppend(&out, "; its last failed attempt was at server ",
+                    attempt->value("server"));
+    if (!attempt->value("group").empty()) {
+      absl::StrAppend(&out, " of group ", attempt->value("group"));
+    }
+    absl::StrAppend(&out, " and ended ", attempt->value("end"), " (",
+                    attempt->value("why"), ")");
+  }
+  absl::StrAppend(&out, ". The node then had configuration ",
+                  end.value("config"), ", proved ", end.value("config_age_ms"),
+                  " ms before, and the servers as of revision ",
+                  end.value("servers_rev"), ".");
+  return out;
+}
+
+}  // namespace
+
+std::string log_record::value(const std::string& key) const {
+  for (const auto& [name, content] : this->fields) {
+    if (name == key) return content;
+  }
+  return "";
+}
+
+log_record parse_log_line(const std::string& line) {
+  log_record out;
+  const size_t start = line.find("time=");
+  if (start == std::string::npos) return out;
+  out.text = line.substr(start);
+  size_t at = 0;
+  while (at < out.text.size()) {
+    const size_t equals = out.text.find('=', at);
+    if (equals == std::string::npos) break;
+    const std::string key = out.text.substr(at, equals - at);
+    at = equals + 1;
+    const std::string content = read_value(out.text, at);
+    while (at < out.text.size() && out.text[at] == ' ') ++at;
+    if (key == "time") {
+      out.time = content;
+    } else if (key == "node") {
+      out.node = content;
+    } else if (key == "event") {
+      out.event = content;
+    } else {
+      out.fields.emplace_back(key, content);
+    }
+  }
+  return out;
+}
+
+explanation explain_request(const std::string& id,
+                            std::vector<log_record> records) {
+  std::stable_sort(
+      records.begin(), records.end(),
+      [](const auto& a, const auto& b) { return a.time < b.time; });
+  std::set<std::string> nodes;
+  std::set<std::string> groups;
+  const log_record* end = nullptr;
+  const log_record* attempt = nullptr;
+  for (const auto& r : records) {
+    if (r.value("id") != id) continue;
+    nodes.insert(r.node);
+    if (!r.value("group").empty()) groups.insert(r.value("group"));
+    if (r.event == "request_ended") end = &r;
+    if (r.event == "attempt_ended") attempt = &r;
+  }
+  explanation out;
+  if (end == nullptr) return out;
+  // Of each kind of belief, the latest before the end, by node and group.
+  std::map<std::string, const log_record*> beliefs;
+  std::vector<const log_record*> story;
+  for (const auto& r : records) {
+    if (r.time > end->time) break;
+    if (r.value("id") == id) {
+      story.push_back(&r);
+    } else if (own_beliefs.count(r.event) != 0 && nodes.count(r.node) != 0) {
+      beliefs[absl::StrCat(r.node, " ", r.event)] = &r;
+    } else if (r.event == "lease_taken") {
+      beliefs["lease"] = &r;
+    } else if (const auto named = group_events.find(r.event);
+               named != group_events.end() &&
+               groups.count(r.value(named->second)) != 0) {
+      story.push_back(&r);
+    }
+  }
+  for (const auto& [kind, r] : beliefs) story.push_back(r);
+  std::stable_sort(
+      story.begin(), story.end(),
+      [](const auto* a, const auto* b) { return a->time < b->time; });
+  for (const auto* r : story) out.lines.push_back(told(*r));
+  out.cause = cause_of(*end, attempt);
+  return out;
+}
+
+}  // namespace spokesail
--- a/src/group-controller.cc
+++ b/src/group-controller.cc
@@ -24,6 +24,11 @@
 /// How long an incomplete group of an earlier holder may still form.
 constexpr absl::Duration inherited_wait = absl::Milliseconds(2500);
 
+bool staged_on(const server_entry& entry, const model_profile& model) {
+  return std::find(entry.staged.begin(), entry.staged.end(), model.name) !=
+         entry.staged.end();
+}
+
 bool phase_may_serve(member_phase phase) {
   return phase == member_phase::open || phase == member_phase::closing ||
          phase == member_phase::ready || phase == member_phase::joining;
@@ -460,9 +465,7 @@
                                            absl::Time now) const {
   const server_entry& entry = s.entry(server);
   const server_track& track = this->tracks.at(server);
-  const auto& staged = entry.staged;
-  const bool has =
-      std::find(staged.begin(), staged.end(), model.name) != staged.end();
+  const bool has = staged_on(entry, model);
   const group_membership& said = entry.membership;
   const bool member =
       group_model(said.group) == model.name && said.phase != member_phase::none;
@@ -560,7 +563,7 @@
     for (const auto& id : f.members) {
       const absl::Duration time = this->join_time(s, id, model, now);
       f.slowest = std::max(f.slowest, time);
-      if (time > model.staged_load) f.loads++;
+      if (!staged_on(s.entry(id), model)) f.loads++;
     }
     const auto order = [](const formation& x) {
       return std::tuple(x.loads, x.slowest, -static_cast<int>(x.left));
@@ -614,7 +617,7 @@
 void group_controller::stage_for(service_state& s, const formation& f,
                                  absl::Time now, group_actions& out) {
   for (const auto& id : f.members) {
-    if (this->join_time(s, id, *f.model, now) < f.model->cold_load) continue;
+    if (staged_on(s.entry(id), *f.model)) continue;
     this->stage(s, id, *f.model, true, now, out);
   }
 }
--- a/src/group-duty.cc
+++ b/src/group-duty.cc
@@ -45,8 +45,15 @@
   return this->lease.held(this->node.now()) && !this->giving_up;
 }
 
+void group_duty::stop() {
+  this->giving_up = true;
+  this->lease.release();
+}
+
 std::optional<lease_word> group_duty::word() const {
-  if (!this->holds()) return std::nullopt;
+  // Who gave the lease up passes that on too, so that others need not wait.
+  const bool gave_up = this->giving_up && this->lease.released();
+  if (!this->holds() && !gave_up) return std::nullopt;
   const object& seen = this->lease.last_object();
   return lease_word{seen.version, seen.body};
 }
@@ -84,7 +91,11 @@
 }
 
 net::awaitable<void> group_duty::keep_lease() {
-  if (this->giving_up || this->node.now() < this->stood_down_until) co_return;
+  if (this->giving_up) {
+    if (!this->lease.released()) co_await this->write_lease();
+    co_return;
+  }
+  if (this->node.now() < this->stood_down_until) co_return;
   if (!this->node.routes || !this->node.directory_listed) co_return;
   if (!this->lease_read) {
     const platform_call call{
--- a/src/group-duty.h
+++ b/src/group-duty.h
@@ -22,7 +22,7 @@
   boost::asio::awaitable<void> run();
 
   /// Gives the lease up, for a process that stops.
-  void stop() { this->giving_up = true; }
+  void stop();
 
   bool holds() const;
   std::optional<lease_word> word() const;
--- a/src/lease.cc
+++ b/src/lease.cc
@@ -28,10 +28,12 @@
   this->known = true;
   this->base = seen;
   this->record = spec.get<lease_record>();
-  this->takeover_at =
-      now + this->timing.duration + random_unit * this->timing.takeover_spread;
+  this->takeover_at = now + random_unit * this->timing.takeover_spread;
+  // A lease that was given up need not run out.
+  if (!this->record.holder.empty()) this->takeover_at += this->timing.duration;
   if (this->record.holder != this->self) {
     this->valid_until = absl::InfinitePast();
+    this->releasing = false;
   }
 }
 
@@ -42,18 +44,22 @@
   this->takeover_at = now;
 }
 
+void lease::release() {
+  if (this->record.holder == this->self) this->releasing = true;
+  this->valid_until = absl::InfinitePast();
+}
+
 std::optional<platform_call> lease::due(absl::Time now,
                                         const std::string& write_id) {
   if (this->call_out || !this->known) return std::nullopt;
   if (!this->write) {
     const bool mine = this->record.holder == this->self && this->held(now);
-    if (mine ? now < this->renew_at : now < this->takeover_at) {
-      return std::nullopt;
-    }
+    const bool early = mine ? now < this->renew_at : now < this->takeover_at;
+    if (early && !this->releasing) return std::nullopt;
     lease_record next = this->record;
-    next.holder = this->self;
+    next.holder = this->releasing ? "" : this->self;
     next.renewals++;
-    if (!mine) next.fence++;
+    if (!mine && !this->releasing) next.fence++;
     this->write = make_write(this->base, json(next).dump(), write_id);
     this->write_sent = now;
   }
@@ -80,6 +86,11 @@
   if (found.version > this->base.version) {
     this->take_version(found, now, random_unit);
   }
+  if (this->releasing) {
+    // A renewal that was on its way comes first.
+    this->releasing = this->record.holder == this->self;
+    return;
+  }
   // Another candidate may have taken over between our write and this answer.
   if (this->record.holder != this->self) return;
   this->valid_until =
--- a/src/main.cc
+++ b/src/main.cc
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <fstream>
 #include <iostream>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -17,6 +18,7 @@
 
 #include "apply.h"
 #include "detail/http.h"
+#include "explain.h"
 #include "fleet-adapter.h"
 #include "node.h"
 #include "spokesail/config-reader.h"
@@ -95,6 +97,25 @@
       [] { return exit_failed; });
 }
 
+int run_explain(const std::vector<std::string>& args) {
+  if (args.size() < 2) return usage_error("explain needs an id and log files");
+  std::vector<log_record> records;
+  for (size_t i = 1; i < args.size(); ++i) {
+    std::ifstream file(args[i]);
+    if (!file) return usage_error("cannot read " + args[i]);
+    std::string line;
+    while (std::getline(file, line)) records.push_back(parse_log_line(line));
+  }
+  const explanation told = explain_request(args[0], std::move(records));
+  if (told.cause.empty()) {
+    std::cerr << "spokesail: no log line names " << args[0] << "\n";
+    return exit_failed;
+  }
+  for (const auto& line : told.lines) std::cout << line << "\n";
+  std::cout << "\n" << told.cause << "\n";
+  return exit_ok;
+}
+
 /// The settings file that the platform names, if the flag does not.
 std::string node_settings_file() {
   std::string given = absl::GetFlag(FLAGS_settings);
@@ -376,6 +397,11 @@
        "run an entry host",
        {"settings"},
        run_serve},
+      {"explain",
+       "explain ID FILE...",
+       "tell from nodes' log files why a request ended as it did",
+       {},
+       run_explain},
       {"node",
        "node [--settings FILE]",
        "run a node on the fleet's platform",
--- a/src/node-process.h
+++ b/src/node-process.h
@@ -41,6 +41,7 @@
   std::function<void()> on_end;
 
   node_context& context() { return this->state; }
+  bool holds_lease() const { return this->duty.holds(); }
   bool watches_store() const { return this->relay.watches_store(); }
 
  private:
--- a/src/request-run.cc
+++ b/src/request-run.cc
@@ -30,6 +30,10 @@
 /// so that its caller can still come back in time.
 constexpr double wait_share = 0.2;
 
+/// How long a request that lost its server waits for another. Callers leave a
+/// stream that is silent for two seconds.
+constexpr absl::Duration repeat_wait = absl::Milliseconds(1500);
+
 /// How often a waiting request looks for a place again.
 constexpr absl::Duration wait_step = absl::Milliseconds(15);
 
@@ -187,7 +191,7 @@
   std::vector<group_option> options;
   for (const auto& group : this->node.groups(this->service->name)) {
     if (!group.serving() || group.model != this->model->name) continue;
-    if (this->tried.count(group.head()) != 0) continue;
+    if (this->tried.count(group.name) != 0) continue;
     if (this->node.avoided(group.name)) continue;
     const server_entry* head = this->node.directory.find(group.head());
     if (head == nullptr || head->draining) continue;
@@ -240,9 +244,18 @@
   return request_place{best->id, best->address, "", 0, {best->id}};
 }
 
+absl::Time request_run::wait_until() const {
+  if (this->sends == 0) {
+    return std::min(this->arrived + wait_share * this->route->goal,
+                    this->deadline);
+  }
+  // A server had it already, so that it is late at worst; a group that lost a
+  // member is back within about this time.
+  return this->node.now() + std::min(repeat_wait, this->time_left() / 2);
+}
+
 net::awaitable<std::optional<request_place>> request_run::find_place() {
-  const absl::Time until =
-      std::min(this->arrived + wait_share * this->route->goal, this->deadline);
+  const absl::Time until = this->wait_until();
   for (;;) {
     auto place = this->pick();
     if (place || this->session.gone || this->node.now() >= until) {
@@ -551,7 +564,7 @@
                               this->node.now());
       if (this->head_out) this->node.metrics.count_resume();
     }
-    this->tried.insert(place->server);
+    this->tried.insert(place->load_key());
     end = co_await this->attempt(*place);
     if (end == run_end::done) {
       co_return this->keep_alive && !this->node.stopping();
@@ -619,6 +632,11 @@
        {"model", this->info.model},
        {"sends", absl::StrCat(this->sends)},
        {"runs", absl::StrCat(this->runs)},
+       {"repeats_left",
+        this->service == nullptr
+            ? ""
+            : absl::StrCat(static_cast<int>(this->node.repeats.left(
+                  this->service->name, this->node.live_nodes, now)))},
        {"last_event", absl::StrCat(this->last_event)},
        {"first_ms", millis(first - this->arrived)},
        {"pause_ms", millis(this->longest_pause)},
--- a/src/request-run.h
+++ b/src/request-run.h
@@ -47,6 +47,8 @@
   std::optional<refusal> reason_to_refuse();
   void choose_service();
   boost::asio::awaitable<bool> answer(refusal r);
+  /// Until when it waits for a place.
+  absl::Time wait_until() const;
   boost::asio::awaitable<std::optional<request_place>> find_place();
   std::optional<request_place> pick();
   std::optional<request_place> pick_group();
--- a/standin/fleet-standin.cc
+++ b/standin/fleet-standin.cc
@@ -363,7 +363,10 @@
   const bool stale =
       found != objects.end() &&
       (create || meta.value("rev", int64_t{0}) != found->second.revision);
-  if (!stale) this->put(kind, target, body.value("spec", json()));
+  const json spec = body.value("spec", json());
+  if (!stale) this->put(kind, target, spec);
+  const bool given_up = kind == "lease" && spec.value("holder", "x").empty();
+  if (!stale && given_up) this->record.lease_given_up++;
   return answer_of(stale ? 409 : 200,
                    this->object_json(target, objects[target]).dump());
 }
--- a/standin/fleet-standin.h
+++ b/standin/fleet-standin.h
@@ -49,6 +49,8 @@
   std::map<std::string, std::string> workspaces;
   /// Watches and lists that the store has answered.
   int store_reads = 0;
+  /// Times that a lease was written without a holder.
+  int lease_given_up = 0;
 };
 
 /// The whole fleet, on one event loop.
--- a/test/lease-test.cc
+++ b/test/lease-test.cc
@@ -99,5 +99,52 @@
   }
 }
 
+TEST(lease, one_that_is_given_up_need_not_run_out) {
+  lease own("hall", "a", timing);
+  own.observe_absent(start);
+  own.on_answer(took(*own.due(start, "w"), 1), start, 0);
+  own.release();
+  EXPECT_FALSE(own.held(start));
+  const auto call = own.due(start, "w2");
+  ASSERT_TRUE(call);
+  own.on_answer(took(*call, 2), start, 0);
+  EXPECT_TRUE(own.released());
+  EXPECT_FALSE(own.held(start));
+
+  lease other("hall", "b", timing);
+  other.observe({call->key, 2, call->body, false}, start, 0);
+  const auto taken = other.due(start, "w3");
+  ASSERT_TRUE(taken);
+  other.on_answer(took(*taken, 3), start, 0);
+  EXPECT_TRUE(other.held(start));
+  EXPECT_EQ(other.fence(), own.fence() + 1);
+}
+
+TEST(lease, a_renewal_on_its_way_is_not_taken_for_the_release) {
+  lease own("hall", "a", timing);
+  own.observe_absent(start);
+  own.on_answer(took(*own.due(start, "w"), 1), start, 0);
+  const absl::Time later = start + timing.renew_every;
+  const auto renewal = own.due(later, "w2");
+  ASSERT_TRUE(renewal);
+  own.release();
+  own.on_answer(took(*renewal, 2), later, 0);
+  EXPECT_FALSE(own.held(later));
+  EXPECT_FALSE(own.released());
+  const auto call = own.due(later, "w3");
+  ASSERT_TRUE(call);
+  own.on_answer(took(*call, 3), later, 0);
+  EXPECT_TRUE(own.released());
+}
+
+TEST(lease, one_that_another_took_is_not_released) {
+  lease own("hall", "a", timing);
+  own.observe_absent(start);
+  own.on_answer(took(*own.due(start, "w"), 1), start, 0);
+  own.observe(lease_object("b", 2, 5), start, 0);
+  own.release();
+  EXPECT_FALSE(own.due(start, "w2"));
+}
+
 }  // namespace
 }  // namespace spokesail
--- a/test/node-test.cc
+++ b/test/node-test.cc
@@ -45,7 +45,8 @@
 /// A fleet with nodes before it; its loop runs on a thread of its own.
 class node_test : public testing::Test {
  protected:
-  node_test() : fleet(std::make_unique<fleet_standin>(*this->loop, 1, 6)) {
+  explicit node_test(int hosts = 6)
+      : fleet(std::make_unique<fleet_standin>(*this->loop, 1, hosts)) {
     this->fleet->configure(this->fleet->sample_config({"key-1", "key-2"}));
     this->fleet->start();
   }
@@ -105,16 +106,16 @@
   }
 
   /// Starts `count` nodes and waits until they serve.
-  void start(int count) {
+  void start(int count, int groups = 2) {
     for (int i = 0; i < count; ++i) this->add_node(absl::StrCat("node-", i));
     this->run();
-    ASSERT_TRUE(this->wait_until([this] {
-      if (this->fleet->serving("large") < 2) return false;
+    ASSERT_TRUE(this->wait_until([this, groups] {
+      if (this->fleet->serving("large") < groups) return false;
       for (auto& node : this->nodes) {
         node_context& state = node->context();
         int serving = 0;
         for (const auto& group : state.groups("lm")) serving += group.serving();
-        if (!state.ready() || serving < 2) return false;
+        if (!state.ready() || serving < groups) return false;
       }
       return true;
     }));
@@ -183,6 +184,20 @@
     return out;
   }
 
+  /// The second member of a group that serves.
+  std::string serving_member() {
+    return this->on_loop([this] {
+      const std::string head = this->fleet->serving_head("large");
+      const auto& servers = this->fleet->engines().directory().servers();
+      const auto& led = servers.at(head).entry.membership;
+      for (const auto& [id, server] : servers) {
+        const auto& said = server.entry.membership;
+        if (said.group == led.group && said.rank == 1) return id;
+      }
+      return std::string();
+    });
+  }
+
   int runs(const std::string& id) {
     return this->on_loop([&] { return this->fleet->record.runs[id]; });
   }
@@ -216,16 +231,7 @@
 
 TEST_F(node_test, leaves_a_group_that_lost_a_member_and_repairs_it) {
   this->start(1);
-  const std::string member = this->on_loop([&] {
-    const std::string head = this->fleet->serving_head("large");
-    const auto& servers = this->fleet->engines().directory().servers();
-    const auto& led = servers.at(head).entry.membership;
-    for (const auto& [id, server] : servers) {
-      const auto& said = server.entry.membership;
-      if (said.group == led.group && said.rank == 1) return id;
-    }
-    return std::string();
-  });
+  const std::string member = this->serving_member();
   ASSERT_FALSE(member.empty());
   this->on_loop([&] {
     this->fleet->engines().set_dark(member, true, absl::Now());
@@ -239,6 +245,34 @@
       this->wait_until([this] { return this->fleet->serving("large") >= 2; }));
 }
 
+/// A fleet with one group and one spare.
+class one_group_test : public node_test {
+ protected:
+  one_group_test() : node_test(3) {}
+};
+
+TEST_F(one_group_test, a_stream_waits_for_its_only_group_to_be_repaired) {
+  this->start(1, 1);
+  const std::string member = this->serving_member();
+  ASSERT_FALSE(member.empty());
+  auto socket = this->connect();
+  auto out = stream_request("r1");
+  out.prepare_payload();
+  http::write(socket, out);
+  ASSERT_TRUE(
+      this->wait_until([this] { return this->fleet->record.runs["r1"] == 1; }));
+  this->on_loop([&] {
+    this->fleet->engines().set_dark(member, true, absl::Now());
+    return 0;
+  });
+  boost::beast::flat_buffer buffer;
+  fleet_standin::response in;
+  boost::system::error_code error;
+  http::read(socket, buffer, in, error);
+  EXPECT_FALSE(error) << error.message();
+  EXPECT_EQ(event_ids(in.body()), all_ids());
+}
+
 TEST_F(node_test, says_502_when_a_call_that_may_run_once_has_lost_its_answer) {
   this->start(1);
   this->on_loop([&] { return this->fleet->faults.lose_plain_answers = true; });
@@ -357,6 +391,28 @@
   EXPECT_EQ(error, http::error::end_of_stream);
 }
 
+TEST_F(node_test, a_holder_that_stops_gives_its_duty_up) {
+  this->start(2);
+  const auto holder = [this] {
+    for (size_t i = 0; i < this->nodes.size(); ++i) {
+      if (this->nodes[i]->holds_lease()) return static_cast<int>(i);
+    }
+    return -1;
+  };
+  ASSERT_TRUE(this->wait_until([&] { return holder() >= 0; }));
+  this->on_loop([&] {
+    this->nodes[holder()]->stop("test");
+    return 0;
+  });
+  EXPECT_TRUE(this->wait_until([&] {
+    const int now = holder();
+    return now >= 0 && !this->nodes[now]->context().stopping();
+  }));
+  // The next holder found a lease that nobody holds, not one that ran out.
+  EXPECT_EQ(this->on_loop([&] { return this->fleet->record.lease_given_up; }),
+            1);
+}
+
 TEST_F(node_test, takes_no_request_late_in_its_stop) {
   this->start(1);
   auto socket = this->connect();
