Split the group controller by what its parts decide

Change: group-formation.cc, group-staging.cc and group-repair.cc beside it, and group-state.h for what they share during a step. Behaviour is meant to be unchanged.

--- a/include/spokesail/group-controller.h
+++ b/include/spokesail/group-controller.h
@@ -47,6 +47,7 @@
 /// One change of what the controller believes, for the log.
 struct controller_note {
   std::string event;
+  /// The group or server that it is about.
   std::string subject;
   std::string reason;
   bool operator==(const controller_note&) const = default;
@@ -81,6 +82,7 @@
   /// Stops acting and forgets.
   void stop_term();
 
+  /// Whether it acts under a lease.
   bool active() const { return this->fence != 0; }
 
   /// A server is thought not to answer, from traffic or from a connection.
@@ -103,20 +105,31 @@
   std::vector<std::string> silent_servers() const;
 
  private:
+  /// What is known of one server beyond its entry in the directory.
   struct server_track {
+    /// Orders it has begun, by its own count; nothing until it has been asked.
     std::optional<int64_t> orders_taken;
+    /// The order that has no result yet.
     std::optional<group_order> pending;
+    /// What it belongs to by an acknowledged order that its entry does not
+    /// show yet, and how long that is believed.
     std::optional<group_membership> assumed;
     absl::Time assumed_until = absl::InfinitePast();
+    /// Whether it did not answer when last asked.
     bool silent = false;
+    /// Whether its report is on its way.
     bool probing = false;
+    /// When it is to be asked; infinite future if it need not be.
     absl::Time probe_at = absl::InfiniteFuture();
-    absl::Time staging_until = absl::InfinitePast();
+    /// The model that it was told to stage, and when that should be done.
     std::string staging;
+    absl::Time staging_until = absl::InfinitePast();
+    /// The model that it was last told to join for.
     std::string last_model;
     /// The group that it was told to leave as its head.
     std::string leads;
   };
+  /// A group that this holder has decided to form.
   struct group_plan {
     std::string model;
     int64_t epoch = 0;
@@ -130,63 +143,130 @@
     std::vector<std::string> members;
     /// Members that would have to load the weights from the weight store.
     int loads = 0;
+    /// Time that the slowest member takes to join.
     absl::Duration slowest = absl::ZeroDuration();
     /// Free hosts that stay in the domain.
     size_t left = 0;
   };
+  /// Ids of hosts that may join a group, by fabric domain.
+  using hosts_by_domain = std::map<std::string, std::vector<std::string>>;
   struct service_state;
+  struct domain_weights;
+
+  // Servers and orders: group-controller.cc.
 
+  /// Takes servers that have come or gone, and what their entries confirm.
   void take_directory(const server_directory& directory, absl::Time now);
+  /// Asks servers whose state is in doubt.
   void probe_silent(group_actions& out, absl::Time now);
+  /// Takes an order as carried out.
+  void on_accepted(server_track& track, const group_order& order,
+                   order_result result, absl::Time now);
+  /// Gives a server an order. False while its last one has no result, or its
+  /// count of orders is not known.
+  bool send(const server_entry& entry, group_order order, group_actions& out);
+  /// Whether the server answers and stays.
   bool usable(const server_entry& entry) const;
-  bool free_to_join(const service_state& s, const server_entry& entry) const;
+  /// Members of plans, with their plan's model.
+  std::map<std::string, std::string> planned_models() const;
+  /// One service's servers and groups, acknowledged orders included.
+  service_state read_service(const server_directory& directory,
+                             const backend_service& service) const;
+  /// Decides the next orders for one service.
   void run_service(const server_directory& directory,
                    const backend_service& service, bool loads_count,
                    absl::Time now, group_actions& out);
-  service_state read_service(const server_directory& directory,
-                             const backend_service& service) const;
+
+  // The end of groups: group-repair.cc.
+
+  /// Opens a group that is ready, or dissolves one that cannot serve.
   void judge_group(service_state& s, const group_view& group, absl::Time now,
                    group_actions& out);
+  /// Why a group is to end; nothing if it may stay.
   std::optional<std::string> reason_to_dissolve(const service_state& s,
                                                 const group_view& group,
                                                 absl::Time now);
-  void dissolve(service_state& s, const group_view& group,
+  /// Which member a group has lost, or will lose, and how.
+  std::optional<std::string> reason_member_lost(const service_state& s,
+                                                const group_view& group) const;
+  /// Takes the next step to end a group.
+  void dissolve(const service_state& s, const group_view& group,
                 const std::string& reason, absl::Time now, group_actions& out);
-  void free_survivors(service_state& s, const group_view& group,
+  /// Ends a group whose head answers, on its way out since `since`.
+  void end_by_head(const service_state& s, const group_view& group,
+                   absl::Time since, absl::Time now, group_actions& out);
+  /// Has the members behind a head that does not answer leave.
+  void free_survivors(const service_state& s, const group_view& group,
                       group_actions& out);
-  void form_groups(service_state& s, bool loads_count, absl::Time now,
-                   group_actions& out);
-  std::map<std::string, std::vector<std::string>> free_hosts(
-      const service_state& s) const;
+  /// Has free servers leave groups that are no more.
+  void clear_memberships(const service_state& s, group_actions& out);
+
+  // The forming of groups: group-formation.cc.
+
+  /// Whether no server has come or gone for a while.
+  bool settled(const service_state& s, absl::Time now);
+  /// Whether a server may be told to join a group now.
+  bool free_to_join(const service_state& s, const server_entry& entry) const;
+  /// Time that a server would take to join a group of `model`.
+  absl::Duration join_time(const service_state& s, const std::string& server,
+                           const model_profile& model, absl::Time now) const;
+  /// Servers that may join and that no plan holds.
+  hosts_by_domain free_hosts(const service_state& s) const;
   /// Groups that stand or form against those that are wanted.
   double fill_of(const service_state& s, const model_profile& model) const;
-  std::optional<formation> best_formation(
-      const service_state& s, const model_profile& model,
-      const std::map<std::string, std::vector<std::string>>& free,
-      absl::Time now) const;
-  bool settled(const service_state& s, absl::Time now);
+  /// Whether each model has the groups that are wanted.
   bool all_filled(const service_state& s) const;
-  void stage_for(service_state& s, const formation& f, absl::Time now,
-                 group_actions& out);
-  bool stage(service_state& s, const std::string& id,
-             const model_profile& model, bool loads_count, absl::Time now,
-             group_actions& out);
+  /// The model that a group is to be formed for next; null if none lacks one.
+  const model_profile* next_model(const service_state& s,
+                                  const std::set<std::string>& passed_over,
+                                  bool loads_count) const;
+  /// The hosts that form a group of `model` at the least cost; nothing if no
+  /// domain has enough of them.
+  std::optional<formation> best_formation(const service_state& s,
+                                          const model_profile& model,
+                                          const hosts_by_domain& free,
+                                          absl::Time now) const;
+  /// Plans the groups that are wanted, or stages their hosts first.
+  void form_groups(service_state& s, bool loads_count, absl::Time now,
+                   group_actions& out);
+  /// Plans one group.
   void form_group(service_state& s, const model_profile& model,
                   const std::vector<std::string>& members, absl::Time now,
                   group_actions& out);
-  void send_joins(service_state& s, absl::Time now, group_actions& out);
-  void clear_memberships(service_state& s, group_actions& out);
-  void stage_spares(service_state& s, bool loads_count, absl::Time now,
-                    group_actions& out);
-  absl::Duration join_time(const service_state& s, const std::string& server,
-                           const model_profile& model, absl::Time now) const;
-  bool send(const server_entry& entry, group_order order, group_actions& out);
+  /// Tells the members of plans to join, and drops plans that lost one.
+  void send_joins(const service_state& s, absl::Time now, group_actions& out);
+
+  // The staging of weights: group-staging.cc.
+
+  /// Loads from the weight store that may begin now.
   int loads_left(const engine_profile& engine, absl::Time now);
+  /// Stages the hosts of `f` that lack the weights.
+  void stage_for(const service_state& s, const formation& f, absl::Time now,
+                 group_actions& out);
+  /// Tells one server to stage a model. False if it may not now.
+  bool stage(const service_state& s, const std::string& id,
+             const model_profile& model, bool loads_count, absl::Time now,
+             group_actions& out);
+  /// What the hosts of each domain hold. Adds free hosts with no weights to
+  /// `bare`.
+  std::map<std::string, domain_weights> weights_by_domain(
+      const service_state& s, absl::Time now,
+      std::vector<std::string>& bare) const;
+  /// The model that a domain needs a further spare of most; null if the engine
+  /// has no models.
+  static const model_profile* model_to_stage(const engine_profile& engine,
+                                             domain_weights& weights);
+  /// Has free hosts load the weights that repairs will most likely need.
+  void stage_spares(const service_state& s, bool loads_count, absl::Time now,
+                    group_actions& out);
 
   group_controller_options options;
+  /// Fencing number of the lease; 0 while this node does not hold it.
   int64_t fence = 0;
+  /// Groups planned in this term.
   int64_t epochs = 0;
   std::map<std::string, server_track> tracks;
+  /// Groups of this term by name, until they are dissolved.
   std::map<std::string, group_plan> plans;
   /// Groups whose head surely serves no more.
   std::set<std::string> released;
@@ -194,7 +274,9 @@
   std::map<std::string, absl::Time> dissolving;
   /// Groups of earlier holders that are not whole, and since when.
   std::map<std::string, absl::Time> incomplete;
+  /// When loads from the weight store were ordered, within the load window.
   std::deque<absl::Time> loads;
+  /// Servers at the last count, and since when there are so many.
   size_t known_servers = 0;
   absl::Time servers_since = absl::InfinitePast();
 };
--- /dev/null
+++ b/src/group-formation.cc
@@ -0,0 +1,228 @@
+// Chooses the hosts of new groups and tells them to join.
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+#include "group-state.h"
+
+namespace spokesail {
+namespace {
+
+/// Epochs of one lease term; a term forms far fewer groups than this.
+constexpr int64_t epochs_per_term = 1000000;
+
+/// Time that a member of the last group of the same model takes to rejoin.
+constexpr absl::Duration rejoin_time = absl::Milliseconds(200);
+
+/// Before there are requests, groups are formed once no server has come or
+/// gone for this long, so that all of them are there to choose from.
+constexpr absl::Duration settle_time = absl::Milliseconds(600);
+
+}  // namespace
+
+bool group_controller::settled(const service_state& s, absl::Time now) {
+  if (s.servers.size() != this->known_servers) {
+    this->known_servers = s.servers.size();
+    this->servers_since = now;
+  }
+  return now - this->servers_since >= settle_time;
+}
+
+bool group_controller::free_to_join(const service_state& s,
+                                    const server_entry& entry) const {
+  const server_track& track = this->tracks.at(entry.id);
+  if (!this->usable(entry) || track.pending || !track.orders_taken) {
+    return false;
+  }
+  if (track.probing) return false;
+  if (s.servers.at(entry.id).lapses_at != absl::InfinitePast()) return false;
+  const group_membership& said = entry.membership;
+  return said.phase == member_phase::none ||
+         this->released.count(said.group) != 0;
+}
+
+absl::Duration group_controller::join_time(const service_state& s,
+                                           const std::string& server,
+                                           const model_profile& model,
+                                           absl::Time now) const {
+  const server_entry& entry = s.entry(server);
+  const server_track& track = this->tracks.at(server);
+  const auto& staged = entry.staged;
+  const bool has =
+      std::find(staged.begin(), staged.end(), model.name) != staged.end();
+  const group_membership& said = entry.membership;
+  const bool member =
+      group_model(said.group) == model.name && said.phase != member_phase::none;
+  if (has && (track.last_model == model.name || member)) return rejoin_time;
+  if (has) return model.staged_load;
+  if (track.staging == model.name && now < track.staging_until) {
+    return track.staging_until - now + model.staged_load;
+  }
+  return model.cold_load;
+}
+
+group_controller::hosts_by_domain group_controller::free_hosts(
+    const service_state& s) const {
+  const auto planned = this->planned_models();
+  hosts_by_domain by_domain;
+  for (const auto& [id, server] : s.servers) {
+    if (planned.count(id) != 0) continue;
+    if (!this->free_to_join(s, server.entry)) continue;
+    by_domain[server.entry.domain].push_back(id);
+  }
+  return by_domain;
+}
+
+double group_controller::fill_of(const service_state& s,
+                                 const model_profile& model) const {
+  // Hosts by domain, since a spare helps only in its own.
+  std::map<std::string, int> hosts;
+  for (const auto& [id, server] : s.servers) {
+    if (this->usable(server.entry)) hosts[server.entry.domain]++;
+  }
+  double used = 0;
+  for (const auto& [domain, count] : hosts) {
+    used += count - std::ceil(count * this->options.spare_share);
+  }
+  const double wanted =
+      std::max(1.0, std::round(used * model.share / model.group_size));
+  const auto count = s.group_count.find(model.name);
+  return (count == s.group_count.end() ? 0 : count->second) / wanted;
+}
+
+bool group_controller::all_filled(const service_state& s) const {
+  return std::all_of(
+      s.engine->models.begin(), s.engine->models.end(),
+      [&](const auto& model) { return this->fill_of(s, model) >= 1; });
+}
+
+std::optional<group_controller::formation> group_controller::best_formation(
+    const service_state& s, const model_profile& model,
+    const hosts_by_domain& free, absl::Time now) const {
+  const auto size = static_cast<size_t>(model.group_size);
+  std::optional<formation> best;
+  for (const auto& [domain, ids] : free) {
+    if (ids.size() < size) continue;
+    std::vector<std::string> sorted = ids;
+    std::stable_sort(sorted.begin(), sorted.end(),
+                     [&](const auto& a, const auto& b) {
+                       return this->join_time(s, a, model, now) <
+                              this->join_time(s, b, model, now);
+                     });
+    formation f;
+    f.model = &model;
+    f.domain = domain;
+    f.members.assign(sorted.begin(),
+                     sorted.begin() + static_cast<ptrdiff_t>(size));
+    f.left = ids.size() - size;
+    for (const auto& id : f.members) {
+      const absl::Duration time = this->join_time(s, id, model, now);
+      f.slowest = std::max(f.slowest, time);
+      if (time > model.staged_load) f.loads++;
+    }
+    const auto order = [](const formation& x) {
+      return std::tuple(x.loads, x.slowest, -static_cast<int>(x.left));
+    };
+    if (!best || order(f) < order(*best)) best = f;
+  }
+  return best;
+}
+
+const model_profile* group_controller::next_model(
+    const service_state& s, const std::set<std::string>& passed_over,
+    bool loads_count) const {
+  // At first the largest groups are placed, since they fit into the fewest
+  // places; later the model that lacks most goes first.
+  const model_profile* next = nullptr;
+  double least = 1;
+  for (const auto& model : s.engine->models) {
+    const double fill = this->fill_of(s, model);
+    if (fill >= 1 || passed_over.count(model.name) != 0) continue;
+    const bool larger = next != nullptr && model.group_size > next->group_size;
+    const bool better =
+        next == nullptr || (loads_count ? fill < least : larger);
+    if (!better) continue;
+    next = &model;
+    least = fill;
+  }
+  return next;
+}
+
+void group_controller::form_groups(service_state& s, bool loads_count,
+                                   absl::Time now, group_actions& out) {
+  auto free = this->free_hosts(s);
+  std::set<std::string> passed_over;
+  while (const model_profile* model =
+             this->next_model(s, passed_over, loads_count)) {
+    const auto best = this->best_formation(s, *model, free, now);
+    if (!best) {
+      passed_over.insert(model->name);
+      continue;
+    }
+    // Before there are requests a load is quick and free. Later, hosts are
+    // staged first, so that they stay of use to any repair meanwhile.
+    if (loads_count && best->loads > 0) {
+      this->stage_for(s, *best, now, out);
+      passed_over.insert(model->name);
+    } else {
+      this->form_group(s, *model, best->members, now, out);
+    }
+    std::erase_if(free[best->domain], [&](const auto& id) {
+      return std::find(best->members.begin(), best->members.end(), id) !=
+             best->members.end();
+    });
+  }
+}
+
+void group_controller::form_group(service_state& s, const model_profile& model,
+                                  const std::vector<std::string>& members,
+                                  absl::Time now, group_actions& out) {
+  const int64_t epoch = this->fence * epochs_per_term + ++this->epochs;
+  absl::Duration slowest = absl::ZeroDuration();
+  for (const auto& id : members) {
+    const absl::Duration time = this->join_time(s, id, model, now);
+    if (time >= model.cold_load) this->loads.push_back(now);
+    slowest = std::max(slowest, time);
+  }
+  const std::string name = group_name(model.name, epoch);
+  this->plans[name] = {model.name, epoch, members,
+                       now + slowest + this->options.form_slack};
+  s.group_count[model.name]++;
+  out.notes.push_back(
+      {"group_forming", name,
+       absl::StrCat("expected in ", absl::FormatDuration(slowest))});
+}
+
+void group_controller::send_joins(const service_state& s, absl::Time now,
+                                  group_actions& out) {
+  std::vector<std::string> failed;
+  for (const auto& [name, plan] : this->plans) {
+    if (find_model(*s.engine, plan.model) == nullptr) continue;
+    const bool sound = std::all_of(
+        plan.members.begin(), plan.members.end(), [&](const auto& id) {
+          return s.knows(id) && this->usable(s.entry(id));
+        });
+    if (!sound) failed.push_back(name);
+    if (!sound || now >= plan.give_up_at) continue;
+    group_order join = order_about(group_order_kind::join, name, plan.epoch);
+    join.model = plan.model;
+    join.members = plan.members;
+    for (const auto& id : plan.members) {
+      const server_entry& entry = s.entry(id);
+      if (entry.membership.group == name) continue;
+      if (!this->free_to_join(s, entry)) continue;
+      this->send(entry, join, out);
+    }
+  }
+  // A group that some members joined already is dissolved by its own state.
+  for (const auto& name : failed) {
+    const bool stands =
+        std::any_of(s.groups.begin(), s.groups.end(),
+                    [&](const auto& group) { return group.name == name; });
+    if (!stands) this->plans.erase(name);
+  }
+}
+
+}  // namespace spokesail
--- /dev/null
+++ b/src/group-repair.cc
@@ -0,0 +1,159 @@
+// Ends groups that have lost a member, and frees those that remain.
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+#include "group-state.h"
+
+namespace spokesail {
+namespace {
+
+/// How long an incomplete group of an earlier holder may still form. Its
+/// members may have orders on their way; chosen, not measured.
+constexpr absl::Duration inherited_wait = absl::Milliseconds(2500);
+
+/// Whether a head in this phase serves, or may still come to.
+bool phase_may_serve(member_phase phase) {
+  return phase == member_phase::open || phase == member_phase::closing ||
+         phase == member_phase::ready || phase == member_phase::joining;
+}
+
+/// Whether a head in this phase has requests running.
+bool phase_runs(member_phase phase) {
+  return phase == member_phase::open || phase == member_phase::closing;
+}
+
+}  // namespace
+
+void group_controller::judge_group(service_state& s, const group_view& group,
+                                   absl::Time now, group_actions& out) {
+  if (this->released.count(group.name) != 0) return;
+  if (this->dissolving.count(group.name) != 0) {
+    this->dissolve(s, group, "", now, out);
+    return;
+  }
+  const auto reason = this->reason_to_dissolve(s, group, now);
+  if (reason) {
+    this->dissolve(s, group, *reason, now, out);
+    return;
+  }
+  s.group_count[group.model]++;
+  if (group.whole && group.head_phase == member_phase::ready) {
+    const group_order open =
+        order_about(group_order_kind::open, group.name, group.epoch);
+    this->send(s.entry(group.head()), open, out);
+  }
+}
+
+std::optional<std::string> group_controller::reason_to_dissolve(
+    const service_state& s, const group_view& group, absl::Time now) {
+  const model_profile* model = find_model(*s.engine, group.model);
+  if (model == nullptr) return "model is not configured";
+  if (group.head_phase == member_phase::broken) return "head is broken";
+  if (auto lost = this->reason_member_lost(s, group)) return lost;
+  if (group.whole) {
+    this->incomplete.erase(group.name);
+    return std::nullopt;
+  }
+  if (phase_runs(group.head_phase)) return "not whole although open";
+  const auto plan = this->plans.find(group.name);
+  if (plan != this->plans.end()) {
+    if (now < plan->second.give_up_at) return std::nullopt;
+    return "did not form in time";
+  }
+  const auto since = this->incomplete.emplace(group.name, now).first->second;
+  if (now - since < inherited_wait) return std::nullopt;
+  return "left incomplete by an earlier holder";
+}
+
+std::optional<std::string> group_controller::reason_member_lost(
+    const service_state& s, const group_view& group) const {
+  const auto plan = this->plans.find(group.name);
+  const std::vector<std::string>& members =
+      plan == this->plans.end() ? group.members : plan->second.members;
+  for (const auto& id : members) {
+    if (id.empty()) continue;
+    if (!s.knows(id)) return absl::StrCat(id, " is gone");
+    const server_entry& entry = s.entry(id);
+    if (entry.draining) return absl::StrCat(id, " is leaving");
+    if (!this->usable(entry)) return absl::StrCat(id, " does not answer");
+  }
+  return std::nullopt;
+}
+
+void group_controller::dissolve(const service_state& s, const group_view& group,
+                                const std::string& reason, absl::Time now,
+                                group_actions& out) {
+  const auto [since, first] = this->dissolving.emplace(group.name, now);
+  if (first) {
+    out.notes.push_back({"group_dissolved", group.name, reason});
+    this->plans.erase(group.name);
+  }
+  const std::string& head = group.head();
+  const bool head_known = !head.empty() && s.knows(head);
+  if (head_known && group.head_phase == member_phase::broken) {
+    this->released.insert(group.name);
+    return;
+  }
+  if (head_known && !this->tracks[head].silent) {
+    this->end_by_head(s, group, since->second, now, out);
+    return;
+  }
+  this->free_survivors(s, group, out);
+}
+
+void group_controller::end_by_head(const service_state& s,
+                                   const group_view& group, absl::Time since,
+                                   absl::Time now, group_actions& out) {
+  const server_entry& head = s.entry(group.head());
+  const member_phase phase = head.membership.phase;
+  if (!phase_may_serve(phase)) {
+    this->released.insert(group.name);
+    return;
+  }
+  // Only a group whose members all answer can end its streams.
+  const bool all_answer = std::all_of(
+      group.members.begin(), group.members.end(), [&](const auto& id) {
+        return !id.empty() && s.knows(id) && !this->tracks[id].silent;
+      });
+  if (all_answer && phase_runs(phase) &&
+      now - since < this->options.drain_wait) {
+    if (phase == member_phase::closing) return;
+    const group_order close =
+        order_about(group_order_kind::close, group.name, group.epoch);
+    this->send(head, close, out);
+    return;
+  }
+  const group_order leave =
+      order_about(group_order_kind::leave, group.name, group.epoch);
+  if (this->send(head, leave, out)) {
+    this->tracks[head.id].leads = group.name;
+  }
+}
+
+void group_controller::free_survivors(const service_state& s,
+                                      const group_view& group,
+                                      group_actions& out) {
+  const group_order leave =
+      order_about(group_order_kind::leave, group.name, group.epoch);
+  for (size_t rank = 1; rank < group.members.size(); ++rank) {
+    const std::string& id = group.members[rank];
+    if (id.empty() || !s.knows(id) || this->tracks[id].silent) continue;
+    this->send(s.entry(id), leave, out);
+  }
+}
+
+void group_controller::clear_memberships(const service_state& s,
+                                         group_actions& out) {
+  const auto planned = this->planned_models();
+  for (const auto& [id, server] : s.servers) {
+    const group_membership& said = server.entry.membership;
+    if (said.phase == member_phase::none || planned.count(id) != 0) continue;
+    if (!this->free_to_join(s, server.entry)) continue;
+    const group_order leave =
+        order_about(group_order_kind::leave, said.group, said.epoch);
+    this->send(server.entry, leave, out);
+  }
+}
+
+}  // namespace spokesail
--- /dev/null
+++ b/src/group-staging.cc
@@ -0,0 +1,127 @@
+// Has hosts load weights ahead of the groups that will need them.
+#include <algorithm>
+#include <cmath>
+
+#include "group-state.h"
+
+namespace spokesail {
+namespace {
+
+/// A staging that takes this much longer than a load is taken to have failed.
+constexpr absl::Duration stage_slack = absl::Seconds(1);
+
+/// What a model counts as in a domain where it has no member, in members for
+/// each whole share, so that a group of it may form there. Chosen.
+constexpr double members_of_absent = 0.5;
+
+/// How much less each further spare of a model is needed. A first one stands
+/// for the next loss among the members; each further one only for a loss that
+/// comes before hosts are staged anew, which is less likely than in
+/// proportion. Chosen.
+constexpr double spare_exponent = 1.5;
+
+}  // namespace
+
+/// Hosts of one fabric domain by the model whose weights they hold.
+struct group_controller::domain_weights {
+  /// Members of groups that stand or form.
+  std::map<std::string, int> members;
+  /// Hosts outside of groups, those that are still loading included.
+  std::map<std::string, int> spares;
+};
+
+int group_controller::loads_left(const engine_profile& engine, absl::Time now) {
+  const absl::Time since = now - this->options.load_window;
+  while (!this->loads.empty() && this->loads.front() < since) {
+    this->loads.pop_front();
+  }
+  const double allowed = engine.loads_per_s *
+                         absl::ToDoubleSeconds(this->options.load_window) *
+                         this->options.load_excess;
+  return static_cast<int>(allowed) - this->options.load_reserve -
+         static_cast<int>(this->loads.size());
+}
+
+void group_controller::stage_for(const service_state& s, const formation& f,
+                                 absl::Time now, group_actions& out) {
+  for (const auto& id : f.members) {
+    if (this->join_time(s, id, *f.model, now) < f.model->cold_load) continue;
+    this->stage(s, id, *f.model, true, now, out);
+  }
+}
+
+bool group_controller::stage(const service_state& s, const std::string& id,
+                             const model_profile& model, bool loads_count,
+                             absl::Time now, group_actions& out) {
+  if (now < this->tracks[id].staging_until) return false;
+  if (loads_count && this->loads_left(*s.engine, now) <= 0) return false;
+  group_order order;
+  order.kind = group_order_kind::stage;
+  order.model = model.name;
+  if (!this->send(s.entry(id), order, out)) return false;
+  server_track& track = this->tracks[id];
+  track.staging = model.name;
+  track.staging_until = now + model.cold_load + stage_slack;
+  this->loads.push_back(now);
+  out.notes.push_back({"host_staging", id, model.name});
+  return true;
+}
+
+std::map<std::string, group_controller::domain_weights>
+group_controller::weights_by_domain(const service_state& s, absl::Time now,
+                                    std::vector<std::string>& bare) const {
+  std::map<std::string, domain_weights> domains;
+  const auto planned = this->planned_models();
+  for (const auto& [id, server] : s.servers) {
+    const server_entry& entry = server.entry;
+    const server_track& track = this->tracks.at(id);
+    if (!this->usable(entry)) continue;
+    domain_weights& weights = domains[entry.domain];
+    const group_membership& said = entry.membership;
+    if (said.phase != member_phase::none &&
+        this->released.count(said.group) == 0) {
+      weights.members[group_model(said.group)]++;
+    } else if (const auto plan = planned.find(id); plan != planned.end()) {
+      weights.members[plan->second]++;
+    } else if (now < track.staging_until) {
+      weights.spares[track.staging]++;
+    } else {
+      for (const auto& staged : entry.staged) weights.spares[staged]++;
+      const bool free = this->free_to_join(s, entry);
+      if (entry.staged.empty() && free) bare.push_back(id);
+    }
+  }
+  return domains;
+}
+
+const model_profile* group_controller::model_to_stage(
+    const engine_profile& engine, domain_weights& weights) {
+  const model_profile* best = nullptr;
+  double best_need = -1;
+  for (const auto& model : engine.models) {
+    const double served =
+        weights.members[model.name] + members_of_absent * model.share;
+    const double need =
+        served / std::pow(1.0 + weights.spares[model.name], spare_exponent);
+    if (need > best_need) {
+      best = &model;
+      best_need = need;
+    }
+  }
+  return best;
+}
+
+void group_controller::stage_spares(const service_state& s, bool loads_count,
+                                    absl::Time now, group_actions& out) {
+  std::vector<std::string> bare;
+  auto domains = this->weights_by_domain(s, now, bare);
+  for (const auto& id : bare) {
+    domain_weights& weights = domains[s.entry(id).domain];
+    const model_profile* model = model_to_stage(*s.engine, weights);
+    if (model == nullptr) return;
+    if (!this->stage(s, id, *model, loads_count, now, out)) continue;
+    weights.spares[model->name]++;
+  }
+}
+
+}  // namespace spokesail
--- /dev/null
+++ b/src/group-state.h
@@ -0,0 +1,39 @@
+// What the parts of the group controller share during one step.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "spokesail/group-controller.h"
+
+namespace spokesail {
+
+/// One service's servers and groups during a step.
+struct group_controller::service_state {
+  const engine_profile* engine = nullptr;
+  /// With acknowledged orders taken as carried out.
+  std::map<std::string, listed_server> servers;
+  std::vector<group_view> groups;
+  /// Groups that stand or form, by model.
+  std::map<std::string, int> group_count;
+
+  const server_entry& entry(const std::string& id) const {
+    return this->servers.at(id).entry;
+  }
+  bool knows(const std::string& id) const {
+    return this->servers.count(id) != 0;
+  }
+};
+
+/// An order about a group, without what only a join says.
+inline group_order order_about(group_order_kind kind, const std::string& group,
+                               int64_t epoch) {
+  group_order order;
+  order.kind = kind;
+  order.group = group;
+  order.epoch = epoch;
+  return order;
+}
+
+}  // namespace spokesail
