Split the serving of a request into run, place and answer

Change: request-place.cc chooses where a request goes, request-answer.cc passes the answer on, request-run.cc keeps checks, attempts, refusals and log lines. end-to-end.{h,cc} copies the headers that go to the other end. A part of a stream is put together with its frame before it is written, with the same bytes, in place of four calls that write. The bare numbers in the choice of plain servers and in ranks are named; HTTP/1.1's number stands once, in platform-adapter.h. Behaviour is meant to be unchanged.

--- a/include/spokesail/platform-adapter.h
+++ b/include/spokesail/platform-adapter.h
@@ -23,6 +23,9 @@
     boost::beast::http::response<boost::beast::http::string_body>;
 using http_fields = boost::beast::http::fields;
 
+/// HTTP/1.1, as messages count versions.
+inline constexpr unsigned http_11 = 11;
+
 /// The kinds and names under which the platform keeps what others write.
 struct platform_kinds {
   std::string config;
--- /dev/null
+++ b/src/end-to-end.cc
@@ -0,0 +1,49 @@
+#include "end-to-end.h"
+
+#include <absl/strings/match.h>
+
+#include <algorithm>
+#include <set>
+
+namespace spokesail {
+namespace {
+
+namespace http = boost::beast::http;
+
+/// Whether a header, by its name in lower case, is for one connection only.
+bool hop_by_hop(const std::string& name) {
+  static const std::set<std::string> names = {
+      "connection", "keep-alive",        "proxy-connection", "te",
+      "trailer",    "transfer-encoding", "upgrade",          "expect"};
+  return names.count(name) != 0;
+}
+
+std::string lower(std::string_view text) {
+  std::string out(text);
+  std::transform(out.begin(), out.end(), out.begin(),
+                 [](unsigned char c) { return std::tolower(c); });
+  return out;
+}
+
+}  // namespace
+
+void copy_end_to_end(const http_fields& from, http_fields& to) {
+  const auto connection =
+      lower(std::string_view(from[http::field::connection].data(),
+                             from[http::field::connection].size()));
+  for (const auto& field : from) {
+    const std::string name =
+        lower({field.name_string().data(), field.name_string().size()});
+    if (hop_by_hop(name) || name == "content-length") continue;
+    if (!connection.empty() && absl::StrContains(connection, name)) continue;
+    to.insert(field.name_string(), field.value());
+  }
+}
+
+bool is_event_stream(const http_fields& head) {
+  const auto type = head[http::field::content_type];
+  return absl::StartsWithIgnoreCase(absl::string_view(type.data(), type.size()),
+                                    "text/event-stream");
+}
+
+}  // namespace spokesail
--- /dev/null
+++ b/src/request-answer.cc
@@ -0,0 +1,173 @@
+// Passes a backend server's answer on to the caller.
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/buffers_range.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/write.hpp>
+#include <sstream>
+
+#include "caller-session.h"
+#include "detail/socket.h"
+#include "end-to-end.h"
+#include "request-run.h"
+
+namespace spokesail {
+namespace {
+
+namespace net = boost::asio;
+namespace http = boost::beast::http;
+
+/// Largest plain answer that is held in memory, in bytes. Chosen.
+constexpr size_t largest_whole_answer = 16 << 20;
+
+/// From this status on the server, not the caller, is at fault.
+constexpr unsigned first_server_error = 500;
+
+/// Appends buffers, such as a chunk with its frame, to `out`.
+template <typename Buffers>
+void append_buffers(std::string& out, const Buffers& buffers) {
+  for (const net::const_buffer part :
+       boost::beast::buffers_range_ref(buffers)) {
+    out.append(static_cast<const char*>(part.data()), part.size());
+  }
+}
+
+}  // namespace
+
+net::awaitable<run_end> request_run::pass_answer(exchange& ex,
+                                                 const answer_head& head) {
+  const bool stream = this->route->streaming && ex.head().result_int() == 200 &&
+                      is_event_stream(ex.head());
+  if (stream) co_return co_await this->pass_stream(ex, head);
+  co_return co_await this->pass_whole(ex, head);
+}
+
+bool request_run::repeat_instead(unsigned status) {
+  return status >= first_server_error && this->service->engine &&
+         this->may_repeat(run_end::broken);
+}
+
+net::awaitable<run_end> request_run::pass_whole(exchange& ex,
+                                                const answer_head& head) {
+  std::string body;
+  while (!ex.body_done()) {
+    const std::string error = co_await ex.read_some(body);
+    if (!error.empty() || body.size() > largest_whole_answer) {
+      this->log_attempt(ex, "broken", error.empty() ? "too large" : error);
+      co_return run_end::broken;
+    }
+  }
+  const unsigned status = ex.head().result_int();
+  const std::string status_text = absl::StrCat("status ", status);
+  if (this->head_out) {
+    // Another server was to go on with a stream, and answered otherwise.
+    this->log_attempt(ex, "broken", status_text);
+    co_return run_end::broken;
+  }
+  if (this->repeat_instead(status)) {
+    this->log_attempt(ex, "broken", status_text);
+    ex.keep(head);
+    co_return run_end::broken;
+  }
+  http_response out;
+  out.result(status);
+  out.version(http_11);
+  copy_end_to_end(ex.head(), out);
+  const bool bodiless = this->request.method() == http::verb::head;
+  if (!bodiless) out.body() = std::move(body);
+  out.keep_alive(this->keep_alive && !this->node.stopping());
+  this->log_attempt(ex, "whole", "");
+  ex.keep(head);
+  co_await this->session.write(out);
+  this->log_end("answered", "", status);
+  co_return run_end::done;
+}
+
+net::awaitable<bool> request_run::write_stream(const std::string& bytes,
+                                               bool last) {
+  std::string out;
+  if (!this->head_out) out = std::move(this->stream_head);
+  this->head_out = true;
+  if (!this->chunked) {
+    out += bytes;
+  } else {
+    if (!bytes.empty())
+      append_buffers(out, http::make_chunk(net::buffer(bytes)));
+    if (last) append_buffers(out, http::make_chunk_last());
+  }
+  auto [error, size] = co_await net::async_write(
+      this->session.socket, net::buffer(out), detail::use_tuple);
+  if (error) this->session.gone = true;
+  co_return !error;
+}
+
+net::awaitable<bool> request_run::pass_events(exchange& ex,
+                                              const event_run& events) {
+  ex.note_event();
+  const absl::Time now = ex.last_event;
+  if (this->first_event_at == absl::InfiniteFuture()) {
+    this->first_event_at = now;
+    this->node.metrics.observe_first_event(
+        absl::ToDoubleSeconds(now - this->arrived));
+  } else {
+    this->longest_pause =
+        std::max(this->longest_pause, now - this->last_event_at);
+  }
+  this->last_event_at = now;
+  if (events.last_id >= 0) this->last_event = events.last_id;
+  ex.blocked = true;
+  const bool passed = co_await this->write_stream(events.bytes, false);
+  ex.blocked = false;
+  co_return passed;
+}
+
+void request_run::begin_stream(const exchange& ex) {
+  http_response out;
+  out.result(ex.head().result_int());
+  out.version(http_11);
+  copy_end_to_end(ex.head(), out);
+  this->keep_alive =
+      this->keep_alive && this->chunked && !this->node.stopping();
+  out.keep_alive(this->keep_alive);
+  out.chunked(this->chunked);
+  std::ostringstream text;
+  text << out.base();
+  this->stream_head = text.str();
+}
+
+net::awaitable<run_end> request_run::pass_stream(exchange& ex,
+                                                 const answer_head& head) {
+  if (!this->head_out) this->begin_stream(ex);
+  event_splitter splitter;
+  std::string bytes;
+  std::string error;
+  while (!ex.body_done() && error.empty()) {
+    bytes.clear();
+    error = co_await ex.read_some(bytes);
+    const auto events = splitter.feed(bytes);
+    if (!events) error = "event is too large";
+    const bool some =
+        events && events->events > 0 && ex.aborted == abort_cause::none;
+    if (!some) continue;
+    const bool passed = co_await this->pass_events(ex, *events);
+    if (!passed) {
+      ex.abort(abort_cause::caller_gone);
+      this->log_attempt(ex, "caller_gone", "");
+      co_return run_end::broken;
+    }
+  }
+  if (!error.empty() || ex.aborted != abort_cause::none) {
+    this->log_attempt(ex, "broken", error);
+    co_return run_end::broken;
+  }
+  const std::string rest = splitter.rest();
+  co_await this->write_stream(rest, true);
+  ex.keep(head);
+  this->log_attempt(ex, "whole", "");
+  this->log_end("answered", "", ex.head().result_int());
+  co_return run_end::done;
+}
+
+}  // namespace spokesail
--- /dev/null
+++ b/src/request-place.cc
@@ -0,0 +1,136 @@
+// Where a request is sent: its service, and a group or server of it.
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+
+#include "caller-session.h"
+#include "detail/socket.h"
+#include "request-run.h"
+
+namespace spokesail {
+namespace {
+
+namespace net = boost::asio;
+
+/// What going to another data hall counts as, in ms: its delay, and the error
+/// of what is known of its load, as a part of the time between news of it.
+constexpr double other_hall_ms = 3;
+constexpr double stale_share = 0.06;
+
+/// What going to a plain server in another data hall counts as, in requests.
+/// Chosen, not measured.
+constexpr double other_hall_requests = 0.5;
+
+/// Plain servers whose requests differ by less than this part of one may
+/// change places, so that nodes that see the same do not all choose the same.
+constexpr double drawn_requests = 0.4;
+
+/// A request that no place can take is refused within this part of its goal,
+/// so that its caller can still come back in time.
+constexpr double wait_share = 0.2;
+
+/// How often a waiting request looks for a place again.
+constexpr absl::Duration wait_step = absl::Milliseconds(15);
+
+}  // namespace
+
+void request_run::choose_service() {
+  int total = 0;
+  for (const auto& target : this->route->targets) total += target.weight;
+  int drawn = static_cast<int>(
+      this->node.random.below(static_cast<uint64_t>(std::max(1, total))));
+  for (const auto& target : this->route->targets) {
+    drawn -= target.weight;
+    if (drawn >= 0) continue;
+    this->service = this->table->find_service(target.service);
+    return;
+  }
+}
+
+std::optional<request_place> request_run::pick() {
+  return this->service->engine ? this->pick_group() : this->pick_server();
+}
+
+bool request_run::may_serve(const group_view& group) const {
+  if (!group.serving() || group.model != this->model->name) return false;
+  if (this->tried.count(group.head()) != 0) return false;
+  if (this->node.avoided(group.name)) return false;
+  const server_entry* head = this->node.directory.find(group.head());
+  if (head == nullptr || head->draining) return false;
+  return std::none_of(
+      group.members.begin(), group.members.end(),
+      [&](const auto& id) { return this->node.silent.count(id) != 0; });
+}
+
+request_size request_run::expected_size() const {
+  const engine_profile& engine = *this->service->engine;
+  request_size size;
+  size.prompt = this->info.prompt_tokens > 0 ? this->info.prompt_tokens
+                                             : engine.usual_prompt;
+  size.answer =
+      this->info.answer_hint > 0 ? this->info.answer_hint : engine.usual_answer;
+  return size;
+}
+
+std::optional<request_place> request_run::pick_group() {
+  const absl::Time now = this->node.now();
+  std::vector<const group_view*> groups;
+  std::vector<group_option> options;
+  for (const auto& group : this->node.groups(this->service->name)) {
+    if (!this->may_serve(group)) continue;
+    const server_entry* head = this->node.directory.find(group.head());
+    const bool near = head->hall == this->node.settings.hall;
+    const place_load load = this->node.loads.total(group.name, now);
+    groups.push_back(&group);
+    options.push_back({group.name, load.running, load.unread_tokens, 1,
+                       near ? 0 : this->far_cost_ms()});
+  }
+  const auto chosen =
+      choose_group(*this->service->engine, *this->model, options,
+                   this->expected_size(), this->node.random);
+  if (!chosen) return std::nullopt;
+  const group_view& group = *groups[*chosen];
+  const server_entry* head = this->node.directory.find(group.head());
+  return request_place{head->id, head->address, group.name, group.epoch,
+                       group.members};
+}
+
+double request_run::far_cost_ms() const {
+  return other_hall_ms +
+         stale_share * absl::ToDoubleMilliseconds(this->node.far_news_period);
+}
+
+std::optional<request_place> request_run::pick_server() {
+  const absl::Time now = this->node.now();
+  const server_entry* best = nullptr;
+  double least = 0;
+  for (const auto& [id, server] : this->node.directory.servers()) {
+    const server_entry& entry = server.entry;
+    if (entry.service != this->service->name || entry.draining) continue;
+    if (this->tried.count(id) != 0 || this->node.avoided(id)) continue;
+    const double cost =
+        this->node.loads.total(id, now).running +
+        (entry.hall == this->node.settings.hall ? 0 : other_hall_requests) +
+        drawn_requests * this->node.random.unit();
+    if (best != nullptr && cost >= least) continue;
+    best = &entry;
+    least = cost;
+  }
+  if (best == nullptr) return std::nullopt;
+  return request_place{best->id, best->address, "", 0, {best->id}};
+}
+
+net::awaitable<std::optional<request_place>> request_run::find_place() {
+  const absl::Time until =
+      std::min(this->arrived + wait_share * this->route->goal, this->deadline);
+  for (;;) {
+    auto place = this->pick();
+    if (place || this->session.gone || this->node.now() >= until) {
+      co_return place;
+    }
+    net::steady_timer timer(this->node.loop);
+    timer.expires_after(absl::ToChronoNanoseconds(wait_step));
+    co_await timer.async_wait(detail::use_tuple);
+  }
+}
+
+}  // namespace spokesail
--- a/src/request-run.cc
+++ b/src/request-run.cc
@@ -1,37 +1,18 @@
+// A request's way from its head to its end: checks, attempts, refusals, log.
 #include "request-run.h"
 
-#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/write.hpp>
-#include <boost/beast/core/buffers_cat.hpp>
-#include <boost/beast/http/chunk_encode.hpp>
-#include <boost/beast/http/write.hpp>
-#include <sstream>
 
 #include "caller-session.h"
-#include "detail/socket.h"
+#include "end-to-end.h"
 
 namespace spokesail {
 namespace {
 
 namespace net = boost::asio;
 namespace http = boost::beast::http;
-using detail::use_tuple;
-
-/// What going to another data hall counts as: its delay, and the error of
-/// what is known of its load, which grows with the time between news of it.
-constexpr double other_hall_ms = 3;
-constexpr double stale_share = 0.06;
-
-/// A request that no place can take is refused within this part of its goal,
-/// so that its caller can still come back in time.
-constexpr double wait_share = 0.2;
-
-/// How often a waiting request looks for a place again.
-constexpr absl::Duration wait_step = absl::Milliseconds(15);
 
 /// A ready answer may still come this long after the deadline.
 constexpr absl::Duration late_answer = absl::Milliseconds(150);
@@ -45,6 +26,7 @@
 constexpr absl::Duration full_retry = absl::Milliseconds(400);
 /// Another node can take the request at once.
 constexpr absl::Duration stopping_retry = absl::Milliseconds(20);
+/// Chosen, not measured.
 constexpr absl::Duration no_config_retry = absl::Milliseconds(500);
 
 /// A first event is overdue after this many times its prediction and this
@@ -52,50 +34,15 @@
 constexpr double first_event_factor = 2;
 constexpr absl::Duration first_event_slack = absl::Milliseconds(300);
 
-/// Largest plain answer that is held in memory, in bytes.
-constexpr size_t largest_whole_answer = 16 << 20;
-
 /// Sends of one request, rejected ones included.
 constexpr int most_sends = 4;
 
 /// Ranks that servers know, 0 first.
 constexpr int lowest_rank = 9;
+/// Ranks of routes within one rank of a workspace.
 constexpr int route_ranks = 3;
-
-bool hop_by_hop(const std::string& name) {
-  static const std::set<std::string> names = {
-      "connection", "keep-alive",        "proxy-connection", "te",
-      "trailer",    "transfer-encoding", "upgrade",          "expect"};
-  return names.count(name) != 0;
-}
-
-std::string lower(std::string_view text) {
-  std::string out(text);
-  std::transform(out.begin(), out.end(), out.begin(),
-                 [](unsigned char c) { return std::tolower(c); });
-  return out;
-}
-
-/// Copies the headers that are meant for the other end. Those that the
-/// `Connection` header names are for this hop only.
-void copy_end_to_end(const http_fields& from, http_fields& to) {
-  const auto connection =
-      lower(std::string_view(from[http::field::connection].data(),
-                             from[http::field::connection].size()));
-  for (const auto& field : from) {
-    const std::string name =
-        lower({field.name_string().data(), field.name_string().size()});
-    if (hop_by_hop(name) || name == "content-length") continue;
-    if (!connection.empty() && absl::StrContains(connection, name)) continue;
-    to.insert(field.name_string(), field.value());
-  }
-}
-
-bool is_event_stream(const http_fields& head) {
-  const auto type = head[http::field::content_type];
-  return absl::StartsWithIgnoreCase(absl::string_view(type.data(), type.size()),
-                                    "text/event-stream");
-}
+/// Rank of requests that belong to no workspace.
+constexpr int no_workspace_rank = 1;
 
 std::string millis(absl::Duration d) {
   return absl::StrCat(absl::ToInt64Milliseconds(d));
@@ -111,25 +58,12 @@
       arrived(when),
       keep_alive(keep),
       table(state.routes),
-      chunked(this->request.version() >= 11) {}
+      chunked(this->request.version() >= http_11) {}
 
 absl::Duration request_run::time_left() const {
   return this->deadline - this->node.now();
 }
 
-void request_run::choose_service() {
-  int total = 0;
-  for (const auto& target : this->route->targets) total += target.weight;
-  int drawn = static_cast<int>(
-      this->node.random.below(static_cast<uint64_t>(std::max(1, total))));
-  for (const auto& target : this->route->targets) {
-    drawn -= target.weight;
-    if (drawn >= 0) continue;
-    this->service = this->table->find_service(target.service);
-    return;
-  }
-}
-
 std::optional<request_run::refusal> request_run::reason_to_refuse() {
   this->node.requests_seen = true;
   std::string fault;
@@ -145,6 +79,14 @@
   if (!this->table) {
     return refusal{503, "no configuration yet", no_config_retry};
   }
+  if (const auto refused = this->match_route()) return refused;
+  const absl::Duration patience =
+      this->info.patience.value_or(this->route->timeout);
+  this->deadline = this->arrived + std::min(patience, this->route->timeout);
+  return this->match_service();
+}
+
+std::optional<request_run::refusal> request_run::match_route() {
   const auto host = this->request[http::field::host];
   const auto target = this->request.target();
   this->route = this->table->find_route({host.data(), host.size()},
@@ -152,16 +94,16 @@
   if (this->route == nullptr) return refusal{404, "no such route", {}};
   const bool keyed =
       !this->route->public_access && !this->table->config().workspaces.empty();
-  if (keyed) {
-    this->workspace = this->table->find_workspace(this->info.key);
-    if (!this->node.config_fresh()) {
-      return refusal{503, "keys cannot be checked", no_config_retry};
-    }
-    if (this->workspace == nullptr) return refusal{401, "unknown key", {}};
+  if (!keyed) return std::nullopt;
+  this->workspace = this->table->find_workspace(this->info.key);
+  if (!this->node.config_fresh()) {
+    return refusal{503, "keys cannot be checked", no_config_retry};
   }
-  const absl::Duration patience =
-      this->info.patience.value_or(this->route->timeout);
-  this->deadline = this->arrived + std::min(patience, this->route->timeout);
+  if (this->workspace == nullptr) return refusal{401, "unknown key", {}};
+  return std::nullopt;
+}
+
+std::optional<request_run::refusal> request_run::match_service() {
   this->choose_service();
   if (this->service == nullptr) {
     return refusal{503, "service is not configured", no_config_retry};
@@ -176,87 +118,9 @@
   return std::nullopt;
 }
 
-std::optional<request_place> request_run::pick() {
-  return this->service->engine ? this->pick_group() : this->pick_server();
-}
-
-std::optional<request_place> request_run::pick_group() {
-  const engine_profile& engine = *this->service->engine;
-  const absl::Time now = this->node.now();
-  std::vector<const group_view*> groups;
-  std::vector<group_option> options;
-  for (const auto& group : this->node.groups(this->service->name)) {
-    if (!group.serving() || group.model != this->model->name) continue;
-    if (this->tried.count(group.head()) != 0) continue;
-    if (this->node.avoided(group.name)) continue;
-    const server_entry* head = this->node.directory.find(group.head());
-    if (head == nullptr || head->draining) continue;
-    const bool silent = std::any_of(
-        group.members.begin(), group.members.end(),
-        [&](const auto& id) { return this->node.silent.count(id) != 0; });
-    if (silent) continue;
-    const place_load load = this->node.loads.total(group.name, now);
-    groups.push_back(&group);
-    const bool near = head->hall == this->node.settings.hall;
-    options.push_back({group.name, load.running, load.unread_tokens, 1,
-                       near ? 0 : this->far_cost_ms()});
-  }
-  request_size size;
-  size.prompt = this->info.prompt_tokens > 0 ? this->info.prompt_tokens
-                                             : engine.usual_prompt;
-  size.answer =
-      this->info.answer_hint > 0 ? this->info.answer_hint : engine.usual_answer;
-  const auto chosen =
-      choose_group(engine, *this->model, options, size, this->node.random);
-  if (!chosen) return std::nullopt;
-  const group_view& group = *groups[*chosen];
-  const server_entry* head = this->node.directory.find(group.head());
-  return request_place{head->id, head->address, group.name, group.epoch,
-                       group.members};
-}
-
-double request_run::far_cost_ms() const {
-  return other_hall_ms +
-         stale_share * absl::ToDoubleMilliseconds(this->node.far_news_period);
-}
-
-std::optional<request_place> request_run::pick_server() {
-  const absl::Time now = this->node.now();
-  const server_entry* best = nullptr;
-  double least = 0;
-  for (const auto& [id, server] : this->node.directory.servers()) {
-    const server_entry& entry = server.entry;
-    if (entry.service != this->service->name || entry.draining) continue;
-    if (this->tried.count(id) != 0 || this->node.avoided(id)) continue;
-    // The draw keeps nodes that see the same from all choosing the same.
-    const double cost = this->node.loads.total(id, now).running +
-                        (entry.hall == this->node.settings.hall ? 0 : 0.5) +
-                        0.4 * this->node.random.unit();
-    if (best != nullptr && cost >= least) continue;
-    best = &entry;
-    least = cost;
-  }
-  if (best == nullptr) return std::nullopt;
-  return request_place{best->id, best->address, "", 0, {best->id}};
-}
-
-net::awaitable<std::optional<request_place>> request_run::find_place() {
-  const absl::Time until =
-      std::min(this->arrived + wait_share * this->route->goal, this->deadline);
-  for (;;) {
-    auto place = this->pick();
-    if (place || this->session.gone || this->node.now() >= until) {
-      co_return place;
-    }
-    net::steady_timer timer(this->node.loop);
-    timer.expires_after(absl::ToChronoNanoseconds(wait_step));
-    co_await timer.async_wait(use_tuple);
-  }
-}
-
 http_request request_run::attempt_request(const request_place& place) const {
   http_request out;
-  out.version(11);
+  out.version(http_11);
   out.method_string(this->request.method_string());
   out.target(this->request.target());
   copy_end_to_end(this->request, out);
@@ -269,8 +133,9 @@
   head.server = place.server;
   if (this->workspace != nullptr) head.workspace = this->workspace->name;
   head.time_left = std::max(absl::Milliseconds(1), this->time_left());
-  const int workspace_rank =
-      this->workspace == nullptr ? 1 : this->workspace->priority;
+  const int workspace_rank = this->workspace == nullptr
+                                 ? no_workspace_rank
+                                 : this->workspace->priority;
   head.priority = std::clamp(
       workspace_rank * route_ranks + this->route->priority, 0, lowest_rank);
   head.last_event = this->last_event;
@@ -307,198 +172,66 @@
   } detach_at_end{this->session};
   this->prepare_exchange(ex, place);
   this->sends++;
+  const bool connected = co_await this->connect(ex);
+  if (!connected) co_return run_end::not_run;
+  const bool answered = co_await this->ask(ex);
+  if (!answered) co_return run_end::broken;
+  const answer_head head =
+      this->node.adapter.read_answer(ex.head().result_int(), ex.head());
+  const std::optional<run_end> end = this->judge_head(ex, head);
+  if (end) co_return *end;
+  co_return co_await this->pass_answer(ex, head);
+}
+
+net::awaitable<bool> request_run::connect(exchange& ex) {
   // A call that may run once only goes over a new connection: a kept one may
   // break such that nobody can tell whether the call arrived.
-  std::string error = co_await ex.connect(this->route->repeatable);
-  if (!error.empty()) {
-    this->log_attempt(ex, "not_connected", error);
-    this->node.avoid_place(place.load_key());
-    this->node.suspect_server(place.server);
-    co_return run_end::not_run;
-  }
-  http_request sent = this->attempt_request(place);
-  error = co_await ex.send(sent);
+  const std::string error = co_await ex.connect(this->route->repeatable);
+  if (error.empty()) co_return true;
+  this->log_attempt(ex, "not_connected", error);
+  this->node.avoid_place(ex.place.load_key());
+  this->node.suspect_server(ex.place.server);
+  co_return false;
+}
+
+net::awaitable<bool> request_run::ask(exchange& ex) {
+  http_request sent = this->attempt_request(ex.place);
+  std::string error = co_await ex.send(sent);
   if (error.empty()) {
     const bool no_body = this->request.method() == http::verb::head;
     error = co_await ex.read_head(no_body);
   }
-  if (!error.empty()) {
-    this->runs++;
-    this->log_attempt(ex, "broken", error);
-    // A kept connection may just have been closed by its server.
-    if (!ex.reused && ex.aborted == abort_cause::none) {
-      this->node.avoid_place(place.load_key());
-    }
-    co_return run_end::broken;
+  if (error.empty()) co_return true;
+  this->runs++;
+  this->log_attempt(ex, "broken", error);
+  // A kept connection may just have been closed by its server.
+  if (!ex.reused && ex.aborted == abort_cause::none) {
+    this->node.avoid_place(ex.place.load_key());
   }
-  const answer_head head =
-      this->node.adapter.read_answer(ex.head().result_int(), ex.head());
+  co_return false;
+}
+
+std::optional<run_end> request_run::judge_head(const exchange& ex,
+                                               const answer_head& head) {
   const bool known_id = head.request_id == this->info.id;
   if (head.not_run && (known_id || head.request_id.empty())) {
     this->log_attempt(
         ex, "not_run",
         absl::StrCat("status ", ex.head().result_int(), " at ", head.at_fault));
-    this->node.avoid_place(place.load_key());
+    this->node.avoid_place(ex.place.load_key());
     if (!head.at_fault.empty()) this->node.suspect_server(head.at_fault);
-    co_return run_end::not_run;
+    return run_end::not_run;
   }
   this->runs++;
   if (!known_id) {
     this->log_attempt(ex, "broken", "answer of another request");
-    co_return run_end::broken;
+    return run_end::broken;
   }
   if (ex.head().find(http::field::content_encoding) != ex.head().end()) {
     this->log_attempt(ex, "broken", "answer is encoded");
-    co_return run_end::broken;
-  }
-  co_return co_await this->pass_answer(ex, head);
-}
-
-net::awaitable<run_end> request_run::pass_answer(exchange& ex,
-                                                 const answer_head& head) {
-  const bool stream = this->route->streaming && ex.head().result_int() == 200 &&
-                      is_event_stream(ex.head());
-  if (stream) co_return co_await this->pass_stream(ex, head);
-  co_return co_await this->pass_whole(ex, head);
-}
-
-net::awaitable<run_end> request_run::pass_whole(exchange& ex,
-                                                const answer_head& head) {
-  std::string body;
-  while (!ex.body_done()) {
-    const std::string error = co_await ex.read_some(body);
-    if (!error.empty() || body.size() > largest_whole_answer) {
-      this->log_attempt(ex, "broken", error.empty() ? "too large" : error);
-      co_return run_end::broken;
-    }
-  }
-  const unsigned status = ex.head().result_int();
-  if (this->head_out) {
-    // Another server was to go on with a stream, and answered otherwise.
-    this->log_attempt(ex, "broken", absl::StrCat("status ", status));
-    co_return run_end::broken;
-  }
-  constexpr unsigned first_server_error = 500;
-  if (status >= first_server_error && this->service->engine &&
-      this->may_repeat(run_end::broken)) {
-    this->log_attempt(ex, "broken", absl::StrCat("status ", status));
-    ex.keep(head);
-    co_return run_end::broken;
+    return run_end::broken;
   }
-  http_response out;
-  out.result(status);
-  out.version(11);
-  copy_end_to_end(ex.head(), out);
-  const bool bodiless = this->request.method() == http::verb::head;
-  out.body() = std::move(body);
-  out.keep_alive(this->keep_alive && !this->node.stopping());
-  this->log_attempt(ex, "whole", "");
-  ex.keep(head);
-  if (bodiless) out.body().clear();
-  co_await this->session.write(out);
-  this->log_end("answered", "", status);
-  co_return run_end::done;
-}
-
-net::awaitable<bool> request_run::write_stream(const std::string& bytes,
-                                               bool last) {
-  std::string out;
-  if (!this->head_out) out = std::move(this->stream_head);
-  this->head_out = true;
-  boost::system::error_code failed;
-  if (!this->chunked) {
-    out += bytes;
-    auto [error, size] = co_await net::async_write(this->session.socket,
-                                                   net::buffer(out), use_tuple);
-    failed = error;
-  } else if (!bytes.empty() && last) {
-    auto [error, size] = co_await net::async_write(
-        this->session.socket,
-        boost::beast::buffers_cat(net::buffer(out),
-                                  http::make_chunk(net::buffer(bytes)),
-                                  http::make_chunk_last()),
-        use_tuple);
-    failed = error;
-  } else if (last) {
-    auto [error, size] = co_await net::async_write(
-        this->session.socket,
-        boost::beast::buffers_cat(net::buffer(out), http::make_chunk_last()),
-        use_tuple);
-    failed = error;
-  } else {
-    auto [error, size] = co_await net::async_write(
-        this->session.socket,
-        boost::beast::buffers_cat(net::buffer(out),
-                                  http::make_chunk(net::buffer(bytes))),
-        use_tuple);
-    failed = error;
-  }
-  if (failed) this->session.gone = true;
-  co_return !failed;
-}
-
-net::awaitable<bool> request_run::pass_events(exchange& ex,
-                                              const event_run& events) {
-  ex.note_event();
-  const absl::Time now = ex.last_event;
-  if (this->first_event_at == absl::InfiniteFuture()) {
-    this->first_event_at = now;
-    this->node.metrics.observe_first_event(
-        absl::ToDoubleSeconds(now - this->arrived));
-  } else {
-    this->longest_pause =
-        std::max(this->longest_pause, now - this->last_event_at);
-  }
-  this->last_event_at = now;
-  if (events.last_id >= 0) this->last_event = events.last_id;
-  ex.blocked = true;
-  const bool passed = co_await this->write_stream(events.bytes, false);
-  ex.blocked = false;
-  co_return passed;
-}
-
-net::awaitable<run_end> request_run::pass_stream(exchange& ex,
-                                                 const answer_head& head) {
-  if (!this->head_out) {
-    http_response out;
-    out.result(ex.head().result_int());
-    out.version(11);
-    copy_end_to_end(ex.head(), out);
-    this->keep_alive =
-        this->keep_alive && this->chunked && !this->node.stopping();
-    out.keep_alive(this->keep_alive);
-    out.chunked(this->chunked);
-    std::ostringstream text;
-    text << out.base();
-    this->stream_head = text.str();
-  }
-  event_splitter splitter;
-  std::string bytes;
-  std::string error;
-  while (!ex.body_done()) {
-    bytes.clear();
-    error = co_await ex.read_some(bytes);
-    const auto events = splitter.feed(bytes);
-    if (!events) error = "event is too large";
-    if (events && events->events > 0 && ex.aborted == abort_cause::none) {
-      if (!co_await this->pass_events(ex, *events)) {
-        ex.abort(abort_cause::caller_gone);
-        this->log_attempt(ex, "caller_gone", "");
-        co_return run_end::broken;
-      }
-    }
-    if (!error.empty()) break;
-  }
-  if (!error.empty() || ex.aborted != abort_cause::none) {
-    this->log_attempt(ex, "broken", error);
-    co_return run_end::broken;
-  }
-  const std::string rest = splitter.rest();
-  co_await this->write_stream(rest, true);
-  ex.keep(head);
-  this->log_attempt(ex, "whole", "");
-  this->log_end("answered", "", ex.head().result_int());
-  co_return run_end::done;
+  return std::nullopt;
 }
 
 bool request_run::may_repeat(run_end end) {
@@ -513,6 +246,11 @@
 }
 
 request_run::refusal request_run::final_refusal(run_end end) const {
+  if (this->sends == 0) {
+    const bool groups = this->service->engine.has_value();
+    return {503, groups ? "no group has room" : "no server is there",
+            full_retry};
+  }
   if (this->runs == 0 && end != run_end::broken) {
     return {503, "no server took it", full_retry};
   }
@@ -523,7 +261,7 @@
 }
 
 net::awaitable<bool> request_run::answer(refusal r) {
-  http_response out(static_cast<http::status>(r.status), 11);
+  http_response out(static_cast<http::status>(r.status), http_11);
   out.set(http::field::content_type, "text/plain");
   out.keep_alive(this->keep_alive && !this->node.stopping());
   this->node.adapter.write_refusal(this->info.id, r.retry_after, out);
@@ -540,17 +278,13 @@
   }
   run_end end = run_end::not_run;
   for (;;) {
-    auto place = co_await this->find_place();
+    const auto place = co_await this->find_place();
     if (this->sends == 0) {
       this->node.metrics.observe_queue(
           absl::ToDoubleSeconds(this->node.now() - this->arrived));
     }
     if (this->session.gone || !place) break;
-    if (this->sends > 0) {
-      this->node.repeats.take(this->service->name, this->node.live_nodes,
-                              this->node.now());
-      if (this->head_out) this->node.metrics.count_resume();
-    }
+    if (this->sends > 0) this->count_repeat();
     this->tried.insert(place->server);
     end = co_await this->attempt(*place);
     if (end == run_end::done) {
@@ -558,6 +292,16 @@
     }
     if (!this->may_repeat(end)) break;
   }
+  co_return co_await this->end_unserved(end);
+}
+
+void request_run::count_repeat() {
+  this->node.repeats.take(this->service->name, this->node.live_nodes,
+                          this->node.now());
+  if (this->head_out) this->node.metrics.count_resume();
+}
+
+net::awaitable<bool> request_run::end_unserved(run_end end) {
   if (this->session.gone) {
     this->log_end("caller_gone", this->last_error, 0);
     co_return false;
@@ -567,12 +311,7 @@
     this->session.break_off();
     co_return false;
   }
-  refusal r = this->final_refusal(end);
-  if (this->sends == 0) {
-    r = {503,
-         this->service->engine ? "no group has room" : "no server is there",
-         full_retry};
-  }
+  const refusal r = this->final_refusal(end);
   co_return co_await this->answer(r);
 }
 
--- a/src/request-run.h
+++ b/src/request-run.h
@@ -4,10 +4,10 @@
 #include <absl/time/time.h>
 
 #include <boost/asio/awaitable.hpp>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
-#include <vector>
 
 #include "event-splitter.h"
 #include "exchange.h"
@@ -41,36 +41,81 @@
   struct refusal {
     unsigned status = 503;
     const char* reason = "";
+    /// When the caller should come back; zero if it is not told.
     absl::Duration retry_after = absl::ZeroDuration();
   };
 
+  // Checks, attempts, refusals and log: request-run.cc.
+
+  /// Reads the request's head and finds its route, workspace, service and
+  /// model. Nothing if all are there.
   std::optional<refusal> reason_to_refuse();
-  void choose_service();
+  std::optional<refusal> match_route();
+  std::optional<refusal> match_service();
+  /// Sends the request to one place and passes the answer on.
+  boost::asio::awaitable<run_end> attempt(request_place place);
+  /// Sets the limits of an attempt.
+  void prepare_exchange(exchange& ex, const request_place& place) const;
+  /// The request as a server gets it.
+  http_request attempt_request(const request_place& place) const;
+  /// Connects to the server. False if it cannot be reached.
+  boost::asio::awaitable<bool> connect(exchange& ex);
+  /// Sends the request and reads the answer's head. False if there is none.
+  boost::asio::awaitable<bool> ask(exchange& ex);
+  /// How an attempt ends by its answer's head; nothing if the answer is one.
+  std::optional<run_end> judge_head(const exchange& ex,
+                                    const answer_head& head);
+  /// Whether the request may be sent again after an attempt that ended so.
+  bool may_repeat(run_end end);
+  /// Takes a further sending out of the budget.
+  void count_repeat();
+  /// Ends a request that no server's answer was passed on for, or not all of
+  /// it. Returns whether the connection may be used on.
+  boost::asio::awaitable<bool> end_unserved(run_end end);
+  refusal final_refusal(run_end end) const;
+  /// Answers without a server. Returns whether the connection may be used on.
   boost::asio::awaitable<bool> answer(refusal r);
+  absl::Duration time_left() const;
+  void log_attempt(const exchange& ex, const char* end,
+                   const std::string& error);
+  void log_end(const char* outcome, const std::string& reason, unsigned status);
+
+  // The choice of a place: request-place.cc.
+
+  /// Draws a service of the route by weight; null if it is not configured.
+  void choose_service();
+  /// Waits for a place for a part of the goal; nothing if there is none.
   boost::asio::awaitable<std::optional<request_place>> find_place();
   std::optional<request_place> pick();
   std::optional<request_place> pick_group();
-  double far_cost_ms() const;
   std::optional<request_place> pick_server();
-  boost::asio::awaitable<run_end> attempt(request_place place);
+  /// Whether a group could take the request, its load aside.
+  bool may_serve(const group_view& group) const;
+  /// Tokens to read and to write, by the caller's word or as usual.
+  request_size expected_size() const;
+  /// What going to another data hall counts as, in ms.
+  double far_cost_ms() const;
+
+  // The passing on of answers: request-answer.cc.
+
   boost::asio::awaitable<run_end> pass_answer(exchange& ex,
                                               const answer_head& head);
-  boost::asio::awaitable<run_end> pass_stream(exchange& ex,
-                                              const answer_head& head);
+  /// Passes a plain answer on once it is whole.
   boost::asio::awaitable<run_end> pass_whole(exchange& ex,
                                              const answer_head& head);
+  /// Whether an answer of this status is dropped for another attempt.
+  bool repeat_instead(unsigned status);
+  /// Passes a stream on, event by event.
+  boost::asio::awaitable<run_end> pass_stream(exchange& ex,
+                                              const answer_head& head);
+  /// Makes the head that goes out with a stream's first events.
+  void begin_stream(const exchange& ex);
+  /// Passes whole events on. False if the caller is gone.
   boost::asio::awaitable<bool> pass_events(exchange& ex,
                                            const event_run& events);
+  /// Writes a part of a stream. False if the caller is gone.
   boost::asio::awaitable<bool> write_stream(const std::string& bytes,
                                             bool last);
-  http_request attempt_request(const request_place& place) const;
-  void prepare_exchange(exchange& ex, const request_place& place) const;
-  bool may_repeat(run_end end);
-  refusal final_refusal(run_end end) const;
-  void log_end(const char* outcome, const std::string& reason, unsigned status);
-  void log_attempt(const exchange& ex, const char* end,
-                   const std::string& error);
-  absl::Duration time_left() const;
 
   node_context& node;
   caller_session& session;
@@ -78,22 +123,31 @@
   absl::Time arrived;
   bool keep_alive;
 
+  /// The configuration of the request's arrival, which the pointers below
+  /// point into; null before the first.
   std::shared_ptr<const routing_table> table;
   const route_rule* route = nullptr;
+  /// Null for requests that need no key.
   const api_workspace* workspace = nullptr;
   const backend_service* service = nullptr;
+  /// Null for plain services.
   const model_profile* model = nullptr;
   caller_request info;
   absl::Time deadline = absl::InfiniteFuture();
 
+  /// Servers that it was sent to.
   std::set<std::string> tried;
+  /// Attempts that a server may have run.
   int runs = 0;
+  /// Attempts at all.
   int sends = 0;
   std::string last_error;
   /// Of a stream: the last event passed on, and whether its head is out.
   int64_t last_event = -1;
   bool head_out = false;
+  /// Whether the caller understands chunks.
   bool chunked = true;
+  /// A stream's head until it is out.
   std::string stream_head;
   absl::Time first_event_at = absl::InfiniteFuture();
   absl::Time last_event_at = absl::InfiniteFuture();
