Read a caller's request in steps, and connect in one place

Change: serve_one waits, reads the head and reads the body by functions of their own; a fetch connects, then calls. connect_to in http-fetch.h serves fetches and exchanges. exchange::sent, which nothing read, is gone. Members and private functions say what they are for. Behaviour is meant to be unchanged.

--- a/src/caller-session.cc
+++ b/src/caller-session.cc
@@ -1,7 +1,9 @@
+// Reading of callers' requests, and the end of their connections.
 #include "caller-session.h"
 
 #include <absl/strings/match.h>
 
+#include <array>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -16,12 +18,12 @@
 namespace http = boost::beast::http;
 using detail::use_tuple;
 using net::ip::tcp;
-using request_parser = http::request_parser<http::string_body>;
 
 /// A caller whose request was refused unread gets this long to read why.
+/// Chosen.
 constexpr absl::Duration linger_time = absl::Milliseconds(500);
 
-/// A whole body must come within this many times the head's time.
+/// A whole body must come within this many times the head's time. Chosen.
 constexpr int body_time_factor = 10;
 
 /// The status for an error of reading a request; 0 for a connection that
@@ -40,7 +42,7 @@
 }
 
 /// Whether the request's framing can be understood in one way only.
-bool sound_framing(const request_parser& parser) {
+bool sound_framing(const http::request_parser<http::string_body>& parser) {
   const auto& head = parser.get();
   const auto coding = head.find(http::field::transfer_encoding);
   if (coding != head.end()) {
@@ -103,7 +105,9 @@
   this->limit = this->node.now() + linger_time;
   boost::system::error_code ignored;
   this->socket.shutdown(tcp::socket::shutdown_send, ignored);
-  char sink[4096];
+  // Read until the caller closes, so that its last bytes cause no reset that
+  // takes the answer away from it.
+  std::array<char, 4096> sink;
   for (;;) {
     auto [error, size] =
         co_await this->socket.async_read_some(net::buffer(sink), use_tuple);
@@ -113,7 +117,7 @@
 
 net::awaitable<void> caller_session::refuse(unsigned status,
                                             const char* reason) {
-  http_response response(static_cast<http::status>(status), 11);
+  http_response response(static_cast<http::status>(status), http_11);
   response.set(http::field::content_type, "text/plain");
   response.keep_alive(false);
   response.body() = reason;
@@ -124,6 +128,45 @@
   if (co_await this->write(response)) co_await this->close_after_answer();
 }
 
+net::awaitable<bool> caller_session::wait_for_request() {
+  if (this->buffer.size() != 0) co_return true;
+  auto [error] =
+      co_await this->socket.async_wait(tcp::socket::wait_read, use_tuple);
+  co_return !error;
+}
+
+net::awaitable<bool> caller_session::read_head(request_parser& parser) {
+  auto [error, size] = co_await http::async_read_header(
+      this->socket, this->buffer, parser, use_tuple);
+  if (error) {
+    const unsigned status = status_of(error);
+    if (status != 0) co_await this->refuse(status, "request head not accepted");
+    co_return false;
+  }
+  if (!sound_framing(parser)) {
+    co_await this->refuse(400, "ambiguous request length");
+    co_return false;
+  }
+  co_return true;
+}
+
+net::awaitable<bool> caller_session::read_body(request_parser& parser) {
+  if (parser.is_done()) co_return true;
+  if (absl::EqualsIgnoreCase(std::string(parser.get()[http::field::expect]),
+                             "100-continue")) {
+    http_response go_on(http::status::continue_, http_11);
+    auto [failed, sent] =
+        co_await http::async_write(this->socket, go_on, use_tuple);
+    if (failed) co_return false;
+  }
+  auto [error, size] =
+      co_await http::async_read(this->socket, this->buffer, parser, use_tuple);
+  if (!error) co_return true;
+  const unsigned status = status_of(error);
+  if (status != 0) co_await this->refuse(status, "request body not accepted");
+  co_return false;
+}
+
 net::awaitable<bool> caller_session::serve_one() {
   const caller_limits limits =
       this->node.routes ? this->node.routes->config().limits : caller_limits{};
@@ -133,44 +176,16 @@
   parser.eager(true);
   this->phase = session_phase::idle;
   this->limit = this->node.now() + limits.idle_timeout;
-  if (this->buffer.size() == 0) {
-    auto [error] =
-        co_await this->socket.async_wait(tcp::socket::wait_read, use_tuple);
-    if (error) co_return false;
-  }
+  const bool begun = co_await this->wait_for_request();
+  if (!begun) co_return false;
   this->phase = session_phase::reading;
   const absl::Time arrived = this->node.now();
   this->limit = arrived + limits.head_timeout;
-  auto [head_error, head_size] = co_await http::async_read_header(
-      this->socket, this->buffer, parser, use_tuple);
-  if (head_error) {
-    const unsigned status = status_of(head_error);
-    if (status != 0) co_await this->refuse(status, "request head not accepted");
-    co_return false;
-  }
-  if (!sound_framing(parser)) {
-    co_await this->refuse(400, "ambiguous request length");
-    co_return false;
-  }
+  const bool head_read = co_await this->read_head(parser);
+  if (!head_read) co_return false;
   this->limit = arrived + body_time_factor * limits.head_timeout;
-  if (!parser.is_done()) {
-    if (absl::EqualsIgnoreCase(std::string(parser.get()[http::field::expect]),
-                               "100-continue")) {
-      http_response go_on(http::status::continue_, 11);
-      auto [error, size] =
-          co_await http::async_write(this->socket, go_on, use_tuple);
-      if (error) co_return false;
-    }
-    auto [error, size] = co_await http::async_read(this->socket, this->buffer,
-                                                   parser, use_tuple);
-    if (error) {
-      const unsigned status = status_of(error);
-      if (status != 0) {
-        co_await this->refuse(status, "request body not accepted");
-      }
-      co_return false;
-    }
-  }
+  const bool body_read = co_await this->read_body(parser);
+  if (!body_read) co_return false;
   const bool keep_alive = parser.keep_alive();
   this->phase = session_phase::serving;
   if (this->buffer.size() == 0) this->watch_caller();
--- a/src/caller-session.h
+++ b/src/caller-session.h
@@ -6,6 +6,8 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <memory>
 
 #include "node-context.h"
@@ -44,12 +46,28 @@
   session_phase phase = session_phase::idle;
 
  private:
+  using request_parser =
+      boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+  /// Reads and serves one request. Returns whether the connection may be used
+  /// on.
   boost::asio::awaitable<bool> serve_one();
+  /// Waits for the first byte of a request. False if the caller is gone.
+  boost::asio::awaitable<bool> wait_for_request();
+  /// Reads a head, or answers why not. False if there is none.
+  boost::asio::awaitable<bool> read_head(request_parser& parser);
+  /// Reads a body, or answers why not. False if it is not whole.
+  boost::asio::awaitable<bool> read_body(request_parser& parser);
+  /// Answers that the request was not accepted, and ends the connection.
   boost::asio::awaitable<void> refuse(unsigned status, const char* reason);
+  /// Lets the caller read what was sent before the connection is closed.
   boost::asio::awaitable<void> close_after_answer();
+  /// Notices a caller that goes while its request is served.
   void watch_caller();
 
+  /// Bytes that were read beyond the last request.
   boost::beast::flat_buffer buffer;
+  /// When what the connection waits for is overdue.
   absl::Time limit = absl::InfiniteFuture();
 };
 
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -1,5 +1,7 @@
+// The steps of one exchange with a backend server.
 #include "exchange.h"
 
+#include <algorithm>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -11,7 +13,6 @@
 namespace net = boost::asio;
 namespace http = boost::beast::http;
 using detail::use_tuple;
-using net::ip::tcp;
 
 /// Largest head of an answer, in bytes.
 constexpr uint32_t largest_head = 64 << 10;
@@ -82,20 +83,14 @@
       co_return "";
     }
   }
-  boost::system::error_code error;
-  const auto endpoint = parse_endpoint(this->place.address, error);
-  if (error) co_return error.message();
   const absl::Time whole = this->limit;
   this->limit = std::min(whole, this->node.now() + connect_limit);
-  auto [failed] = co_await this->socket.async_connect(endpoint, use_tuple);
+  const auto error = co_await connect_to(this->socket, this->place.address);
   this->limit = whole;
-  if (failed) co_return failed.message();
-  this->socket.set_option(tcp::no_delay(true), error);
-  co_return "";
+  co_return error ? error.message() : std::string();
 }
 
 net::awaitable<std::string> exchange::send(http_request& request) {
-  this->sent = true;
   this->sent_at = this->node.now();
   auto [error, size] =
       co_await http::async_write(this->socket, request, use_tuple);
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -36,6 +36,7 @@
 /// Why an exchange was broken off from this side.
 enum class abort_cause { none, caller_gone, time_up, stalled };
 
+/// A cause's name, for logs.
 const char* abort_cause_name(abort_cause cause);
 
 /// A connection to a backend server while it serves one request. Another part
@@ -60,9 +61,11 @@
   /// Reads some of the body into `out`. Empty on success, otherwise the error.
   boost::asio::awaitable<std::string> read_some(std::string& out);
 
+  /// The answer's head, once it is read.
   const boost::beast::http::response_header<>& head() const {
     return this->parser->get().base();
   }
+  /// Whether the whole body has been read.
   bool body_done() const { return this->parser->is_done(); }
 
   /// Keeps the connection for another request, if it may serve one.
@@ -77,9 +80,9 @@
   node_context& node;
   const request_place place;
   const double prompt_tokens;
-  /// Whether a byte of the request may have reached the server.
-  bool sent = false;
+  /// Whether it uses a connection that has served another request.
   bool reused = false;
+  /// Why it was broken off; none if it was not.
   abort_cause aborted = abort_cause::none;
   /// When it is broken off, whatever it waits for.
   absl::Time limit = absl::InfiniteFuture();
@@ -87,12 +90,15 @@
   bool blocked = false;
   /// Whether a stream's events are coming.
   bool writing = false;
+  /// When it began to send the request.
   absl::Time sent_at = absl::InfiniteFuture();
+  /// When the last event of a stream came.
   absl::Time last_event = absl::InfinitePast();
   /// When the first event is overdue.
   absl::Time first_event_by = absl::InfiniteFuture();
 
  private:
+  /// Bytes that one read takes at most. Chosen: some events of a stream.
   static constexpr size_t read_size = 16 << 10;
 
   boost::asio::ip::tcp::socket socket;
@@ -100,6 +106,7 @@
   std::optional<
       boost::beast::http::response_parser<boost::beast::http::buffer_body>>
       parser;
+  /// Where a read of the body puts its bytes.
   std::array<char, read_size> chunk;
 };
 
--- a/src/http-fetch.cc
+++ b/src/http-fetch.cc
@@ -1,3 +1,4 @@
+// Calls on kept connections, each with a deadline.
 #include "http-fetch.h"
 
 #include <absl/strings/numbers.h>
@@ -7,6 +8,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <limits>
 
 #include "clock.h"
 #include "detail/socket.h"
@@ -22,7 +24,7 @@
 /// Largest answer that is read, in bytes: a page of the store's list and some.
 constexpr uint64_t largest_answer = 16 << 20;
 
-/// Kept connections to one address.
+/// Kept connections to one address. Chosen: calls to one address are few.
 constexpr size_t most_kept = 4;
 
 /// Closes a socket when its time is up.
@@ -49,7 +51,7 @@
   int port = 0;
   if (colon == std::string::npos ||
       !absl::SimpleAtoi(address.substr(colon + 1), &port) || port < 0 ||
-      port > 65535) {
+      port > std::numeric_limits<uint16_t>::max()) {
     error = net::error::invalid_argument;
     return {};
   }
@@ -57,7 +59,19 @@
   return {ip, static_cast<uint16_t>(port)};
 }
 
-std::shared_ptr<tcp::socket> http_fetcher::take(const std::string& address) {
+net::awaitable<boost::system::error_code> connect_to(
+    tcp::socket& socket, const std::string& address) {
+  boost::system::error_code error;
+  const auto endpoint = parse_endpoint(address, error);
+  if (error) co_return error;
+  auto [failed] = co_await socket.async_connect(endpoint, use_tuple);
+  if (failed) co_return failed;
+  boost::system::error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  co_return failed;
+}
+
+http_fetcher::socket_ptr http_fetcher::take(const std::string& address) {
   auto& kept = this->idle[address];
   while (!kept.empty()) {
     auto socket = kept.back().socket;
@@ -76,18 +90,20 @@
   if (fresh) socket = std::make_shared<tcp::socket>(this->executor);
   socket_deadline deadline(socket, limit);
   if (fresh) {
-    boost::system::error_code error;
-    const auto endpoint = parse_endpoint(address, error);
-    if (!error) {
-      auto [failed] = co_await socket->async_connect(endpoint, use_tuple);
-      error = failed;
-    }
+    const auto error = co_await connect_to(*socket, address);
     if (error) {
       out.error = error.message();
       co_return out;
     }
-    socket->set_option(tcp::no_delay(true), error);
   }
+  co_await this->call(address, socket, request, out);
+  co_return out;
+}
+
+net::awaitable<void> http_fetcher::call(const std::string& address,
+                                        const socket_ptr& socket,
+                                        http_request& request,
+                                        fetch_result& out) {
   request.set(http::field::host, address);
   request.set(http::field::user_agent, this->agent);
   request.prepare_payload();
@@ -96,7 +112,7 @@
       co_await http::async_write(*socket, request, use_tuple);
   if (write_error) {
     out.error = write_error.message();
-    co_return out;
+    co_return;
   }
   http::response_parser<http::string_body> parser;
   parser.body_limit(largest_answer);
@@ -105,14 +121,13 @@
       co_await http::async_read(*socket, buffer, parser, use_tuple);
   if (read_error) {
     out.error = read_error.message();
-    co_return out;
+    co_return;
   }
   out.status = fetch_status::ok;
   const bool keep = parser.get().keep_alive() && buffer.size() == 0;
   out.response = parser.release();
   auto& kept = this->idle[address];
   if (keep && kept.size() < most_kept) kept.push_back({socket, boot_now()});
-  co_return out;
 }
 
 void http_fetcher::close_idle(absl::Duration age, absl::Time now) {
--- a/src/http-fetch.h
+++ b/src/http-fetch.h
@@ -20,6 +20,10 @@
 boost::asio::ip::tcp::endpoint parse_endpoint(const std::string& address,
                                               boost::system::error_code& error);
 
+/// Connects an unused socket to "A.B.C.D:PORT". Gives the error, if any.
+boost::asio::awaitable<boost::system::error_code> connect_to(
+    boost::asio::ip::tcp::socket& socket, const std::string& address);
+
 /// How far a call came.
 enum class fetch_status {
   ok,
@@ -33,6 +37,7 @@
 struct fetch_result {
   fetch_status status = fetch_status::not_sent;
   http_response response;
+  /// Why there is no whole answer, for the log.
   std::string error;
 };
 
@@ -53,15 +58,21 @@
   void close_idle(absl::Duration age, absl::Time now);
 
  private:
+  using socket_ptr = std::shared_ptr<boost::asio::ip::tcp::socket>;
   struct kept {
-    std::shared_ptr<boost::asio::ip::tcp::socket> socket;
+    socket_ptr socket;
     absl::Time since;
   };
-  std::shared_ptr<boost::asio::ip::tcp::socket> take(
-      const std::string& address);
+  /// A kept connection that may be used; null if there is none.
+  socket_ptr take(const std::string& address);
+  /// Sends a request over a connection and reads the whole answer.
+  boost::asio::awaitable<void> call(const std::string& address,
+                                    const socket_ptr& socket,
+                                    http_request& request, fetch_result& out);
 
   boost::asio::any_io_executor executor;
   std::string agent;
+  /// Kept connections by address.
   std::map<std::string, std::vector<kept>> idle;
 };
 
