Split the small fleet into servers, store and sample configuration

Change: fleet-store.cc is the object store, fleet-sample.{h,cc} services and configuration, fleet-loop.h what both share; the emulator's steps are functions of their own. The unused times are gone from the calls in the tests as well; what the tests ask for stands. Behaviour is meant to be unchanged.

--- a/standin/fleet-emulator.cc
+++ b/standin/fleet-emulator.cc
@@ -1,3 +1,4 @@
+// What the emulated engines do with orders, and what time does to them.
 #include "fleet-emulator.h"
 
 #include <absl/strings/str_cat.h>
@@ -7,9 +8,14 @@
 namespace spokesail::standin {
 namespace {
 
+/// A late order is carried out this long after it was given, and up to the
+/// span later.
 constexpr absl::Duration least_late = absl::Seconds(2);
 constexpr absl::Duration late_span = absl::Seconds(10);
 
+/// Time that an ordered close takes, in which running streams end. Chosen.
+constexpr absl::Duration close_time = absl::Seconds(1);
+
 /// An order's answer that the sender waits for in vain is not told; what it
 /// sees is this.
 constexpr order_result no_answer = order_result::unknown;
@@ -47,7 +53,7 @@
   this->pending.push_back({now + this->timing.lapse, listed, true});
 }
 
-void fleet_emulator::set_dark(const std::string& id, bool dark, absl::Time) {
+void fleet_emulator::set_dark(const std::string& id, bool dark) {
   this->servers.at(id).dark = dark;
 }
 
@@ -123,7 +129,7 @@
   this->loads.push_back(now);
 }
 
-void fleet_emulator::advance(absl::Time now) {
+void fleet_emulator::carry_out_late(absl::Time now) {
   std::vector<late_order> due;
   std::erase_if(this->late, [&](const auto& item) {
     if (item.at > now) return false;
@@ -131,31 +137,30 @@
     return true;
   });
   for (const auto& item : due) this->carry_out(item.order, now);
-  for (auto& [id, s] : this->servers) {
-    if (!s.alive) continue;
-    if (now >= s.load_done) {
-      s.entry.staged = {s.loading};
-      s.loading.clear();
-      s.load_done = absl::InfiniteFuture();
-      this->publish(s, now);
-    }
-    if (now >= s.phase_done) {
-      s.phase_done = absl::InfiniteFuture();
-      group_membership& said = s.entry.membership;
-      if (said.phase == member_phase::joining) {
-        said.phase = member_phase::ready;
-      } else if (said.phase == member_phase::ready) {
-        said.phase = member_phase::open;
-        this->check_open(s);
-      } else if (said.phase == member_phase::closing) {
-        said.phase = member_phase::ready;
-      }
-      this->publish(s, now);
-    }
+}
+
+void fleet_emulator::end_due(server& s, absl::Time now) {
+  if (now >= s.load_done) {
+    s.entry.staged = {s.loading};
+    s.loading.clear();
+    s.load_done = absl::InfiniteFuture();
+    this->publish(s, now);
   }
-  for (auto& [id, s] : this->servers) {
-    if (s.alive) this->watch_head(s, now);
+  if (now < s.phase_done) return;
+  s.phase_done = absl::InfiniteFuture();
+  group_membership& said = s.entry.membership;
+  if (said.phase == member_phase::joining) {
+    said.phase = member_phase::ready;
+  } else if (said.phase == member_phase::ready) {
+    said.phase = member_phase::open;
+    this->check_open(s);
+  } else if (said.phase == member_phase::closing) {
+    said.phase = member_phase::ready;
   }
+  this->publish(s, now);
+}
+
+void fleet_emulator::show_entries(absl::Time now) {
   std::erase_if(this->pending, [&](const auto& item) {
     if (item.at > now) return false;
     if (item.gone) {
@@ -168,8 +173,18 @@
   });
 }
 
-void fleet_emulator::check_join(const server& s, const group_order& order,
-                                absl::Time) {
+void fleet_emulator::advance(absl::Time now) {
+  this->carry_out_late(now);
+  for (auto& [id, s] : this->servers) {
+    if (s.alive) this->end_due(s, now);
+  }
+  for (auto& [id, s] : this->servers) {
+    if (s.alive) this->watch_head(s, now);
+  }
+  this->show_entries(now);
+}
+
+void fleet_emulator::check_join(const server& s, const group_order& order) {
   const group_membership& said = s.entry.membership;
   if (said.phase == member_phase::none || said.group == order.group) return;
   const auto head = this->servers.find(s.members.front());
@@ -193,7 +208,7 @@
   if (same && said.phase != member_phase::none) {
     return order_result::already_done;
   }
-  this->check_join(s, order, now);
+  this->check_join(s, order);
   const model_profile* model = find_model(*this->service.engine, order.model);
   if (model == nullptr) return order_result::rejected;
   const auto& staged = s.entry.staged;
@@ -226,47 +241,44 @@
   }
   server& s = found->second;
   if (order.expected_orders != s.orders) return order_result::conflict;
+  const order_result result = this->apply(s, order, now);
+  // A leave is done at once, and counted all the same.
+  const bool left = order.kind == group_order_kind::leave &&
+                    result == order_result::already_done;
+  if (result == order_result::begun || left) {
+    s.orders++;
+    this->publish(s, now);
+  }
+  return result;
+}
+
+order_result fleet_emulator::apply(server& s, const group_order& order,
+                                   absl::Time now) {
   group_membership& said = s.entry.membership;
   const bool named = said.group == order.group && said.epoch == order.epoch &&
                      said.phase != member_phase::none;
-  order_result result = order_result::conflict;
   switch (order.kind) {
     case group_order_kind::join:
-      result = this->join(s, order, now);
-      break;
+      return this->join(s, order, now);
     case group_order_kind::open:
-      if (named && said.rank == 0 && said.phase == member_phase::ready) {
-        s.phase_done = now + this->service.engine->open_time;
-        result = order_result::begun;
-      }
-      break;
+      if (!named || said.rank != 0 || said.phase != member_phase::ready) break;
+      s.phase_done = now + this->service.engine->open_time;
+      return order_result::begun;
     case group_order_kind::close:
-      if (named && said.phase == member_phase::open) {
-        said.phase = member_phase::closing;
-        s.phase_done = now + absl::Seconds(1);
-        result = order_result::begun;
-      }
-      break;
+      if (!named || said.phase != member_phase::open) break;
+      said.phase = member_phase::closing;
+      s.phase_done = now + close_time;
+      return order_result::begun;
     case group_order_kind::leave:
-      if (named) {
-        said = {};
-        s.phase_done = absl::InfiniteFuture();
-        // Done at once, and counted all the same.
-        s.orders++;
-        this->publish(s, now);
-        return order_result::already_done;
-      }
-      break;
+      if (!named) break;
+      said = {};
+      s.phase_done = absl::InfiniteFuture();
+      return order_result::already_done;
     case group_order_kind::stage:
       this->begin_load(s, order.model, now);
-      result = order_result::begun;
-      break;
+      return order_result::begun;
   }
-  if (result == order_result::begun) {
-    s.orders++;
-    this->publish(s, now);
-  }
-  return result;
+  return order_result::conflict;
 }
 
 order_result fleet_emulator::give(const group_order& order, absl::Time now) {
--- a/standin/fleet-emulator.h
+++ b/standin/fleet-emulator.h
@@ -4,6 +4,7 @@
 
 #include <absl/time/time.h>
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -35,6 +36,7 @@
   absl::Duration lapse = absl::Milliseconds(3600);
   /// A head whose group lost a member gives up after this.
   absl::Duration stall = absl::Seconds(5);
+  /// Joining again for the model of its last group.
   absl::Duration rejoin = absl::Milliseconds(200);
   bool operator==(const emulator_timing&) const = default;
 };
@@ -53,7 +55,7 @@
   void kill(const std::string& id, absl::Time now);
 
   /// Cuts a server off from callers and from its group, or heals the cut.
-  void set_dark(const std::string& id, bool dark, absl::Time now);
+  void set_dark(const std::string& id, bool dark);
 
   /// Announces that a server is leaving.
   void drain(const std::string& id, absl::Time now);
@@ -93,7 +95,9 @@
     server_entry entry;
     bool alive = true;
     bool dark = false;
+    /// Orders that it has begun.
     int64_t orders = 0;
+    /// Highest epoch of the groups it has joined.
     int64_t epoch_seen = 0;
     std::vector<std::string> members;
     absl::Time phase_done = absl::InfiniteFuture();
@@ -103,22 +107,38 @@
     /// Of a head: since when a member has been missing.
     absl::Time stalled_since = absl::InfiniteFuture();
   };
+  /// An order that is carried out long after it was given.
   struct late_order {
     group_order order;
     absl::Time at;
   };
+  /// A change that readers of the store see at `at`.
   struct news {
     absl::Time at;
     listed_server server;
     bool gone = false;
   };
 
+  /// Carries an order out if the server would. The result is the server's.
   order_result carry_out(const group_order& order, absl::Time now);
+  /// What an order does to a server that takes it.
+  order_result apply(server& s, const group_order& order, absl::Time now);
   order_result join(server& s, const group_order& order, absl::Time now);
-  void check_join(const server& s, const group_order& order, absl::Time now);
+  /// Notes a join of a server whose group still serves.
+  void check_join(const server& s, const group_order& order);
+  /// Notes an opening of a group that is not ready.
   void check_open(const server& head);
+  /// Whether a member of `head`'s group is there and belongs to it.
   bool member_in_place(const server& head, const std::string& id) const;
+  /// Carries out late orders that are due.
+  void carry_out_late(absl::Time now);
+  /// Ends a load, a join, an opening or a closing that is due.
+  void end_due(server& s, absl::Time now);
+  /// Breaks a head that has stood still for too long.
   void watch_head(server& head, absl::Time now);
+  /// Shows readers of the store the changes that are due.
+  void show_entries(absl::Time now);
+  /// Has a server's entry reach the readers of the store after the lag.
   void publish(const server& s, absl::Time now);
   void begin_load(server& s, const std::string& model, absl::Time now);
 
--- a/standin/fleet-standin.cc
+++ b/standin/fleet-standin.cc
@@ -1,19 +1,19 @@
+// The small fleet's servers.
 #include "fleet-standin.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
-#include <absl/strings/str_split.h>
 #include <absl/time/clock.h>
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "fleet-loop.h"
+#include "fleet-sample.h"
+
 namespace spokesail::standin {
 namespace {
 
@@ -21,100 +21,33 @@
 namespace http = boost::beast::http;
 using net::ip::tcp;
 using json = nlohmann::json;
-constexpr auto use_tuple = net::as_tuple(net::use_awaitable);
 
-constexpr char engine_service_name[] = "lm";
-constexpr char plain_service_name[] = "status";
-constexpr absl::Duration tick_time = absl::Milliseconds(5);
+/// Time between two events of a stream.
 constexpr absl::Duration event_time = absl::Milliseconds(15);
 constexpr int events_per_stream = 12;
 
-/// Figures of a small engine that loads within a test's time.
-backend_service small_service() {
-  engine_profile engine;
-  engine.slots = 8;
-  engine.stride = 5;
-  engine.step_ms = 3;
-  engine.read_tokens_per_ms = 46;
-  engine.read_chunk = 2048;
-  engine.loads_per_s = 4;
-  engine.loads_at_once = 6;
-  engine.open_time = absl::Milliseconds(30);
-  engine.models = {
-      {"large", 2, 1.0, 1, absl::Milliseconds(120), absl::Milliseconds(60)}};
-  return {engine_service_name, 100, engine};
-}
-
-json engine_json() {
-  return {{"slots", 8},
-          {"kv_capacity", 100000},
-          {"stride", 5},
-          {"step_ms", 3.0},
-          {"per_seq_ms", 0.2},
-          {"context_per_k", 0.0},
-          {"read_per_s", 46000.0},
-          {"chunk", 2048},
-          {"report_lag_ms", 50.0},
-          {"loads_per_s", 4.0},
-          {"loads_at_once", 6},
-          {"keeps", 1},
-          {"form_ms", 30.0},
-          {"usual", {{"prompt", 100}, {"answer", 60}}},
-          {"models", json::array({{{"name", "large"},
-                                   {"size", 2},
-                                   {"share", 1.0},
-                                   {"pace", 1.0},
-                                   {"load_s", 0.12},
-                                   {"warm_s", 0.06}}})}};
-}
-
-const char* phase_word(member_phase phase) { return phase_name(phase); }
-
-json entry_json(const server_entry& e) {
-  json out = {
-      {"service", e.service}, {"addr", e.address},
-      {"zone", e.hall},       {"version", "v1"},
-      {"slots", 8},           {"state", e.draining ? "draining" : "ready"},
-      {"cold_left_ms", 0},    {"seq", 1}};
-  if (e.domain.empty()) return out;
-  out["domain"] = e.domain;
-  out["staged"] = e.staged;
-  out["models"] = json::array();
-  if (e.membership.phase != member_phase::none) {
-    out["group"] = {{"name", e.membership.group},
-                    {"epoch", e.membership.epoch},
-                    {"rank", e.membership.rank},
-                    {"state", phase_word(e.membership.phase)}};
-  }
-  return out;
-}
-
-std::string text_of(const fleet_standin::request& in, const char* name) {
-  const auto found = in.find(name);
-  return found == in.end() ? "" : std::string(found->value());
-}
-
-fleet_standin::response answer_of(unsigned status, const std::string& body) {
-  fleet_standin::response out(static_cast<http::status>(status), 11);
-  out.body() = body;
-  return out;
-}
-
-int64_t number_in(const std::string& query, const std::string& name) {
-  for (absl::string_view part : absl::StrSplit(query, '&')) {
-    int64_t value = -1;
-    if (absl::ConsumePrefix(&part, name + "=") &&
-        absl::SimpleAtoi(part, &value)) {
-      return value;
-    }
-  }
-  return -1;
-}
-
-net::awaitable<void> sleep_for(absl::Duration time) {
-  net::steady_timer timer(co_await net::this_coro::executor);
-  timer.expires_after(absl::ToChronoNanoseconds(time));
-  co_await timer.async_wait(use_tuple);
+/// The order to `server` that a request's body holds; nothing if its kind is
+/// not known.
+std::optional<group_order> read_order(const std::string& server,
+                                      const std::string& text) {
+  static const std::map<std::string, group_order_kind> kinds_by_name = {
+      {"join", group_order_kind::join},
+      {"open", group_order_kind::open},
+      {"close", group_order_kind::close},
+      {"leave", group_order_kind::leave},
+      {"stage", group_order_kind::stage}};
+  const json body = json::parse(text, nullptr, false);
+  const auto kind = kinds_by_name.find(body.value("op", ""));
+  if (kind == kinds_by_name.end()) return std::nullopt;
+  group_order order;
+  order.kind = kind->second;
+  order.server = server;
+  order.group = body.value("group", "");
+  order.epoch = body.value("epoch", int64_t{0});
+  order.model = body.value("model", "");
+  order.members = body.value("members", std::vector<std::string>{});
+  order.expected_orders = body.value("expect_rev", int64_t{0});
+  return order;
 }
 
 std::string address_of(const tcp::acceptor& acceptor) {
@@ -160,60 +93,13 @@
 }
 
 json fleet_standin::sample_config(const std::vector<std::string>& keys) const {
-  static int64_t version = 0;
-  json route = {{"host", "callers.example"},
-                {"timeout_ms", 4000},
-                {"goal_ms", 500},
-                {"priority", 1},
-                {"attempts", 2},
-                {"public", false}};
-  json stream = route;
-  stream.update({{"name", "draft"},
-                 {"prefix", "/draft/"},
-                 {"kind", "streaming"},
-                 {"service", engine_service_name},
-                 {"resumable", true},
-                 {"gap_aim_ms", 300},
-                 {"sticky", true}});
-  json once = route;
-  once.update({{"name", "file"},
-               {"prefix", "/file/"},
-               {"kind", "unsafe"},
-               {"service", plain_service_name},
-               {"attempts", 1}});
-  json safe = route;
-  safe.update({{"name", "look"},
-               {"prefix", "/look/"},
-               {"kind", "safe"},
-               {"service", plain_service_name}});
-  return {{"version", ++version},
-          {"routes", json::array({stream, once, safe})},
-          {"services", json::array({{{"name", engine_service_name},
-                                     {"health_path", "/health"},
-                                     {"max_conns", 100},
-                                     {"engine", engine_json()}},
-                                    {{"name", plain_service_name},
-                                     {"health_path", "/health"},
-                                     {"max_conns", 100}}})},
-          {"limits",
-           {{"max_header_bytes", 16384},
-            {"max_body_bytes", 65536},
-            {"header_timeout_ms", 3000},
-            {"idle_timeout_ms", 15000}}},
-          {"tenants",
-           json::array(
-               {{{"name", "north"}, {"api_keys", keys}, {"priority", 1}}})}};
+  return sample_config_json(keys);
 }
 
 void fleet_standin::configure(const json& spec) {
   this->put("config", "main", spec);
 }
 
-void fleet_standin::put(const std::string& kind, const std::string& name,
-                        const json& spec) {
-  this->kinds[kind][name] = {spec, ++this->revision, false};
-}
-
 std::string fleet_standin::serving_head(const std::string& model) const {
   for (const auto& h : this->hosts) {
     if (h->plain || !this->emulator.open_head(h->id)) continue;
@@ -267,107 +153,6 @@
   }
 }
 
-json fleet_standin::object_json(const std::string& name,
-                                const stored& o) const {
-  return {{"meta", {{"name", name}, {"rev", o.revision}}},
-          {"spec", o.spec},
-          {"status", nullptr}};
-}
-
-net::awaitable<void> fleet_standin::accept_store() {
-  for (;;) {
-    auto [error, socket] = co_await this->store.async_accept(use_tuple);
-    if (error) co_return;
-    auto shared = std::make_shared<tcp::socket>(std::move(socket));
-    net::co_spawn(this->loop, this->serve_store(shared), net::detached);
-  }
-}
-
-net::awaitable<void> fleet_standin::serve_store(socket_ptr socket) {
-  boost::beast::flat_buffer buffer;
-  for (;;) {
-    request in;
-    auto [error, size] =
-        co_await http::async_read(*socket, buffer, in, use_tuple);
-    if (error) co_return;
-    while (this->faults.store_silent) co_await sleep_for(tick_time);
-    response out = co_await this->store_answer(in);
-    out.prepare_payload();
-    auto [failed, sent] = co_await http::async_write(*socket, out, use_tuple);
-    if (failed) co_return;
-  }
-}
-
-net::awaitable<fleet_standin::response> fleet_standin::store_answer(
-    const request& in) {
-  const std::string agent(in[http::field::user_agent]);
-  if (this->faults.refused_nodes.count(agent) != 0) {
-    co_return answer_of(503, "");
-  }
-  const std::vector<std::string> halves =
-      absl::StrSplit(std::string(in.target()), absl::MaxSplits('?', 1));
-  const std::vector<std::string> parts = absl::StrSplit(halves[0], '/');
-  if (parts.size() < 4) co_return answer_of(404, "");
-  const std::string& kind = parts[3];
-  const std::string name = parts.size() > 4 ? parts[4] : "";
-  if (in.method() != http::verb::get) {
-    co_return this->write_object(in, kind, name);
-  }
-  this->record.store_reads++;
-  if (!name.empty()) {
-    const auto found = this->kinds[kind].find(name);
-    if (found == this->kinds[kind].end()) co_return answer_of(404, "");
-    co_return answer_of(200, this->object_json(name, found->second).dump());
-  }
-  const std::string query = halves.size() > 1 ? halves[1] : "";
-  co_return co_await this->read_kind(kind, query);
-}
-
-net::awaitable<fleet_standin::response> fleet_standin::read_kind(
-    const std::string& kind, const std::string& query) {
-  const int64_t since = number_in(query, "watch");
-  if (since < 0) {
-    json items = json::array();
-    for (const auto& [name, o] : this->kinds[kind]) {
-      if (!o.gone) items.push_back(this->object_json(name, o));
-    }
-    co_return answer_of(
-        200, json({{"items", items}, {"more", false}, {"at", this->revision}})
-                 .dump());
-  }
-  const absl::Time until =
-      absl::Now() + absl::Milliseconds(number_in(query, "wait_ms"));
-  json events = json::array();
-  while (events.empty() && absl::Now() < until) {
-    for (const auto& [name, o] : this->kinds[kind]) {
-      if (o.revision <= since) continue;
-      events.push_back(
-          {{"object", this->object_json(name, o)}, {"gone", o.gone}});
-    }
-    if (events.empty()) co_await sleep_for(tick_time);
-  }
-  co_return answer_of(
-      200, json({{"events", events}, {"at", this->revision}}).dump());
-}
-
-fleet_standin::response fleet_standin::write_object(const request& in,
-                                                    const std::string& kind,
-                                                    const std::string& name) {
-  const json body = json::parse(in.body(), nullptr, false);
-  const json meta = body.value("meta", json::object());
-  const std::string target = name.empty() ? meta.value("name", "") : name;
-  auto& objects = this->kinds[kind];
-  const auto found = objects.find(target);
-  const bool create = in.method() == http::verb::post;
-  if (!create && found == objects.end()) return answer_of(404, "");
-  const bool stale =
-      found != objects.end() &&
-      (create || meta.value("rev", int64_t{0}) != found->second.revision);
-  if (!stale) this->put(kind, target, body.value("spec", json()));
-  return answer_of(stale ? 409 : 200,
-                   this->object_json(target, objects[target]).dump());
-}
-
 net::awaitable<void> fleet_standin::accept_host(host& h) {
   for (;;) {
     auto [error, socket] = co_await h.acceptor->async_accept(use_tuple);
@@ -394,24 +179,9 @@
 
 fleet_standin::response fleet_standin::order_answer(host& h,
                                                     const request& in) {
-  const json body = json::parse(in.body(), nullptr, false);
-  const std::map<std::string, group_order_kind> kinds_by_name = {
-      {"join", group_order_kind::join},
-      {"open", group_order_kind::open},
-      {"close", group_order_kind::close},
-      {"leave", group_order_kind::leave},
-      {"stage", group_order_kind::stage}};
-  const auto kind = kinds_by_name.find(body.value("op", ""));
-  if (kind == kinds_by_name.end()) return answer_of(400, "");
-  group_order order;
-  order.kind = kind->second;
-  order.server = h.id;
-  order.group = body.value("group", "");
-  order.epoch = body.value("epoch", int64_t{0});
-  order.model = body.value("model", "");
-  order.members = body.value("members", std::vector<std::string>{});
-  order.expected_orders = body.value("expect_rev", int64_t{0});
-  switch (this->emulator.give(order, absl::Now())) {
+  const auto order = read_order(h.id, in.body());
+  if (!order) return answer_of(400, "");
+  switch (this->emulator.give(*order, absl::Now())) {
     case order_result::begun:
       return answer_of(202, "");
     case order_result::already_done:
--- /dev/null
+++ b/standin/fleet-store.cc
@@ -0,0 +1,142 @@
+// The small fleet's object store.
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
+#include <absl/strings/strip.h>
+#include <absl/time/clock.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include "fleet-loop.h"
+
+namespace spokesail::standin {
+namespace {
+
+namespace net = boost::asio;
+namespace http = boost::beast::http;
+using net::ip::tcp;
+using json = nlohmann::json;
+
+/// The number of one part of a query; -1 if there is none.
+int64_t number_in(const std::string& query, const std::string& name) {
+  for (absl::string_view part : absl::StrSplit(query, '&')) {
+    int64_t value = -1;
+    if (absl::ConsumePrefix(&part, name + "=") &&
+        absl::SimpleAtoi(part, &value)) {
+      return value;
+    }
+  }
+  return -1;
+}
+
+}  // namespace
+
+void fleet_standin::put(const std::string& kind, const std::string& name,
+                        const json& spec) {
+  this->kinds[kind][name] = {spec, ++this->revision, false};
+}
+
+json fleet_standin::object_json(const std::string& name,
+                                const stored& o) const {
+  return {{"meta", {{"name", name}, {"rev", o.revision}}},
+          {"spec", o.spec},
+          {"status", nullptr}};
+}
+
+net::awaitable<void> fleet_standin::accept_store() {
+  for (;;) {
+    auto [error, socket] = co_await this->store.async_accept(use_tuple);
+    if (error) co_return;
+    auto shared = std::make_shared<tcp::socket>(std::move(socket));
+    net::co_spawn(this->loop, this->serve_store(shared), net::detached);
+  }
+}
+
+net::awaitable<void> fleet_standin::serve_store(socket_ptr socket) {
+  boost::beast::flat_buffer buffer;
+  for (;;) {
+    request in;
+    auto [error, size] =
+        co_await http::async_read(*socket, buffer, in, use_tuple);
+    if (error) co_return;
+    while (this->faults.store_silent) co_await sleep_for(tick_time);
+    response out = co_await this->store_answer(in);
+    out.prepare_payload();
+    auto [failed, sent] = co_await http::async_write(*socket, out, use_tuple);
+    if (failed) co_return;
+  }
+}
+
+net::awaitable<fleet_standin::response> fleet_standin::store_answer(
+    const request& in) {
+  const std::string agent(in[http::field::user_agent]);
+  if (this->faults.refused_nodes.count(agent) != 0) {
+    co_return answer_of(503, "");
+  }
+  const std::vector<std::string> halves =
+      absl::StrSplit(std::string(in.target()), absl::MaxSplits('?', 1));
+  const std::vector<std::string> parts = absl::StrSplit(halves[0], '/');
+  if (parts.size() < 4) co_return answer_of(404, "");
+  const std::string& kind = parts[3];
+  const std::string name = parts.size() > 4 ? parts[4] : "";
+  if (in.method() != http::verb::get) {
+    co_return this->write_object(in, kind, name);
+  }
+  this->record.store_reads++;
+  if (!name.empty()) {
+    const auto found = this->kinds[kind].find(name);
+    if (found == this->kinds[kind].end()) co_return answer_of(404, "");
+    co_return answer_of(200, this->object_json(name, found->second).dump());
+  }
+  const std::string query = halves.size() > 1 ? halves[1] : "";
+  co_return co_await this->read_kind(kind, query);
+}
+
+net::awaitable<fleet_standin::response> fleet_standin::read_kind(
+    const std::string& kind, const std::string& query) {
+  const int64_t since = number_in(query, "watch");
+  if (since < 0) {
+    json items = json::array();
+    for (const auto& [name, o] : this->kinds[kind]) {
+      if (!o.gone) items.push_back(this->object_json(name, o));
+    }
+    co_return answer_of(
+        200, json({{"items", items}, {"more", false}, {"at", this->revision}})
+                 .dump());
+  }
+  const absl::Time until =
+      absl::Now() + absl::Milliseconds(number_in(query, "wait_ms"));
+  json events = json::array();
+  while (events.empty() && absl::Now() < until) {
+    for (const auto& [name, o] : this->kinds[kind]) {
+      if (o.revision <= since) continue;
+      events.push_back(
+          {{"object", this->object_json(name, o)}, {"gone", o.gone}});
+    }
+    if (events.empty()) co_await sleep_for(tick_time);
+  }
+  co_return answer_of(
+      200, json({{"events", events}, {"at", this->revision}}).dump());
+}
+
+fleet_standin::response fleet_standin::write_object(const request& in,
+                                                    const std::string& kind,
+                                                    const std::string& name) {
+  const json body = json::parse(in.body(), nullptr, false);
+  const json meta = body.value("meta", json::object());
+  const std::string target = name.empty() ? meta.value("name", "") : name;
+  auto& objects = this->kinds[kind];
+  const auto found = objects.find(target);
+  const bool create = in.method() == http::verb::post;
+  if (!create && found == objects.end()) return answer_of(404, "");
+  const bool stale =
+      found != objects.end() &&
+      (create || meta.value("rev", int64_t{0}) != found->second.revision);
+  if (!stale) this->put(kind, target, body.value("spec", json()));
+  return answer_of(stale ? 409 : 200,
+                   this->object_json(target, objects[target]).dump());
+}
+
+}  // namespace spokesail::standin
--- a/test/group-controller-test.cc
+++ b/test/group-controller-test.cc
@@ -169,7 +169,7 @@
   fleet_run run = standing_fleet(3);
   const std::string head = member_of(run, "large", 0);
   // The head is cut off, not dead: it may serve callers on the other side.
-  run.fleet.set_dark(head, true, run.now);
+  run.fleet.set_dark(head, true);
   run.notice(head);
   run.run_for(absl::Seconds(3));
   EXPECT_TRUE(run.fleet.breaches().empty());
@@ -179,7 +179,7 @@
 TEST(group_controller, a_new_holder_does_not_join_hosts_whose_head_may_serve) {
   fleet_run run = standing_fleet(4);
   const std::string head = member_of(run, "large", 0);
-  run.fleet.set_dark(head, true, run.now);
+  run.fleet.set_dark(head, true);
   run.notice(head);
   // The holder takes the others out of the group, and is gone.
   run.run_for(absl::Milliseconds(300));
@@ -226,7 +226,7 @@
   int count = 0;
   for (const auto& id : run.fleet.living()) {
     if (++count > 20) break;
-    run.fleet.set_dark(id, true, run.now);
+    run.fleet.set_dark(id, true);
     run.notice(id);
   }
   for (int i = 0; i < 20; ++i) {
@@ -261,12 +261,12 @@
       run.notice(id);
       break;
     case 1:
-      run.fleet.set_dark(id, true, run.now);
+      run.fleet.set_dark(id, true);
       run.notice(id);
       break;
     case 2:
       for (const auto& other : run.fleet.living()) {
-        run.fleet.set_dark(other, false, run.now);
+        run.fleet.set_dark(other, false);
       }
       break;
     case 3:
@@ -301,7 +301,7 @@
   }
   run.fleet.faults = {};
   for (const auto& id : run.fleet.living()) {
-    run.fleet.set_dark(id, false, run.now);
+    run.fleet.set_dark(id, false);
   }
   run.run_for(absl::Seconds(60));
   for (const auto& breach : run.fleet.breaches()) RC_LOG() << breach << "\n";
--- a/test/node-test.cc
+++ b/test/node-test.cc
@@ -228,7 +228,7 @@
   });
   ASSERT_FALSE(member.empty());
   this->on_loop([&] {
-    this->fleet->engines().set_dark(member, true, absl::Now());
+    this->fleet->engines().set_dark(member, true);
     return 0;
   });
   for (int i = 0; i < 8; ++i) {
