--- a/test/node-test.cc
+++ b/test/node-test.cc
@@ -234,7 +234,7 @@
   const std::string member = this->serving_member();
   ASSERT_FALSE(member.empty());
   this->on_loop([&] {
-    this->fleet->engines().set_dark(member, true, absl::Now());
+    this->fleet->engines().set_dark(member, true);
     return 0;
   });
   for (int i = 0; i < 8; ++i) {
@@ -262,7 +262,7 @@
   ASSERT_TRUE(
       this->wait_until([this] { return this->fleet->record.runs["r1"] == 1; }));
   this->on_loop([&] {
-    this->fleet->engines().set_dark(member, true, absl::Now());
+    this->fleet->engines().set_dark(member, true);
     return 0;
   });
   boost::beast::flat_buffer buffer;
