Name what a node's shared parts are for, and drop what nothing uses

Cause: private members and functions of the duty, the stall watch, the context and the process said nothing of their purpose; three parts made the same timer, two the same table of group sizes; group_duty::heard_holder was written and never read; two weights in the choice of a group were bare numbers.

Change: node_context::sleep and group_sizes serve all of them; the duty reads the lease, and the stall watch judges one group, by a function of their own; the weights are named, and headers that nothing needs are gone. The comment of collect_groups named a parameter that it has not. Behaviour is meant to be unchanged.

--- a/include/spokesail/load-table.h
+++ b/include/spokesail/load-table.h
@@ -26,9 +26,11 @@
   /// flight; several gossip periods, so that a lost datagram does not matter.
   static constexpr absl::Duration peer_time = absl::Milliseconds(1500);
 
+  /// Takes a request as sent to a place, its prompt unread.
   void begin(const std::string& place, double prompt_tokens);
   /// Takes prompt tokens as read.
   void read(const std::string& place, double prompt_tokens);
+  /// Takes a request as ended.
   void end(const std::string& place);
 
   /// Replaces what a peer has in flight.
@@ -40,9 +42,11 @@
 
   /// This node's own, for its peers.
   std::vector<place_load> own() const;
+  /// Requests of this node at one place.
   int own_running(const std::string& place) const;
 
  private:
+  /// A peer's requests by place, and when it told of them.
   struct peer_load {
     absl::flat_hash_map<std::string, place_load> places;
     absl::Time at;
--- a/include/spokesail/repeat-budget.h
+++ b/include/spokesail/repeat-budget.h
@@ -4,7 +4,6 @@
 
 #include <absl/time/time.h>
 
-#include <cstdint>
 #include <deque>
 #include <map>
 #include <string>
@@ -16,6 +15,7 @@
 struct repeat_limits {
   double ratio = 0.2;
   absl::Duration window = absl::Seconds(10);
+  /// In requests.
   double slack = 0;
   bool operator==(const repeat_limits&) const = default;
 };
@@ -27,6 +27,7 @@
  public:
   explicit repeat_budget(repeat_limits limits) : limits(limits) {}
 
+  /// Takes note of a caller's request.
   void count_request(const std::string& service, absl::Time now);
 
   /// Takes one repeat out of the budget; false if there is none left.
@@ -36,10 +37,12 @@
   double left(const std::string& service, int nodes, absl::Time now);
 
  private:
+  /// A service's requests and repeats within the window.
   struct history {
     std::deque<absl::Time> requests;
     std::deque<absl::Time> repeats;
   };
+  /// A service's history without what is older than the window.
   history& recent(const std::string& service, absl::Time now);
 
   repeat_limits limits;
--- a/include/spokesail/routing-config.h
+++ b/include/spokesail/routing-config.h
@@ -5,7 +5,7 @@
 #include <absl/time/time.h>
 
 #include <cstdint>
-#include <memory>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -37,9 +37,12 @@
   int64_t kv_tokens = 0;
   /// Token steps that a pass with writers plays before it reads again.
   int stride = 1;
+  /// Time of one step, and what each request and each thousand tokens of
+  /// context add to it.
   double step_ms = 1;
   double step_ms_per_request = 0;
   double step_ms_per_1k_context = 0;
+  /// Prompt tokens that are read in a millisecond.
   double read_tokens_per_ms = 1;
   /// Prompt tokens that one step reads at most.
   int read_chunk = 1;
@@ -116,7 +119,9 @@
 struct caller_limits {
   uint32_t head_bytes = 16 << 10;
   uint64_t body_bytes = 4 << 20;
+  /// Longest time from the first byte of a request to the end of its head.
   absl::Duration head_timeout = absl::Seconds(3);
+  /// Longest time that a connection rests between requests.
   absl::Duration idle_timeout = absl::Seconds(15);
   bool operator==(const caller_limits&) const = default;
 };
@@ -160,4 +165,7 @@
 const model_profile* find_model(const engine_profile& engine,
                                 std::string_view name);
 
+/// Hosts that one group needs, by the name of its model.
+std::map<std::string, int> group_sizes(const engine_profile& engine);
+
 }  // namespace spokesail
--- a/include/spokesail/server-directory.h
+++ b/include/spokesail/server-directory.h
@@ -5,7 +5,6 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -74,9 +73,11 @@
   /// there were any.
   bool expire(absl::Time now);
 
+  /// All servers that live, by id.
   const std::map<std::string, listed_server>& servers() const {
     return this->by_id;
   }
+  /// Null if there is no such server.
   const server_entry* find(const std::string& id) const;
   /// All changes up to this revision are known.
   int64_t revision() const { return this->known_until; }
@@ -94,9 +95,10 @@
 };
 
 /// A service's groups from what `servers` say, by group name and epoch.
-/// `size_of` gives the hosts a model's group needs, 0 for an unknown model.
+/// `sizes` gives the hosts that a model's group needs; the groups of a model
+/// that it lacks are never whole.
 std::vector<group_view> collect_groups(
     const std::map<std::string, listed_server>& servers,
-    const std::string& service, const std::map<std::string, int>& group_sizes);
+    const std::string& service, const std::map<std::string, int>& sizes);
 
 }  // namespace spokesail
--- a/include/spokesail/server-entry.h
+++ b/include/spokesail/server-entry.h
@@ -1,8 +1,6 @@
 // What backend servers say of themselves.
 #pragma once
 
-#include <absl/time/time.h>
-
 #include <cstdint>
 #include <string>
 #include <vector>
--- a/src/connection-pool.h
+++ b/src/connection-pool.h
@@ -30,6 +30,7 @@
   /// Closes connections that are kept no longer.
   void expire(absl::Time now);
 
+  /// Connections that are kept.
   size_t size() const;
 
  private:
--- a/src/engine-model.cc
+++ b/src/engine-model.cc
@@ -13,6 +13,15 @@
 /// knowledge of the other entry hosts' requests gives them.
 constexpr double alike_ms = 10;
 
+/// Passes until a first event, beside the reading of the prompt: half of the
+/// one that runs when the request comes, and the one that writes the event.
+constexpr double passes_to_first_event = 1.5;
+
+/// What the time between events counts as against the time to the first one,
+/// for each event of the answer. Chosen, not measured.
+constexpr double gap_weight = 0.1;
+
+/// Time of one step with so many requests in the group, in ms.
 double step_ms(const engine_profile& engine, double requests) {
   const double context = requests * mean_context_share *
                          (engine.usual_prompt + engine.usual_answer) / 1000;
@@ -28,8 +37,7 @@
   const double read =
       (option.unread_tokens + prompt) / engine.read_tokens_per_ms;
   const double steps = engine.stride * step_ms(engine, option.running + 1.0);
-  // It waits for half a pass, is read, and then writes one event.
-  return model.pace * option.slowness * (read + 1.5 * steps);
+  return model.pace * option.slowness * (read + passes_to_first_event * steps);
 }
 
 double predict_event_gap_ms(const engine_profile& engine,
@@ -51,9 +59,10 @@
     if (option.running < engine.slots) {
       // The prompt is read while the others there wait.
       const double events = size.answer / std::max(1, engine.stride);
-      cost = option.distance_ms +
-             predict_first_event_ms(engine, model, option, size.prompt) +
-             0.1 * events * predict_event_gap_ms(engine, model, option, 1);
+      cost =
+          option.distance_ms +
+          predict_first_event_ms(engine, model, option, size.prompt) +
+          gap_weight * events * predict_event_gap_ms(engine, model, option, 1);
     }
     costs.push_back(cost);
     least = std::min(least, cost);
--- a/src/event-splitter.cc
+++ b/src/event-splitter.cc
@@ -19,6 +19,7 @@
   return absl::string_view::npos;
 }
 
+/// The id that an event bears; -1 if none, or one that is no number.
 int64_t event_id(absl::string_view event) {
   int64_t id = -1;
   for (absl::string_view line : absl::StrSplit(event, '\n')) {
--- a/src/group-controller.cc
+++ b/src/group-controller.cc
@@ -174,9 +174,7 @@
     listed_server& copy = s.servers[id] = server;
     if (track->second.assumed) copy.entry.membership = *track->second.assumed;
   }
-  std::map<std::string, int> sizes;
-  for (const auto& m : s.engine->models) sizes[m.name] = m.group_size;
-  s.groups = collect_groups(s.servers, service.name, sizes);
+  s.groups = collect_groups(s.servers, service.name, group_sizes(*s.engine));
   return s;
 }
 
--- a/src/group-duty.cc
+++ b/src/group-duty.cc
@@ -1,20 +1,17 @@
+// Lease, orders and reports of the group controller.
 #include "group-duty.h"
 
 #include <absl/strings/str_cat.h>
-#include <absl/strings/str_join.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <nlohmann/json.hpp>
-
-#include "detail/socket.h"
 
 namespace spokesail {
 namespace {
 
 namespace net = boost::asio;
 
+/// Name of the lease in the store.
 constexpr char lease_name[] = "groups";
 
 /// Period of the controller's steps while it holds the lease.
@@ -56,7 +53,6 @@
 }
 
 void group_duty::observe(const lease_word& said) {
-  this->heard_holder = this->node.now();
   object seen{{kinds::lease, lease_name}, said.version, said.record, false};
   this->lease.observe(seen, this->node.now(), this->node.random.unit());
   this->lease_read = true;
@@ -83,22 +79,27 @@
                         this->node.now());
 }
 
-net::awaitable<void> group_duty::keep_lease() {
+net::awaitable<bool> group_duty::read_lease() {
+  const platform_call call{call_kind::read, {kinds::lease, lease_name}, 0, ""};
+  const platform_answer answer = co_await this->node.store.call(call);
+  this->node.metrics.count_store_call("get_lease", "sent");
+  if (answer.status == call_status::unavailable) co_return false;
+  this->lease_read = true;
+  if (answer.status == call_status::not_found) {
+    this->lease.observe_absent(this->node.now());
+  } else {
+    this->lease.observe(answer.found, this->node.now(),
+                        this->node.random.unit());
+  }
+  co_return true;
+}
+
+net::awaitable<void> group_duty::look_at_lease() {
   if (this->giving_up || this->node.now() < this->stood_down_until) co_return;
   if (!this->node.routes || !this->node.directory_listed) co_return;
   if (!this->lease_read) {
-    const platform_call call{
-        call_kind::read, {kinds::lease, lease_name}, 0, ""};
-    const platform_answer answer = co_await this->node.store.call(call);
-    this->node.metrics.count_store_call("get_lease", "sent");
-    if (answer.status == call_status::unavailable) co_return;
-    this->lease_read = true;
-    if (answer.status == call_status::not_found) {
-      this->lease.observe_absent(this->node.now());
-    } else {
-      this->lease.observe(answer.found, this->node.now(),
-                          this->node.random.unit());
-    }
+    const bool read = co_await this->read_lease();
+    if (!read) co_return;
   }
   co_await this->write_lease();
 }
@@ -188,26 +189,20 @@
   }
 }
 
+net::awaitable<void> group_duty::keep_lease() {
+  for (;;) {
+    co_await this->look_at_lease();
+    co_await this->node.sleep(idle_period);
+  }
+}
+
 net::awaitable<void> group_duty::run() {
-  // The lease is kept beside the steps, since the store may be slow.
-  net::co_spawn(
-      this->node.loop,
-      [this]() -> net::awaitable<void> {
-        for (;;) {
-          co_await this->keep_lease();
-          net::steady_timer timer(this->node.loop);
-          timer.expires_after(absl::ToChronoNanoseconds(idle_period));
-          co_await timer.async_wait(detail::use_tuple);
-        }
-      },
-      net::detached);
+  net::co_spawn(this->node.loop, this->keep_lease(), net::detached);
   for (;;) {
     this->take_term();
     this->step();
-    net::steady_timer timer(this->node.loop);
-    timer.expires_after(absl::ToChronoNanoseconds(
-        this->term_active ? step_period : idle_period));
-    co_await timer.async_wait(detail::use_tuple);
+    const absl::Duration period = this->term_active ? step_period : idle_period;
+    co_await this->node.sleep(period);
   }
 }
 
--- a/src/group-duty.h
+++ b/src/group-duty.h
@@ -4,7 +4,9 @@
 #include <absl/time/time.h>
 
 #include <boost/asio/awaitable.hpp>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "node-context.h"
 #include "node-gossip.h"
@@ -24,8 +26,11 @@
   /// Gives the lease up, for a process that stops.
   void stop() { this->giving_up = true; }
 
+  /// Whether this node holds the lease and means to keep it.
   bool holds() const;
+  /// The lease for the peers; nothing if this node does not hold it.
   std::optional<lease_word> word() const;
+  /// Servers that the controller found not to answer.
   std::vector<std::string> silent() const;
 
   /// Takes the lease as a peer that holds it says it is.
@@ -35,22 +40,32 @@
   void suspect(const std::string& server);
 
  private:
+  /// Keeps the lease beside the steps, since the store may be slow.
   boost::asio::awaitable<void> keep_lease();
+  /// Takes or renews the lease if it is time to.
+  boost::asio::awaitable<void> look_at_lease();
+  /// Reads the lease from the store. False if the store does not answer.
+  boost::asio::awaitable<bool> read_lease();
   boost::asio::awaitable<void> write_lease();
   boost::asio::awaitable<void> send_order(group_order order);
   boost::asio::awaitable<void> ask_report(std::string server,
                                           std::string address);
+  /// Has the controller begin or end with the lease.
   void take_term();
+  /// Carries out the controller's next decisions.
   void step();
 
   node_context& node;
   group_controller controller;
   spokesail::lease lease;
+  /// Whether the lease's state is known, from the store or from a peer.
   bool lease_read = false;
   bool giving_up = false;
+  /// Whether the controller acts.
   bool term_active = false;
+  /// Until when this node leaves the duty to others.
   absl::Time stood_down_until = absl::InfinitePast();
-  absl::Time heard_holder = absl::InfinitePast();
+  /// This start of this node, as the lease's holder.
   std::string self;
 };
 
--- a/src/node-context.cc
+++ b/src/node-context.cc
@@ -1,8 +1,11 @@
+// The node's clock, and what follows from its state.
 #include "node-context.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <random>
 
 #include "clock.h"
+#include "detail/socket.h"
 
 namespace spokesail {
 
@@ -22,6 +25,12 @@
 
 absl::Time node_context::now() const { return boot_now(); }
 
+boost::asio::awaitable<void> node_context::sleep(absl::Duration time) {
+  boost::asio::steady_timer timer(this->loop);
+  timer.expires_after(absl::ToChronoNanoseconds(time));
+  co_await timer.async_wait(detail::use_tuple);
+}
+
 absl::Duration node_context::config_age() const {
   return this->now() - this->config_proof;
 }
@@ -56,9 +65,7 @@
   std::map<std::string, int> sizes;
   const backend_service* found =
       this->routes ? this->routes->find_service(service) : nullptr;
-  if (found != nullptr && found->engine) {
-    for (const auto& m : found->engine->models) sizes[m.name] = m.group_size;
-  }
+  if (found != nullptr && found->engine) sizes = group_sizes(*found->engine);
   return this->group_cache[service] =
              collect_groups(this->directory.servers(), service, sizes);
 }
--- a/src/node-context.h
+++ b/src/node-context.h
@@ -3,6 +3,7 @@
 
 #include <absl/time/time.h>
 
+#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <map>
 #include <memory>
@@ -62,6 +63,7 @@
 
   /// The configuration in force; null before the first.
   std::shared_ptr<const routing_table> routes;
+  /// The store's revision of it.
   int64_t config_revision = 0;
   /// The latest time at which the configuration is known to have been in
   /// force in the store.
@@ -71,12 +73,14 @@
   bool store_reachable = true;
 
   server_directory directory;
+  /// Whether all servers have been listed once.
   bool directory_listed = false;
 
   load_table loads;
   repeat_budget repeats;
   /// Nodes that live, this one included, as far as it knows.
   int live_nodes = 1;
+  /// Whether this node or a peer has had requests.
   bool requests_seen = false;
   /// How often this hall hears of other halls' requests in flight.
   absl::Duration far_news_period = absl::ZeroDuration();
@@ -88,13 +92,18 @@
   /// Servers that the holder of the lease found not to answer.
   std::set<std::string> silent;
 
+  /// Exchanges and sessions that run; each enters and removes itself.
   std::unordered_set<exchange*> exchanges;
   std::unordered_set<caller_session*> sessions;
 
   /// Since when the process is to stop; infinite future if it is not.
   absl::Time stopping_since = absl::InfiniteFuture();
 
+  /// The time on the clock that all parts use.
   absl::Time now() const;
+  /// Waits on the loop.
+  boost::asio::awaitable<void> sleep(absl::Duration time);
+  /// Whether the process was told to stop.
   bool stopping() const {
     return this->stopping_since != absl::InfiniteFuture();
   }
@@ -109,8 +118,10 @@
   /// Whether the node takes new connections.
   bool ready() const;
 
+  /// Passes a group or server over for a while.
   void avoid_place(const std::string& place);
   bool avoided(const std::string& place) const;
+  /// Takes note that a server did not answer.
   void suspect_server(const std::string& server);
 
   /// A service's groups, by the servers' own words.
@@ -119,6 +130,7 @@
   void forget_groups() { this->group_cache.clear(); }
 
  private:
+  /// Groups by service, until the directory or the configuration changes.
   std::map<std::string, std::vector<group_view>> group_cache;
 };
 
--- a/src/node-log.h
+++ b/src/node-log.h
@@ -7,7 +7,6 @@
 #include <cstdint>
 #include <map>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "spokesail/effect.h"
@@ -36,6 +35,7 @@
   void write(log_weight weight, const char* event,
              const std::vector<log_field>& fields, absl::Time now);
 
+  /// Writes a line on a change of what the process believes.
   void belief(const char* event, const std::vector<log_field>& fields,
               absl::Time now) {
     this->write(log_weight::belief, event, fields, now);
@@ -45,10 +45,12 @@
   uint64_t left_out() const { return this->omitted_total; }
 
  private:
+  /// One event's lines in this second.
   struct quota {
     int written = 0;
     uint64_t omitted = 0;
   };
+  /// Starts the count anew and tells of the lines that were left out.
   void begin_second(absl::Time now);
 
   std::map<std::string, quota> quotas;
--- a/src/node-metrics.h
+++ b/src/node-metrics.h
@@ -7,7 +7,6 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
-#include <map>
 #include <string>
 
 namespace spokesail {
@@ -17,17 +16,23 @@
  public:
   node_metrics();
 
+  /// A request of a caller that has ended.
   void count_request(const std::string& outcome, const std::string& reason);
+  /// A sending to a server that has ended.
   void count_attempt(const std::string& end);
+  /// A stream that another server goes on with.
   void count_resume();
   void count_store_call(const std::string& verb, const std::string& result);
   void count_order(const std::string& kind, const std::string& result);
+  /// A group that was given up because it stands still.
   void count_stall();
   void count_peer_bytes(const char* direction, double bytes);
+  /// Times of one request, in seconds.
   void observe_first_event(double seconds);
   void observe_pause(double seconds);
   void observe_request(double seconds);
   void observe_queue(double seconds);
+  /// Sets one value of what the node knows and holds.
   void set_gauge(const std::string& name, double value);
 
   /// All metrics as text.
--- a/src/node-process.cc
+++ b/src/node-process.cc
@@ -1,10 +1,10 @@
+// The node's listeners, its tick, and the links between its parts.
 #include "node-process.h"
 
 #include <absl/strings/str_cat.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -54,7 +54,6 @@
       duty(state),
       stalls(state) {}
 
-/// Binds all addresses. False, with a log line, if one cannot be had.
 bool node_process::listen() {
   return this->open(this->callers, this->settings.caller_address) &&
          this->open(this->readiness, this->settings.ready_address) &&
@@ -129,7 +128,7 @@
     if (error) {
       this->log.belief("accept_failed", {{"why", error.message()}},
                        this->state.now());
-      co_await this->sleep(node_timing::tick);
+      co_await this->state.sleep(node_timing::tick);
       continue;
     }
     const size_t used = this->state.sessions.size() +
@@ -147,14 +146,13 @@
   }
 }
 
-/// Serves readiness or metrics.
 net::awaitable<void> node_process::serve_small(tcp::acceptor& acceptor,
                                                bool ready) {
   for (;;) {
     auto [error, socket] = co_await acceptor.async_accept(use_tuple);
     if (error == net::error::operation_aborted) co_return;
     if (error) {
-      co_await this->sleep(node_timing::tick);
+      co_await this->state.sleep(node_timing::tick);
       continue;
     }
     net::co_spawn(this->loop, this->answer_small(std::move(socket), ready),
@@ -170,7 +168,7 @@
     auto [error, size] =
         co_await http::async_read(socket, buffer, request, use_tuple);
     if (error) co_return;
-    http_response response(http::status::not_found, 11);
+    http_response response(http::status::not_found, http_11);
     if (ready && request.target() == this->adapter->ready_path()) {
       response.result(this->state.ready() ? http::status::ok
                                           : http::status::service_unavailable);
@@ -204,16 +202,10 @@
   m.set_gauge("log_lines_left_out", static_cast<double>(this->log.left_out()));
 }
 
-net::awaitable<void> node_process::sleep(absl::Duration time) {
-  net::steady_timer timer(this->loop);
-  timer.expires_after(absl::ToChronoNanoseconds(time));
-  co_await timer.async_wait(use_tuple);
-}
-
 net::awaitable<void> node_process::tick() {
   absl::Time kept_house = absl::InfinitePast();
   for (;;) {
-    co_await this->sleep(node_timing::tick);
+    co_await this->state.sleep(node_timing::tick);
     const absl::Time now = this->state.now();
     this->stalls.check(now);
     if (now - kept_house >= housekeeping) {
@@ -236,6 +228,10 @@
     boost::system::error_code ignored;
     this->callers.close(ignored);
   }
+  this->log_readiness(now);
+}
+
+void node_process::log_readiness(absl::Time now) {
   const bool ready = this->state.ready();
   if (ready == this->was_ready) return;
   this->was_ready = ready;
--- a/src/node-process.h
+++ b/src/node-process.h
@@ -6,6 +6,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -40,23 +41,32 @@
   /// Called once a stop is done.
   std::function<void()> on_end;
 
+  /// The node's state, for tests.
   node_context& context() { return this->state; }
+  /// Whether this node watches the store for its data hall, for tests.
   bool watches_store() const { return this->relay.watches_store(); }
 
  private:
+  /// Tells the parts of each other.
   void connect_parts();
   void spawn(boost::asio::awaitable<void> task);
+  /// Binds one address. False, with a log line, if it cannot be had.
   bool open(boost::asio::ip::tcp::acceptor& acceptor,
             const std::string& address);
+  /// Takes callers' connections while there are descriptors for them.
   boost::asio::awaitable<void> accept_callers();
+  /// Serves the address of readiness (if `ready` is set) or of metrics.
   boost::asio::awaitable<void> serve_small(
       boost::asio::ip::tcp::acceptor& acceptor, bool ready);
   boost::asio::awaitable<void> answer_small(boost::asio::ip::tcp::socket socket,
                                             bool ready);
-  boost::asio::awaitable<void> sleep(absl::Duration time);
+  /// Has the parts look at their limits, again and again.
   boost::asio::awaitable<void> tick();
   void set_gauges();
+  /// Ends what has rested or been kept for too long, and logs readiness.
   void keep_house(absl::Time now);
+  void log_readiness(absl::Time now);
+  /// Whether a node that was told to stop has nothing left to do, or no time.
   bool may_end(absl::Time now) const;
 
   const node_settings& settings;
@@ -75,6 +85,7 @@
   boost::asio::ip::tcp::acceptor callers{loop};
   boost::asio::ip::tcp::acceptor readiness{loop};
   boost::asio::ip::tcp::acceptor metrics{loop};
+  /// Readiness at the last look, so that only changes are logged.
   bool was_ready = false;
 };
 
--- a/src/request-place.cc
+++ b/src/request-place.cc
@@ -1,9 +1,7 @@
 // Where a request is sent: its service, and a group or server of it.
 #include <algorithm>
-#include <boost/asio/steady_timer.hpp>
 
 #include "caller-session.h"
-#include "detail/socket.h"
 #include "request-run.h"
 
 namespace spokesail {
@@ -127,9 +125,7 @@
     if (place || this->session.gone || this->node.now() >= until) {
       co_return place;
     }
-    net::steady_timer timer(this->node.loop);
-    timer.expires_after(absl::ToChronoNanoseconds(wait_step));
-    co_await timer.async_wait(detail::use_tuple);
+    co_await this->node.sleep(wait_step);
   }
 }
 
--- a/src/routing-config.cc
+++ b/src/routing-config.cc
@@ -57,4 +57,10 @@
   return found == engine.models.end() ? nullptr : &*found;
 }
 
+std::map<std::string, int> group_sizes(const engine_profile& engine) {
+  std::map<std::string, int> sizes;
+  for (const auto& model : engine.models) sizes[model.name] = model.group_size;
+  return sizes;
+}
+
 }  // namespace spokesail
--- a/src/server-directory.cc
+++ b/src/server-directory.cc
@@ -18,10 +18,14 @@
   return phase == member_phase::ready || phase == member_phase::open;
 }
 
+/// A group while its members are put together.
 struct group_parts {
   group_view view;
+  /// Phases of the members by rank.
   std::vector<member_phase> phases;
+  /// Whether two servers claim one rank.
   bool disputed = false;
+  /// Whether a member is about to stop.
   bool leaving = false;
 };
 
@@ -126,7 +130,7 @@
 
 std::vector<group_view> collect_groups(
     const std::map<std::string, listed_server>& servers,
-    const std::string& service, const std::map<std::string, int>& group_sizes) {
+    const std::string& service, const std::map<std::string, int>& sizes) {
   std::map<std::pair<std::string, int64_t>, group_parts> found;
   for (const auto& [id, server] : servers) {
     const group_membership& said = server.entry.membership;
@@ -144,9 +148,9 @@
     view.epoch = key.second;
     view.model = group_model(key.first);
     view.head_phase = parts.phases.front();
-    const auto size = group_sizes.find(view.model);
+    const auto size = sizes.find(view.model);
     const bool complete =
-        size != group_sizes.end() &&
+        size != sizes.end() &&
         view.members.size() == static_cast<size_t>(size->second) &&
         std::all_of(parts.phases.begin(), parts.phases.end(), ready_phase);
     view.whole = complete && !parts.disputed && !parts.leaving;
--- a/src/stall-watch.cc
+++ b/src/stall-watch.cc
@@ -1,3 +1,4 @@
+// The silence of streams, and what it proves.
 #include "stall-watch.h"
 
 #include <absl/strings/str_cat.h>
@@ -74,9 +75,7 @@
   return groups;
 }
 
-void stall_watch::check(absl::Time now) {
-  const bool held_up = now - this->last_check > own_pause;
-  this->last_check = now;
+void stall_watch::end_overdue(absl::Time now) {
   const std::vector<exchange*> all(this->node.exchanges.begin(),
                                    this->node.exchanges.end());
   for (exchange* ex : all) {
@@ -84,25 +83,34 @@
       ex->abort(abort_cause::time_up);
     }
   }
+}
+
+void stall_watch::check(absl::Time now) {
+  const bool held_up = now - this->last_check > own_pause;
+  this->last_check = now;
+  this->end_overdue(now);
   if (held_up || !this->node.routes) return;
   for (const auto& [group, sight] : this->look(now)) {
-    if (!sight.waited_for) continue;
-    const absl::Duration silence = now - sight.last_event;
-    if (silence < sight.explained + ask_slack) continue;
-    absl::Time& last_asked =
-        this->asked.try_emplace(group, absl::InfinitePast()).first->second;
-    if (now - last_asked < ask_again) {
-      const bool hopeless =
-          silence != absl::InfiniteDuration() && silence > hopeless_silence;
-      if (hopeless) this->give_up(group, "silent although all members answer");
-      continue;
-    }
-    last_asked = now;
-    const request_place place = *sight.place;
-    for (const auto& id : place.members) {
-      net::co_spawn(this->node.loop, this->ask_member(group, id),
-                    net::detached);
-    }
+    if (sight.waited_for) this->check_group(group, sight, now);
+  }
+}
+
+void stall_watch::check_group(const std::string& group,
+                              const group_sight& sight, absl::Time now) {
+  const absl::Duration silence = now - sight.last_event;
+  if (silence < sight.explained + ask_slack) return;
+  absl::Time& last_asked =
+      this->asked.try_emplace(group, absl::InfinitePast()).first->second;
+  if (now - last_asked < ask_again) {
+    const bool hopeless =
+        silence != absl::InfiniteDuration() && silence > hopeless_silence;
+    if (hopeless) this->give_up(group, "silent although all members answer");
+    return;
+  }
+  last_asked = now;
+  const request_place place = *sight.place;
+  for (const auto& id : place.members) {
+    net::co_spawn(this->node.loop, this->ask_member(group, id), net::detached);
   }
 }
 
--- a/src/stall-watch.h
+++ b/src/stall-watch.h
@@ -36,10 +36,19 @@
     /// Whether a stream that has begun, or should have, is silent.
     bool waited_for = false;
   };
+  /// Breaks off exchanges whose time is up.
+  void end_overdue(absl::Time now);
+  /// What this node sees of all groups with exchanges, by name.
   std::map<std::string, group_sight> look(absl::Time now);
+  /// Asks the members of a group that is silent for too long, or gives it up.
+  void check_group(const std::string& group, const group_sight& sight,
+                   absl::Time now);
+  /// The longest silence of a group's streams that is no fault.
   absl::Duration explained_silence(const request_place& place) const;
+  /// Asks one member for its report; gives the group up if none comes.
   boost::asio::awaitable<void> ask_member(std::string group,
                                           std::string server);
+  /// Breaks off all exchanges with a group and passes it over for a while.
   void give_up(const std::string& group, const std::string& why);
 
   node_context& node;
