Form the groups of each engine service; read Connection by its names

A header whose name is part of another named by Connection was dropped. And node-test crashed once: a port that it had chosen was given to another socket before it was bound.

Change: settling and plans by service; Connection is split at its commas; the test takes loopback numbers of its own process.

--- a/include/spokesail/group-controller.h
+++ b/include/spokesail/group-controller.h
@@ -77,7 +77,7 @@
       : options(options) {}
 
   /// Begins to act under a lease's fencing number.
-  void start_term(int64_t fence, absl::Time now);
+  void start_term(int64_t fence);
 
   /// Stops acting and forgets.
   void stop_term();
@@ -131,6 +131,7 @@
   };
   /// A group that this holder has decided to form.
   struct group_plan {
+    std::string service;
     std::string model;
     int64_t epoch = 0;
     std::vector<std::string> members;
@@ -276,9 +277,12 @@
   std::map<std::string, absl::Time> incomplete;
   /// When loads from the weight store were ordered, within the load window.
   std::deque<absl::Time> loads;
-  /// Servers at the last count, and since when there are so many.
-  size_t known_servers = 0;
-  absl::Time servers_since = absl::InfinitePast();
+  /// Servers at the last count and since when there are so many, by service.
+  struct settling {
+    size_t servers = 0;
+    absl::Time since = absl::InfinitePast();
+  };
+  std::map<std::string, settling> settlings;
 };
 
 }  // namespace spokesail
--- a/src/end-to-end.cc
+++ b/src/end-to-end.cc
@@ -1,6 +1,8 @@
 #include "end-to-end.h"
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
+#include <absl/strings/str_split.h>
 
 #include <algorithm>
 #include <set>
@@ -28,14 +30,17 @@
 }  // namespace
 
 void copy_end_to_end(const http_fields& from, http_fields& to) {
-  const auto connection =
-      lower(std::string_view(from[http::field::connection].data(),
-                             from[http::field::connection].size()));
+  const auto named = from[http::field::connection];
+  const auto connection = lower({named.data(), named.size()});
+  std::set<std::string> this_hop;
+  for (const auto part : absl::StrSplit(connection, ',')) {
+    this_hop.emplace(absl::StripAsciiWhitespace(part));
+  }
   for (const auto& field : from) {
     const std::string name =
         lower({field.name_string().data(), field.name_string().size()});
     if (hop_by_hop(name) || name == "content-length") continue;
-    if (!connection.empty() && absl::StrContains(connection, name)) continue;
+    if (this_hop.count(name) != 0) continue;
     to.insert(field.name_string(), field.value());
   }
 }
--- a/src/group-controller.cc
+++ b/src/group-controller.cc
@@ -47,10 +47,9 @@
 
 }  // namespace
 
-void group_controller::start_term(int64_t fence_number, absl::Time now) {
+void group_controller::start_term(int64_t fence_number) {
   this->stop_term();
   this->fence = fence_number;
-  this->servers_since = now;
 }
 
 void group_controller::stop_term() {
@@ -62,6 +61,7 @@
   this->dissolving.clear();
   this->incomplete.clear();
   this->loads.clear();
+  this->settlings.clear();
 }
 
 void group_controller::suspect(const std::string& server, absl::Time now) {
@@ -166,6 +166,7 @@
 group_controller::service_state group_controller::read_service(
     const server_directory& directory, const backend_service& service) const {
   service_state s;
+  s.service = service.name;
   s.engine = &*service.engine;
   for (const auto& [id, server] : directory.servers()) {
     const auto track = this->tracks.find(id);
@@ -233,7 +234,7 @@
   }
   for (const auto& [name, plan] : this->plans) {
     if (standing.count(name) != 0 || plan.give_up_at <= now) continue;
-    if (find_model(*s.engine, plan.model) != nullptr) {
+    if (plan.service == s.service) {
       s.group_count[plan.model]++;
     }
   }
--- a/src/group-duty.cc
+++ b/src/group-duty.cc
@@ -120,7 +120,7 @@
   if (held == this->term_active) return;
   this->term_active = held;
   if (held) {
-    this->controller.start_term(this->lease.fence(), this->node.now());
+    this->controller.start_term(this->lease.fence());
   } else {
     this->node.log.belief("term_ended",
                           {{"fence", absl::StrCat(this->lease.fence())}},
--- a/src/group-formation.cc
+++ b/src/group-formation.cc
@@ -23,11 +23,9 @@
 }  // namespace
 
 bool group_controller::settled(const service_state& s, absl::Time now) {
-  if (s.servers.size() != this->known_servers) {
-    this->known_servers = s.servers.size();
-    this->servers_since = now;
-  }
-  return now - this->servers_since >= settle_time;
+  settling& known = this->settlings[s.service];
+  if (s.servers.size() != known.servers) known = {s.servers.size(), now};
+  return now - known.since >= settle_time;
 }
 
 bool group_controller::free_to_join(const service_state& s,
@@ -185,7 +183,7 @@
     slowest = std::max(slowest, time);
   }
   const std::string name = group_name(model.name, epoch);
-  this->plans[name] = {model.name, epoch, members,
+  this->plans[name] = {s.service, model.name, epoch, members,
                        now + slowest + this->options.form_slack};
   s.group_count[model.name]++;
   out.notes.push_back(
@@ -197,7 +195,7 @@
                                   group_actions& out) {
   std::vector<std::string> failed;
   for (const auto& [name, plan] : this->plans) {
-    if (find_model(*s.engine, plan.model) == nullptr) continue;
+    if (plan.service != s.service) continue;
     const bool sound = std::all_of(
         plan.members.begin(), plan.members.end(), [&](const auto& id) {
           return s.knows(id) && this->usable(s.entry(id));
--- a/src/group-state.h
+++ b/src/group-state.h
@@ -12,6 +12,7 @@
 
 /// One service's servers and groups during a step.
 struct group_controller::service_state {
+  std::string service;
   const engine_profile* engine = nullptr;
   /// With acknowledged orders taken as carried out.
   std::map<std::string, listed_server> servers;
--- a/test/group-controller-test.cc
+++ b/test/group-controller-test.cc
@@ -46,7 +46,7 @@
     this->begin_term();
   }
 
-  void begin_term() { this->controller.start_term(++this->fence, this->now); }
+  void begin_term() { this->controller.start_term(++this->fence); }
 
   void step() {
     this->now += step_time;
@@ -252,6 +252,38 @@
   EXPECT_GT(run.most_loads(absl::Seconds(5), since), 5);
 }
 
+TEST(group_controller, forms_the_groups_of_each_of_two_services) {
+  const absl::Time began = absl::FromUnixSeconds(1000);
+  routing_config config;
+  config.services = {engine_service(), engine_service()};
+  config.services[1].name = "other";
+  server_directory directory;
+  for (int i = 0; i < 14; ++i) {
+    listed_server server;
+    server.entry.id = absl::StrCat("s", i);
+    server.entry.service = i < 8 ? "lm" : "other";
+    server.entry.domain = server.entry.service;
+    server.revision = i + 1;
+    directory.update(server);
+  }
+  group_controller controller{group_controller_options{}};
+  controller.start_term(1);
+  std::set<std::string> ordered;
+  for (absl::Time now = began; now < began + absl::Seconds(2);
+       now += step_time) {
+    const auto actions = controller.step(directory, config, false, now);
+    for (const auto& id : actions.reports) {
+      controller.on_report(id, server_report{}, now);
+    }
+    for (const auto& order : actions.orders) {
+      if (order.kind == group_order_kind::join) {
+        ordered.insert(directory.find(order.server)->service);
+      }
+    }
+  }
+  EXPECT_EQ(ordered, (std::set<std::string>{"lm", "other"}));
+}
+
 /// One random fault.
 void strike(fleet_run& run) {
   const std::string id = run.some_server();
--- a/test/node-test.cc
+++ b/test/node-test.cc
@@ -2,6 +2,7 @@
 // Outcomes are asserted, never how long something took.
 #include <absl/strings/str_cat.h>
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/read.hpp>
@@ -31,10 +32,13 @@
 
 constexpr int stream_events = 12;
 
+/// An address that nothing else uses: a loopback number of this process' own,
+/// so that no port that another socket was just given can be the same.
 std::string free_address() {
-  net::io_context io;
-  tcp::acceptor probe(io, tcp::endpoint(net::ip::make_address("127.0.0.1"), 0));
-  return absl::StrCat("127.0.0.1:", probe.local_endpoint().port());
+  static int port = 20000;
+  const auto id = static_cast<unsigned>(getpid());
+  return absl::StrCat("127.", 1 + (id >> 16) % 250, ".", (id >> 8) % 256, ".",
+                      id % 256, ":", ++port);
 }
 
 node_log& test_log() {
