Begin each source file of a node with its purpose

Cause: twelve of the node's source files began with an include.

Change: a line of purpose on each; no code.

--- a/src/connection-pool.cc
+++ b/src/connection-pool.cc
@@ -1,3 +1,4 @@
+// Keeps and gives connections, and closes those kept for too long.
 #include "connection-pool.h"
 
 #include "detail/socket.h"
--- a/src/engine-model.cc
+++ b/src/engine-model.cc
@@ -1,3 +1,4 @@
+// Predictions from an engine's figures, and the choice by them.
 #include "spokesail/engine-model.h"
 
 #include <algorithm>
--- a/src/event-splitter.cc
+++ b/src/event-splitter.cc
@@ -1,3 +1,4 @@
+// Finds the ends of events and their ids.
 #include "event-splitter.h"
 
 #include <absl/strings/match.h>
--- a/src/load-table.cc
+++ b/src/load-table.cc
@@ -1,3 +1,4 @@
+// Sums of requests in flight.
 #include "spokesail/load-table.h"
 
 #include <algorithm>
--- a/src/node-log.cc
+++ b/src/node-log.cc
@@ -1,3 +1,4 @@
+// Log lines with a bound for each event and second.
 #include "node-log.h"
 
 #include <absl/strings/str_cat.h>
--- a/src/node-message.cc
+++ b/src/node-message.cc
@@ -1,3 +1,4 @@
+// Messages between nodes as Cap'n Proto datagrams, and back.
 #include "node-message.h"
 
 #include <capnp/message.h>
--- a/src/node-metrics.cc
+++ b/src/node-metrics.cc
@@ -1,3 +1,4 @@
+// The metrics of a node and their names.
 #include "node-metrics.h"
 
 #include <prometheus/text_serializer.h>
--- a/src/object-store.cc
+++ b/src/object-store.cc
@@ -1,3 +1,4 @@
+// Names of the store's states.
 #include "spokesail/object-store.h"
 
 namespace spokesail {
--- a/src/repeat-budget.cc
+++ b/src/repeat-budget.cc
@@ -1,3 +1,4 @@
+// One node's share of the fleet's budget of repeats.
 #include "spokesail/repeat-budget.h"
 
 #include <algorithm>
--- a/src/routing-config.cc
+++ b/src/routing-config.cc
@@ -1,3 +1,4 @@
+// Look-ups in a configuration.
 #include "spokesail/routing-config.h"
 
 #include <absl/strings/ascii.h>
--- a/src/server-directory.cc
+++ b/src/server-directory.cc
@@ -1,3 +1,4 @@
+// Servers by revision, and the groups that they make up.
 #include "spokesail/server-directory.h"
 
 #include <absl/strings/str_cat.h>
--- a/src/server-entry.cc
+++ b/src/server-entry.cc
@@ -1,3 +1,4 @@
+// Names of phases, orders and results.
 #include "spokesail/server-entry.h"
 
 namespace spokesail {
