--- a/src/explain.cc
+++ b/src/explain.cc
@@ -40,6 +40,13 @@
   return out;
 }
 
+/// Whether a line is about one of `groups`.
+bool names_group(const log_record& r, const std::set<std::string>& groups) {
+  const auto named = group_events.find(r.event);
+  return named != group_events.end() &&
+         groups.count(r.value(named->second)) != 0;
+}
+
 std::string told(const log_record& r) {
   return absl::StrCat(
       r.time, " ", r.node, " ", r.event,
@@ -132,16 +139,12 @@
   std::vector<const log_record*> story;
   for (const auto& r : records) {
     if (r.time > end->time) break;
-    if (r.value("id") == id) {
+    if (r.value("id") == id || names_group(r, groups)) {
       story.push_back(&r);
     } else if (own_beliefs.count(r.event) != 0 && nodes.count(r.node) != 0) {
       beliefs[absl::StrCat(r.node, " ", r.event)] = &r;
     } else if (r.event == "lease_taken") {
       beliefs["lease"] = &r;
-    } else if (const auto named = group_events.find(r.event);
-               named != group_events.end() &&
-               groups.count(r.value(named->second)) != 0) {
-      story.push_back(&r);
     }
   }
   for (const auto& [kind, r] : beliefs) story.push_back(r);
