Keep the controller on duty when a hall is cut off; leave loading hosts alone

A data hall was cut off; each sound holder found its servers, a third of all, silent and gave the lease up. A new holder also told hosts again to load what they were loading: 14 orders at once at 19.6 s, and one host was told every 0.33 s for 9 s and refused each time. Ruled out: the store (it answered); the silence of the holder's own hall. Change: silent servers are counted by hall, and a holder steps down only if most halls are silent. A server's report says whether an order is running; such a host is not told to load, and is asked again after 2 s. Tests that failed first: keeps_its_duty_when_one_of_three_halls_is_cut_off, a_new_holder_lets_a_host_go_on_loading. group-controller 15 of 15 after.

--- a/include/spokesail/group-controller.h
+++ b/include/spokesail/group-controller.h
@@ -38,8 +38,8 @@
   /// Loads in a window that are left unused, for those of an earlier holder
   /// whose orders are carried out late.
   int load_reserve = 5;
-  /// A holder that finds more than this part of the servers silent is itself
-  /// cut off and gives its lease up.
+  /// A holder that finds more than this part of the servers silent in most
+  /// data halls is itself cut off and gives its lease up.
   double cut_off_share = 0.3;
   bool operator==(const group_controller_options&) const = default;
 };
@@ -117,6 +117,8 @@
     absl::Time assumed_until = absl::InfinitePast();
     /// Whether it did not answer when last asked.
     bool silent = false;
+    /// Whether it was busy with an order when last asked.
+    bool order_running = false;
     /// Whether its report is on its way.
     bool probing = false;
     /// When it is to be asked; infinite future if it need not be.
@@ -166,6 +168,8 @@
   /// Gives a server an order. False while its last one has no result, or its
   /// count of orders is not known.
   bool send(const server_entry& entry, group_order order, group_actions& out);
+  /// Whether it is this holder, not the servers, that cannot be reached.
+  bool cut_off(const server_directory& directory) const;
   /// Whether the server answers and stays.
   bool usable(const server_entry& entry) const;
   /// Members of plans, with their plan's model.
--- a/src/group-controller.cc
+++ b/src/group-controller.cc
@@ -14,6 +14,10 @@
 /// not at once: it may be busy with an earlier order. Chosen, not measured.
 constexpr absl::Duration refused_wait = absl::Milliseconds(250);
 
+/// A server that was busy with an order is asked again after this long: a
+/// small part of a load, and each question is priced.
+constexpr absl::Duration busy_wait = absl::Seconds(2);
+
 /// So many silent servers do not yet show that the holder itself is cut off,
 /// however small the fleet is. Chosen, not measured.
 constexpr size_t few_silent = 2;
@@ -121,6 +125,9 @@
   track.silent = false;
   track.probe_at = absl::InfiniteFuture();
   if (!track.pending) track.orders_taken = report->orders_taken;
+  track.order_running = report->order_running;
+  // It is asked again, since the end of a load that failed changes no entry.
+  if (track.order_running) track.probe_at = now + busy_wait;
 }
 
 std::vector<std::string> group_controller::silent_servers() const {
@@ -200,6 +207,29 @@
   return by_server;
 }
 
+bool group_controller::cut_off(const server_directory& directory) const {
+  const auto silent = this->silent_servers();
+  if (silent.size() <= few_silent) return false;
+  // A data hall that is cut off from a sound holder is silent as a whole, so
+  // halls are counted rather than servers.
+  std::map<std::string, int> servers;
+  for (const auto& [id, track] : this->tracks) {
+    const server_entry* entry = directory.find(id);
+    if (entry != nullptr) servers[entry->hall]++;
+  }
+  std::map<std::string, int> missing;
+  for (const auto& id : silent) {
+    const server_entry* entry = directory.find(id);
+    if (entry != nullptr) missing[entry->hall]++;
+  }
+  const auto halls =
+      std::count_if(missing.begin(), missing.end(), [&](const auto& hall) {
+        const double limit = this->options.cut_off_share * servers[hall.first];
+        return hall.second > limit;
+      });
+  return 2 * static_cast<size_t>(halls) > servers.size();
+}
+
 group_actions group_controller::step(const server_directory& directory,
                                      const routing_config& config,
                                      bool loads_count, absl::Time now) {
@@ -207,10 +237,9 @@
   if (!this->active()) return out;
   this->take_directory(directory, now);
   this->probe_silent(out, now);
-  const size_t silent = this->silent_servers().size();
-  const double limit = this->options.cut_off_share * this->tracks.size();
-  if (silent > few_silent && static_cast<double>(silent) > limit) {
-    out.notes.push_back({"controller_cut_off", absl::StrCat(silent),
+  if (this->cut_off(directory)) {
+    out.notes.push_back({"controller_cut_off",
+                         absl::StrCat(this->silent_servers().size()),
                          "too many servers do not answer"});
     out.step_down = true;
     return out;
--- a/src/group-staging.cc
+++ b/src/group-staging.cc
@@ -53,6 +53,8 @@
 bool group_controller::stage(const service_state& s, const std::string& id,
                              const model_profile& model, bool loads_count,
                              absl::Time now, group_actions& out) {
+  // An earlier holder may have told it to load; it is not disturbed.
+  if (this->tracks[id].order_running) return false;
   if (now < this->tracks[id].staging_until) return false;
   if (loads_count && this->loads_left(*s.engine, now) <= 0) return false;
   group_order order;
--- a/standin/fleet-emulator.cc
+++ b/standin/fleet-emulator.cc
@@ -27,12 +27,13 @@
     : service(std::move(what)), timing(times), random{std::mt19937_64(seed)} {}
 
 std::string fleet_emulator::add(const std::string& domain, absl::Time now,
-                                const std::string& address) {
+                                const std::string& address,
+                                const std::string& hall) {
   server s;
   s.entry.id = absl::StrCat("s", ++this->next_id);
   s.entry.service = this->service.name;
   s.entry.address = address;
-  s.entry.hall = "hall";
+  s.entry.hall = hall;
   s.entry.domain = domain;
   const std::string id = s.entry.id;
   this->servers[id] = s;
@@ -309,6 +310,7 @@
   }
   server_report out;
   out.orders_taken = found->second.orders;
+  out.order_running = !found->second.loading.empty();
   out.membership = found->second.entry.membership;
   return out;
 }
--- a/standin/fleet-emulator.h
+++ b/standin/fleet-emulator.h
@@ -49,7 +49,8 @@
 
   /// Adds a server with nothing staged. Returns its id.
   std::string add(const std::string& domain, absl::Time now,
-                  const std::string& address = "10.0.0.1:80");
+                  const std::string& address = "10.0.0.1:80",
+                  const std::string& hall = "hall");
 
   /// Kills a server; its entry goes after the lapse.
   void kill(const std::string& id, absl::Time now);
--- a/test/group-controller-test.cc
+++ b/test/group-controller-test.cc
@@ -15,6 +15,7 @@
 using standin::fleet_emulator;
 
 constexpr absl::Duration step_time = absl::Milliseconds(40);
+constexpr int domains_of_hall = 2;
 
 backend_service engine_service() {
   engine_profile engine;
@@ -40,7 +41,8 @@
     this->config.services = {engine_service()};
     for (int d = 0; d < domains; ++d) {
       for (int h = 0; h < hosts; ++h) {
-        this->fleet.add(absl::StrCat("d", d), this->now);
+        this->fleet.add(absl::StrCat("d", d), this->now, "10.0.0.1:80",
+                        absl::StrCat("h", d / domains_of_hall));
       }
     }
     this->begin_term();
@@ -243,6 +245,36 @@
   FAIL() << "did not step down";
 }
 
+TEST(group_controller, keeps_its_duty_when_one_of_three_halls_is_cut_off) {
+  fleet_run run = standing_fleet(7);
+  for (const auto& [id, server] : run.fleet.directory().servers()) {
+    if (server.entry.hall != "h0") continue;
+    run.fleet.set_dark(id, true);
+    run.notice(id);
+  }
+  for (int i = 0; i < 20; ++i) {
+    run.now += step_time;
+    const auto actions =
+        run.controller.step(run.fleet.directory(), run.config, true, run.now);
+    for (const auto& id : actions.reports) {
+      run.controller.on_report(id, run.fleet.report(id), run.now);
+    }
+    EXPECT_FALSE(actions.step_down);
+  }
+  EXPECT_EQ(run.controller.silent_servers().size(), 16U);
+}
+
+TEST(group_controller, a_new_holder_lets_a_host_go_on_loading) {
+  fleet_run run = standing_fleet(9);
+  const std::string added = run.fleet.add("d0", run.now);
+  run.run_for(absl::Seconds(2));
+  const size_t loads = run.fleet.loads.size();
+  run.begin_term();
+  run.run_for(absl::Seconds(20));
+  EXPECT_EQ(run.fleet.loads.size(), loads);
+  EXPECT_EQ(run.fleet.directory().find(added)->staged.size(), 1U);
+}
+
 TEST(group_controller, keeps_loads_under_the_ceiling) {
   fleet_run run = standing_fleet(8);
   const absl::Time since = run.now;
