--- /dev/null
+++ b/src/backoff.cc
@@ -0,0 +1,28 @@
+// Growing pauses.
+#include "spokesail/backoff.h"
+
+#include <algorithm>
+
+namespace spokesail {
+namespace {
+
+/// Least share of a pause, and what chance may add to it.
+constexpr double least_share = 0.75;
+constexpr double drawn_share = 0.5;
+
+}  // namespace
+
+absl::Duration backoff::next(random_stream& random) {
+  const absl::Duration pause =
+      this->current * (least_share + drawn_share * random.unit());
+  this->current = std::min(this->longest, 2 * this->current);
+  return pause;
+}
+
+void backoff::set_bounds(absl::Duration least, absl::Duration most) {
+  this->first = least;
+  this->longest = most;
+  this->current = std::clamp(this->current, least, most);
+}
+
+}  // namespace spokesail
--- a/src/group-duty.cc
+++ b/src/group-duty.cc
@@ -3,6 +3,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -25,6 +26,25 @@
 constexpr absl::Duration order_limit = absl::Milliseconds(500);
 constexpr absl::Duration report_limit = absl::Milliseconds(150);
 
+/// A node that has not heard of the lease from a peer by then reads it; drawn
+/// between these, so that few nodes read it when all start at once.
+constexpr absl::Duration earliest_read = absl::Milliseconds(250);
+constexpr absl::Duration latest_read = absl::Milliseconds(900);
+
+/// Candidates take a lease that ran out over in turn, this long one after the
+/// other: a store's answer and a message to the peers fit in between.
+constexpr absl::Duration turn_step = absl::Milliseconds(60);
+/// Candidates beyond this rank share the last turns by chance.
+constexpr int most_turns = 12;
+
+/// Who has had no news of the store for this long would hardly reach it.
+constexpr absl::Duration reach_time = absl::Milliseconds(1500);
+
+/// Pauses after calls for the lease that failed. The holder has about 1.7 s
+/// left when a renewal fails.
+constexpr absl::Duration first_pause = absl::Milliseconds(100);
+constexpr absl::Duration longest_pause = absl::Milliseconds(800);
+
 /// A holder that found itself cut off from the servers leaves the duty to
 /// others for this long.
 constexpr absl::Duration stand_down_time = absl::Seconds(5);
@@ -34,6 +54,7 @@
 group_duty::group_duty(node_context& state)
     : node(state),
       controller(state.settings.groups),
+      pauses(first_pause, longest_pause),
       self(absl::StrCat(state.settings.node, "/", state.random.engine())) {
   this->lease = spokesail::lease(lease_name, this->self, state.settings.lease);
 }
@@ -42,6 +63,34 @@
   return this->lease.held(this->node.now()) && !this->giving_up;
 }
 
+std::string group_duty::holder() const {
+  if (this->holds()) return this->node.settings.node;
+  const std::string& holder = this->lease.last_seen().holder;
+  const std::string name = holder.substr(0, holder.rfind('/'));
+  // What this node itself held before it started anew, or gave up, is over.
+  return name == this->node.settings.node ? "" : name;
+}
+
+double group_duty::turn() {
+  const auto names = this->candidates();
+  const auto order = rendezvous("lease", names, most_turns);
+  const auto at =
+      std::find(order.begin(), order.end(), this->node.settings.node);
+  const double rank = at == order.end()
+                          ? most_turns * (1 + this->node.random.unit())
+                          : static_cast<double>(at - order.begin());
+  return rank * turn_step / this->node.settings.lease.takeover_spread;
+}
+
+bool group_duty::may_ask() const {
+  const absl::Time now = this->node.now();
+  if (now < this->quiet_until) return false;
+  if (this->holds()) return true;
+  if (now < this->stood_down_until) return false;
+  if (!this->node.routes || !this->node.directory_listed) return false;
+  return this->node.config_age() < reach_time;
+}
+
 void group_duty::stop() {
   this->giving_up = true;
   this->lease.release();
@@ -61,7 +110,7 @@
 
 void group_duty::observe(const lease_word& said) {
   object seen{{kinds::lease, lease_name}, said.version, said.record, false};
-  this->lease.observe(seen, this->node.now(), this->node.random.unit());
+  this->lease.observe(seen, this->node.now(), this->turn());
   this->lease_read = true;
 }
 
@@ -78,7 +127,12 @@
   this->node.metrics.count_store_call(
       "lease", answer.status == call_status::ok ? "ok" : "failed");
   const bool held = this->lease.held(this->node.now());
-  this->lease.on_answer(answer, this->node.now(), this->node.random.unit());
+  this->lease.on_answer(answer, this->node.now(), this->turn());
+  if (answer.status == call_status::unavailable) {
+    this->quiet_until = this->node.now() + this->pauses.next(this->node.random);
+  } else {
+    this->pauses.reset();
+  }
   if (held == this->lease.held(this->node.now())) co_return;
   this->node.log.belief(held ? "lease_lost" : "lease_taken",
                         {{"fence", absl::StrCat(this->lease.fence())},
@@ -90,13 +144,15 @@
   const platform_call call{call_kind::read, {kinds::lease, lease_name}, 0, ""};
   const platform_answer answer = co_await this->node.store.call(call);
   this->node.metrics.count_store_call("get_lease", "sent");
-  if (answer.status == call_status::unavailable) co_return false;
+  if (answer.status == call_status::unavailable) {
+    this->quiet_until = this->node.now() + this->pauses.next(this->node.random);
+    co_return false;
+  }
   this->lease_read = true;
   if (answer.status == call_status::not_found) {
     this->lease.observe_absent(this->node.now());
   } else {
-    this->lease.observe(answer.found, this->node.now(),
-                        this->node.random.unit());
+    this->lease.observe(answer.found, this->node.now(), this->turn());
   }
   co_return true;
 }
@@ -106,9 +162,15 @@
     if (!this->lease.released()) co_await this->write_lease();
     co_return;
   }
-  if (this->node.now() < this->stood_down_until) co_return;
-  if (!this->node.routes || !this->node.directory_listed) co_return;
+  if (!this->may_ask()) co_return;
   if (!this->lease_read) {
+    const absl::Time now = this->node.now();
+    if (this->first_read == absl::InfiniteFuture()) {
+      this->first_read =
+          now + earliest_read +
+          (latest_read - earliest_read) * this->node.random.unit();
+    }
+    if (now < this->first_read) co_return;
     const bool read = co_await this->read_lease();
     if (!read) co_return;
   }
--- a/src/group-duty.h
+++ b/src/group-duty.h
@@ -4,12 +4,14 @@
 #include <absl/time/time.h>
 
 #include <boost/asio/awaitable.hpp>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "node-context.h"
 #include "node-gossip.h"
+#include "spokesail/backoff.h"
 #include "spokesail/group-controller.h"
 #include "spokesail/lease.h"
 
@@ -28,8 +30,12 @@
 
   /// Whether this node holds the lease and means to keep it.
   bool holds() const;
+  /// Name of the node that holds the lease; empty if none is known to.
+  std::string holder() const;
   /// The lease for the peers; nothing if this node does not hold it.
   std::optional<lease_word> word() const;
+  /// Live nodes by name, this one included; ranks candidates for the lease.
+  std::function<std::vector<std::string>()> candidates;
   /// Servers that the controller found not to answer.
   std::vector<std::string> silent() const;
 
@@ -44,6 +50,10 @@
   boost::asio::awaitable<void> keep_lease();
   /// Takes or renews the lease if it is time to.
   boost::asio::awaitable<void> look_at_lease();
+  /// Whether this node may ask for the lease now.
+  bool may_ask() const;
+  /// This node's part of the wait before candidates take a lease over.
+  double turn();
   /// Reads the lease from the store. False if the store does not answer.
   boost::asio::awaitable<bool> read_lease();
   boost::asio::awaitable<void> write_lease();
@@ -65,6 +75,11 @@
   bool term_active = false;
   /// Until when this node leaves the duty to others.
   absl::Time stood_down_until = absl::InfinitePast();
+  /// When the lease is first read, if no peer has told of it by then.
+  absl::Time first_read = absl::InfiniteFuture();
+  /// Until when the store is not called for the lease, after a failed call.
+  absl::Time quiet_until = absl::InfinitePast();
+  backoff pauses;
   /// This start of this node, as the lease's holder.
   std::string self;
 };
--- a/src/news-relay.cc
+++ b/src/news-relay.cc
@@ -17,11 +17,16 @@
 
 /// A relay that left this many questions unanswered is passed over.
 constexpr int most_missed = 2;
-constexpr absl::Duration failed_time = absl::Seconds(5);
+constexpr absl::Duration silent_time = absl::Seconds(5);
 
-/// A relay whose own proof is older than this is itself cut off: it watches
-/// with a wait of 0.7 s and has a proof of about that age at most.
-constexpr absl::Duration oldest_proof = absl::Milliseconds(1000);
+/// A relay whose own proof is older than this is itself cut off. The holder's
+/// watch proves the configuration every 0.4 s, and each relay on the way adds
+/// the time between two questions.
+constexpr absl::Duration oldest_proof = absl::Milliseconds(1150);
+
+/// A relay without fresh news is asked again after this long: the store may be
+/// away, and then it is the first to know of its return.
+constexpr absl::Duration outdated_time = absl::Milliseconds(1200);
 
 /// Who asked this long ago is not told any more.
 constexpr absl::Duration follower_time = absl::Seconds(2);
@@ -31,24 +36,34 @@
 
 }  // namespace
 
-std::string news_relay::choose_relay() const {
-  std::vector<std::string> names = {this->node.settings.node};
+relay_choice news_relay::choose() const {
+  relay_view view;
+  view.self = this->node.settings.node;
+  const std::string holder_name = this->holder();
+  if (holder_name == view.self) view.holder = holder_name;
   for (const auto& [name, p] : this->link.live()) {
-    if (p.hall != this->node.settings.hall) continue;
-    const auto bad = this->failed.find(name);
-    if (bad != this->failed.end() && this->node.now() < bad->second) continue;
-    names.push_back(name);
+    const bool near = p.hall == this->node.settings.hall;
+    if (near) view.hall_peers.push_back(name);
+    if (name != holder_name) continue;
+    view.holder = name;
+    view.holder_near = near;
+  }
+  for (const auto& [name, until] : this->failed) {
+    if (this->node.now() < until) view.passed_over.insert(name);
   }
-  return rendezvous("relay", names, 1).front();
+  return choose_relay(view);
 }
 
 bool news_relay::watches_store() const {
-  if (this->urgent()) return true;
+  if (this->holder() == this->node.settings.node) return true;
   return this->relay.empty() || this->relay == this->node.settings.node;
 }
 
-void news_relay::fail(const std::string& peer, const char* why) {
-  this->failed[peer] = this->node.now() + failed_time;
+bool news_relay::relied_on() const { return this->choose().candidate; }
+
+void news_relay::fail(const std::string& peer, absl::Duration time,
+                      const char* why) {
+  this->failed[peer] = this->node.now() + time;
   this->node.log.belief("relay_failed", {{"peer", peer}, {"why", why}},
                         this->node.now());
 }
@@ -89,7 +104,8 @@
 void news_relay::answer(const std::string& peer, const news_request& request) {
   news out = this->compose(request.servers_revision);
   out.nonce = request.nonce;
-  this->followers[peer] = {this->node.now(), out.to_revision};
+  this->followers[peer] = {this->node.now(), out.to_revision,
+                           out.config_revision};
   this->link.send(peer, out);
 }
 
@@ -98,54 +114,64 @@
   std::erase_if(this->followers, [&](const auto& item) {
     return now - item.second.asked > follower_time;
   });
+  const int64_t servers_revision = this->node.directory.revision();
   for (auto& [peer, f] : this->followers) {
-    if (f.revision >= this->node.directory.revision()) continue;
-    const news out = this->compose(f.revision);
-    f.revision = out.to_revision;
+    const bool behind = f.servers_revision < servers_revision ||
+                        f.config_revision < this->node.config_revision;
+    if (!behind) continue;
+    const news out = this->compose(f.servers_revision);
+    f.servers_revision = out.to_revision;
+    f.config_revision = out.config_revision;
     this->link.send(peer, out);
   }
 }
 
-void news_relay::take(const std::string& peer, const news& said) {
-  const absl::Time now = this->node.now();
-  if (said.nonce != 0) {
-    if (peer != this->relay || said.nonce != this->nonce) return;
-    this->answered = true;
-    this->missed = 0;
-    if (!said.store_reachable || said.config_age > oldest_proof ||
-        said.config_revision < this->node.config_revision) {
-      this->fail(peer, "its own news are old");
-      this->ask();
-      return;
-    }
-    if (said.config_revision > this->node.config_revision) {
-      this->on_config();
-    } else if (this->node.routes) {
-      this->node.config_proof =
-          std::max(this->node.config_proof, this->asked_at - said.config_age);
-    }
+bool news_relay::take_answer(const std::string& peer, const news& said) {
+  if (peer != this->relay || said.nonce != this->nonce) return false;
+  this->answered = true;
+  this->missed = 0;
+  if (!said.store_reachable || said.config_age > oldest_proof) {
+    this->fail(peer, outdated_time, "its own news are old");
+    this->ask();
+    return false;
   }
-  // Changes apply only to who has all those before.
-  if (said.from_revision < 0) {
-    if (said.nonce != 0) this->node.directory_listed = false;
-    return;
+  // A relay that is behind for a moment proves nothing; one that stays behind
+  // lets this node's own proof grow old.
+  if (this->node.routes && said.config_revision == this->node.config_revision) {
+    this->node.config_proof =
+        std::max(this->node.config_proof, this->asked_at - said.config_age);
   }
-  if (said.from_revision > this->node.directory.revision()) return;
+  return true;
+}
+
+bool news_relay::apply(const std::vector<server_news>& servers) {
   bool changed = false;
-  for (const auto& item : said.servers) {
-    listed_server server = item.server;
+  for (const auto& item : servers) {
+    const listed_server& server = item.server;
     if (item.gone) {
       changed |= this->node.directory.remove(server.entry.id, server.revision,
                                              absl::InfinitePast());
-      continue;
-    }
-    if (item.lapses_in > absl::ZeroDuration()) {
+    } else if (item.lapses_in > absl::ZeroDuration()) {
       this->node.directory.remove(server.entry.id, server.revision,
-                                  now + item.lapses_in);
-      continue;
+                                  this->node.now() + item.lapses_in);
+    } else {
+      changed |= this->node.directory.update(server);
     }
-    changed |= this->node.directory.update(server);
   }
+  return changed;
+}
+
+void news_relay::take(const std::string& peer, const news& said) {
+  const bool asked_for = said.nonce != 0;
+  if (asked_for && !this->take_answer(peer, said)) return;
+  if (said.config_revision > this->node.config_revision) this->on_config();
+  // Changes apply only to who has all those before.
+  if (said.from_revision < 0) {
+    if (asked_for) this->node.directory_listed = false;
+    return;
+  }
+  if (said.from_revision > this->node.directory.revision()) return;
+  const bool changed = this->apply(said.servers);
   this->node.directory.caught_up(said.to_revision);
   if (!changed) return;
   this->node.forget_groups();
@@ -153,12 +179,12 @@
                         {{"relay", peer},
                          {"count", absl::StrCat(said.servers.size())},
                          {"rev", absl::StrCat(said.to_revision)}},
-                        now);
+                        this->node.now());
   if (this->on_servers) this->on_servers();
 }
 
 void news_relay::ask() {
-  const std::string chosen = this->choose_relay();
+  const std::string chosen = this->choose().upstream;
   if (chosen != this->relay) {
     this->missed = 0;
     this->node.log.belief("relay_chosen", {{"peer", chosen}}, this->node.now());
@@ -178,7 +204,7 @@
     timer.expires_after(absl::ToChronoNanoseconds(ask_period));
     co_await timer.async_wait(detail::use_tuple);
     if (!this->answered && ++this->missed >= most_missed) {
-      this->fail(this->relay, "does not answer");
+      this->fail(this->relay, silent_time, "does not answer");
     }
     this->ask();
   }
--- a/src/news-relay.h
+++ b/src/news-relay.h
@@ -9,14 +9,16 @@
 #include <string>
 
 #include "peer-link.h"
+#include "spokesail/relay-choice.h"
 
 namespace spokesail {
 
-/// In each data hall one node watches the store and passes on what it learns.
-/// The others ask it; the age of its knowledge counts from when they asked,
-/// so that a late answer is never taken for a fresh one. A node whose relay
-/// does not answer, or does not know better, asks the next, and in the end
-/// watches the store itself.
+/// The holder of the controller's lease watches the store and passes on what it
+/// learns: to the nodes of its own data hall and to one node of each other
+/// hall, which the rest of that hall asks (see relay-choice.h). The age of a
+/// relay's knowledge counts from when it was asked, so that a late answer is
+/// never taken for a fresh one. A node whose relay does not answer, or does not
+/// know better, asks the next, and in the end watches the store itself.
 class news_relay {
  public:
   news_relay(node_context& node, peer_link& link) : node(node), link(link) {}
@@ -27,14 +29,17 @@
   /// Whether this node has to watch the store itself.
   bool watches_store() const;
 
-  /// Passes changes of the servers on to those that ask this node.
+  /// Whether others of the data hall may ask this node.
+  bool relied_on() const;
+
+  /// Passes changes on to those that ask this node.
   void push();
 
   void answer(const std::string& peer, const news_request& request);
   void take(const std::string& peer, const news& said);
 
-  /// Whether this node needs news without delay.
-  std::function<bool()> urgent;
+  /// Name of the node that holds the controller's lease; empty if unknown.
+  std::function<std::string()> holder;
   /// Called when a relay knows a later configuration.
   std::function<void()> on_config;
   /// Called when the servers have changed.
@@ -42,16 +47,23 @@
 
  private:
   void ask();
-  std::string choose_relay() const;
+  relay_choice choose() const;
+  /// Takes the proof, or the news, that an answer to `ask` brings. False if
+  /// the relay does not know better than this node.
+  bool take_answer(const std::string& peer, const news& said);
+  /// Applies changes of servers. False if none was new.
+  bool apply(const std::vector<server_news>& servers);
   news compose(int64_t from) const;
-  void fail(const std::string& peer, const char* why);
+  /// Passes a relay over for a while.
+  void fail(const std::string& peer, absl::Duration time, const char* why);
 
   node_context& node;
   peer_link& link;
-  /// Who asked this node lately, and up to where they know the servers.
+  /// Who asked this node lately, and what was last passed on.
   struct follower {
     absl::Time asked;
-    int64_t revision = 0;
+    int64_t servers_revision = 0;
+    int64_t config_revision = 0;
   };
   std::map<std::string, follower> followers;
   /// Relays that failed this node, and until when they are passed over.
--- a/src/node-metrics.cc
+++ b/src/node-metrics.cc
@@ -67,6 +67,7 @@
 void node_metrics::count_store_call(const std::string& verb,
                                     const std::string& result) {
   this->store_calls.Add({{"verb", verb}, {"result", result}}).Increment();
+  this->call_totals[verb]++;
 }
 
 void node_metrics::count_order(const std::string& kind,
--- a/src/node-metrics.h
+++ b/src/node-metrics.h
@@ -7,6 +7,8 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include <cstdint>
+#include <map>
 #include <string>
 
 namespace spokesail {
@@ -35,11 +37,17 @@
   /// Sets one value of what the node knows and holds.
   void set_gauge(const std::string& name, double value);
 
+  /// Calls to the store since the start, by verb.
+  std::map<std::string, int64_t> store_calls_by_verb() const {
+    return this->call_totals;
+  }
+
   /// All metrics as text.
   std::string text() const;
 
  private:
   prometheus::Registry registry;
+  std::map<std::string, int64_t> call_totals;
   prometheus::Family<prometheus::Counter>& requests;
   prometheus::Family<prometheus::Counter>& attempts;
   prometheus::Family<prometheus::Counter>& store_calls;
--- a/src/node-process.cc
+++ b/src/node-process.cc
@@ -33,6 +33,10 @@
 /// Period of the check of sessions' limits and of kept connections.
 constexpr absl::Duration housekeeping = absl::Milliseconds(200);
 
+/// Period of the line that gives the calls to the store since the start. Each
+/// call is priced; this is often enough to see which kind grew in an incident.
+constexpr absl::Duration summary_period = absl::Seconds(5);
+
 /// Kept connections to servers and store rest at most this long.
 constexpr absl::Duration fetch_idle = absl::Seconds(4);
 
@@ -63,6 +67,11 @@
 void node_process::connect_parts() {
   this->gossip.lease = [this] { return this->duty.word(); };
   this->gossip.silent = [this] { return this->duty.silent(); };
+  this->duty.candidates = [this] {
+    std::vector<std::string> names = {this->settings.node};
+    for (const auto& [name, p] : this->link.live()) names.push_back(name);
+    return names;
+  };
   this->gossip.on_lease = [this](const lease_word& word) {
     this->duty.observe(word);
   };
@@ -81,10 +90,12 @@
   this->link.on_news = [this](const std::string& peer, const auto& said) {
     this->relay.take(peer, said);
   };
-  this->relay.urgent = [this] { return this->duty.holds(); };
+  this->relay.holder = [this] { return this->duty.holder(); };
   this->relay.on_config = [this] { this->sync.read_config(); };
+  this->relay.on_servers = [this] { this->relay.push(); };
   this->sync.watches = [this] { return this->relay.watches_store(); };
-  this->sync.on_servers = [this] { this->relay.push(); };
+  this->sync.relied_on = [this] { return this->relay.relied_on(); };
+  this->sync.on_change = [this] { this->relay.push(); };
   this->sync.urgent = [this] { return this->duty.holds(); };
 }
 
@@ -229,6 +240,17 @@
     this->callers.close(ignored);
   }
   this->log_readiness(now);
+  this->log_store_calls(now);
+}
+
+void node_process::log_store_calls(absl::Time now) {
+  if (now - this->summed_up < summary_period) return;
+  this->summed_up = now;
+  std::vector<log_field> fields;
+  for (const auto& [verb, count] : this->state.metrics.store_calls_by_verb()) {
+    fields.push_back({verb, absl::StrCat(count)});
+  }
+  this->log.belief("store_calls", fields, now);
 }
 
 void node_process::log_readiness(absl::Time now) {
--- a/src/node-process.h
+++ b/src/node-process.h
@@ -68,6 +68,8 @@
   /// Ends what has rested or been kept for too long, and logs readiness.
   void keep_house(absl::Time now);
   void log_readiness(absl::Time now);
+  /// Tells how often the store was called, once in a while.
+  void log_store_calls(absl::Time now);
   /// Whether a node that was told to stop has nothing left to do, or no time.
   bool may_end(absl::Time now) const;
 
@@ -89,6 +91,8 @@
   boost::asio::ip::tcp::acceptor metrics{loop};
   /// Readiness at the last look, so that only changes are logged.
   bool was_ready = false;
+  /// When the calls to the store were last told.
+  absl::Time summed_up = absl::InfinitePast();
 };
 
 }  // namespace spokesail
--- a/src/peer-link.cc
+++ b/src/peer-link.cc
@@ -21,8 +21,9 @@
 constexpr absl::Duration list_period = absl::Seconds(8);
 constexpr absl::Duration first_list_period = absl::Milliseconds(700);
 
-/// Lists at the start that are not stale, while all nodes enrol.
-constexpr int first_lists = 2;
+/// Lists at the start that are not stale. One is enough: of two nodes, the one
+/// that enrolled later finds the other on its list and speaks first.
+constexpr int first_lists = 1;
 
 /// A peer that has said nothing for this long is not counted as living.
 constexpr absl::Duration live_time = absl::Seconds(3);
--- a/src/store-sync.h
+++ b/src/store-sync.h
@@ -6,11 +6,15 @@
 #include <boost/asio/awaitable.hpp>
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "node-context.h"
+#include "spokesail/backoff.h"
 
 namespace spokesail {
 
+class store_feed;
+
 /// Follows what others write to the platform's store.
 class store_sync {
  public:
@@ -22,26 +26,40 @@
   /// Follows the servers' entries until the process ends.
   boost::asio::awaitable<void> follow_servers();
 
-  /// Called whenever the servers have changed.
-  std::function<void()> on_servers;
+  /// Called whenever the servers or the configuration have changed.
+  std::function<void()> on_change;
   /// Whether news of servers is wanted without delay.
   std::function<bool()> urgent;
   /// Whether this node watches the store itself; otherwise a relay tells it.
   std::function<bool()> watches;
+  /// Whether others rely on this node to find a store that comes back.
+  std::function<bool()> relied_on;
   /// Asks for the configuration to be read once.
   void read_config() { this->config_wanted = true; }
 
  private:
-  boost::asio::awaitable<bool> list_config(int64_t& revision);
+  friend class config_feed;
+  friend class server_feed;
+
+  /// Lists a kind of objects and follows their changes, again and again.
+  boost::asio::awaitable<void> follow(store_feed& feed);
+  /// Follows changes from a revision on until the kind has to be listed again.
+  boost::asio::awaitable<void> follow_changes(store_feed& feed,
+                                              int64_t revision);
+  /// Watches once. False if the kind has to be listed again.
+  boost::asio::awaitable<bool> watch_once(store_feed& feed, int64_t& revision);
+  boost::asio::awaitable<bool> list(store_feed& feed, int64_t& revision);
   void take_config(const object& o, absl::Time proof);
   void take_servers(const std::vector<object>& objects, int64_t revision);
-  boost::asio::awaitable<bool> list_servers(int64_t& revision);
-  boost::asio::awaitable<void> pause(absl::Duration time);
+  void replace_servers(const object_listing& listing);
+  /// Until when entries that are missing after an outage are kept; infinite
+  /// past if there was none.
+  absl::Time keep_missing_until() const;
+  /// Pause after a failed call.
+  absl::Duration retry_pause(backoff& pauses);
   void note_store(bool reachable, const std::string& error);
 
   node_context& node;
-  boost::asio::awaitable<void> wait_for_relay();
-
   bool reachable = true;
   bool config_wanted = false;
   absl::Time lost_at = absl::InfinitePast();
