--- a/src/http-fetch.cc
+++ b/src/http-fetch.cc
@@ -104,7 +104,9 @@
                                         const socket_ptr& socket,
                                         http_request& request,
                                         fetch_result& out) {
-  request.set(http::field::host, address);
+  if (request.find(http::field::host) == request.end()) {
+    request.set(http::field::host, address);
+  }
   request.set(http::field::user_agent, this->agent);
   request.prepare_payload();
   out.status = fetch_status::no_answer;
@@ -121,6 +123,8 @@
       co_await http::async_read(*socket, buffer, parser, use_tuple);
   if (read_error) {
     out.error = read_error.message();
+    // What is kept may have died with this one, in silence.
+    this->idle.erase(address);
     co_return;
   }
   out.status = fetch_status::ok;
--- /dev/null
+++ b/standin/fleet-main.cc
@@ -0,0 +1,128 @@
+// The small fleet as a process of its own, steered over HTTP by a soak.
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/strings/numbers.h>
+#include <absl/time/clock.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <iostream>
+
+#include "fleet-loop.h"
+#include "fleet-standin.h"
+
+ABSL_FLAG(std::string, address, "127.0.0.1", "IP address to steer it at");
+ABSL_FLAG(int, port, 0, "port to steer it at");
+ABSL_FLAG(int, domains, 2, "fabric domains");
+ABSL_FLAG(int, hosts, 5, "hosts of each domain");
+
+namespace spokesail::standin {
+namespace {
+
+namespace net = boost::asio;
+namespace http = boost::beast::http;
+using net::ip::tcp;
+using json = nlohmann::json;
+
+/// What the soak asks for, carried out on the fleet's loop.
+class steering {
+ public:
+  explicit steering(fleet_standin& what) : fleet(what) {}
+
+  /// The answer to one call; null if there is no such call.
+  json carry_out(const std::string& call, const json& body) {
+    if (call == "/address") return {{"store", this->fleet.store_address()}};
+    if (call == "/record") return this->record();
+    if (call == "/keys") {
+      this->fleet.configure(this->fleet.sample_config(body));
+      return json::object();
+    }
+    if (call == "/faults") return this->set_faults(body);
+    if (call == "/dark") {
+      this->fleet.engines().set_dark(body.at("server"), body.at("dark"));
+      return json::object();
+    }
+    if (call == "/drain") {
+      this->fleet.engines().drain(body.at("server"), absl::Now());
+      return json::object();
+    }
+    return nullptr;
+  }
+
+ private:
+  json record() const {
+    return {{"runs", this->fleet.record.runs},
+            {"workspaces", this->fleet.record.workspaces},
+            {"breaches", this->fleet.engines().breaches()},
+            {"servers", this->fleet.engines().living()},
+            {"serving", this->fleet.serving("large")}};
+  }
+
+  json set_faults(const json& body) {
+    fleet_faults& f = this->fleet.faults;
+    f.store_silent = body.value("store_silent", f.store_silent);
+    f.lose_plain_answers =
+        body.value("lose_plain_answers", f.lose_plain_answers);
+    f.shed_plain = body.value("shed_plain", f.shed_plain);
+    f.cross_plain_answers =
+        body.value("cross_plain_answers", f.cross_plain_answers);
+    f.break_after_events =
+        body.value("break_after_events", f.break_after_events);
+    order_faults& orders = this->fleet.engines().faults;
+    orders.late = body.value("late_orders", orders.late);
+    orders.answer_lost = body.value("lost_order_answers", orders.answer_lost);
+    return json::object();
+  }
+
+  fleet_standin& fleet;
+};
+
+net::awaitable<void> serve(steering& steer,
+                           std::shared_ptr<tcp::socket> socket) {
+  boost::beast::flat_buffer buffer;
+  for (;;) {
+    fleet_standin::request in;
+    auto [error, size] =
+        co_await http::async_read(*socket, buffer, in, use_tuple);
+    if (error) co_return;
+    const json body = json::parse(in.body(), nullptr, false);
+    const json said = steer.carry_out(std::string(in.target()), body);
+    auto out = answer_of(said.is_null() ? 404 : 200, said.dump());
+    out.prepare_payload();
+    auto [failed, sent] = co_await http::async_write(*socket, out, use_tuple);
+    if (failed) co_return;
+  }
+}
+
+net::awaitable<void> accept(net::io_context& loop, steering& steer,
+                            tcp::acceptor& acceptor) {
+  for (;;) {
+    auto [error, socket] = co_await acceptor.async_accept(use_tuple);
+    if (error) co_return;
+    auto shared = std::make_shared<tcp::socket>(std::move(socket));
+    net::co_spawn(loop, serve(steer, shared), net::detached);
+  }
+}
+
+}  // namespace
+}  // namespace spokesail::standin
+
+int main(int argc, char** argv) {
+  absl::ParseCommandLine(argc, argv);
+  using spokesail::standin::fleet_standin;
+  boost::asio::io_context loop;
+  fleet_standin fleet(loop, absl::GetFlag(FLAGS_domains),
+                      absl::GetFlag(FLAGS_hosts));
+  fleet.configure(fleet.sample_config({"key-1", "key-2"}));
+  fleet.start();
+  spokesail::standin::steering steer(fleet);
+  boost::asio::ip::tcp::acceptor acceptor(
+      loop, {boost::asio::ip::make_address(absl::GetFlag(FLAGS_address)),
+             static_cast<uint16_t>(absl::GetFlag(FLAGS_port))});
+  boost::asio::co_spawn(loop, spokesail::standin::accept(loop, steer, acceptor),
+                        boost::asio::detached);
+  loop.run();
+  return 0;
+}
--- a/standin/fleet-store.cc
+++ b/standin/fleet-store.cc
@@ -109,7 +109,10 @@
   const absl::Time until =
       absl::Now() + absl::Milliseconds(number_in(query, "wait_ms"));
   json events = json::array();
+  // What changes after the last look is for the next watch to tell.
+  int64_t at = since;
   while (events.empty() && absl::Now() < until) {
+    at = this->revision;
     for (const auto& [name, o] : this->kinds[kind]) {
       if (o.revision <= since) continue;
       events.push_back(
@@ -117,8 +120,7 @@
     }
     if (events.empty()) co_await sleep_for(tick_time);
   }
-  co_return answer_of(
-      200, json({{"events", events}, {"at", this->revision}}).dump());
+  co_return answer_of(200, json({{"events", events}, {"at", at}}).dump());
 }
 
 fleet_standin::response fleet_standin::write_object(const request& in,
