Be blind for less time after an outage of the store

The store was silent until 33.6 s; 55 nodes sent a list at about 34.5 s over connections that had died in the outage and waited 1.5 s for nothing; a node with fresh news stopped watching for a relay that had none; so entries that were back at 36 s were dropped by the controller, which then dissolved 12 sound groups. Ruled out: the servers (their entries were back within the time they may take).

--- a/include/spokesail/lease.h
+++ b/include/spokesail/lease.h
@@ -46,8 +46,8 @@
   /// Takes a version of the document, read or watched, in any order.
   void observe(const object& seen, absl::Time now, double random_unit);
 
-  /// The document is known not to exist.
-  void observe_absent(absl::Time now);
+  /// The document is known not to exist; `random_unit` spreads candidates.
+  void observe_absent(absl::Time now, double random_unit = 0);
 
   /// The write to send now, if one is due: a renewal or a takeover.
   std::optional<platform_call> due(absl::Time now, const std::string& write_id);
--- a/include/spokesail/server-directory.h
+++ b/include/spokesail/server-directory.h
@@ -69,9 +69,10 @@
   /// counts as living until then.
   bool remove(const std::string& id, int64_t revision, absl::Time keep_until);
 
-  /// Drops servers whose entries are lost and have lapsed. Returns whether
-  /// there were any.
-  bool expire(absl::Time now);
+  /// Drops servers whose entries are lost and have lapsed. What is known must
+  /// be from after the lapse, which `known_at` tells: an entry may be back
+  /// without this node having heard of it. Returns whether there were any.
+  bool expire(absl::Time now, absl::Time known_at);
 
   /// All servers that live, by id.
   const std::map<std::string, listed_server>& servers() const {
--- a/src/group-duty.cc
+++ b/src/group-duty.cc
@@ -150,7 +150,7 @@
   }
   this->lease_read = true;
   if (answer.status == call_status::not_found) {
-    this->lease.observe_absent(this->node.now());
+    this->lease.observe_absent(this->node.now(), this->node.random.unit());
   } else {
     this->lease.observe(answer.found, this->node.now(), this->turn());
   }
--- a/src/lease.cc
+++ b/src/lease.cc
@@ -37,11 +37,11 @@
   }
 }
 
-void lease::observe_absent(absl::Time now) {
+void lease::observe_absent(absl::Time now, double random_unit) {
   if (this->known) return;
   this->known = true;
   this->base = object{{kinds::lease, this->key_name}, 0, {}, false};
-  this->takeover_at = now;
+  this->takeover_at = now + random_unit * this->timing.takeover_spread;
 }
 
 void lease::release() {
--- a/src/news-relay.cc
+++ b/src/news-relay.cc
@@ -15,6 +15,10 @@
 /// finds those that got lost and proves how old the configuration is.
 constexpr absl::Duration ask_period = absl::Milliseconds(250);
 
+/// A node that has started chooses its first relay after this long, when it
+/// has heard of its peers.
+constexpr absl::Duration first_choice_time = absl::Milliseconds(400);
+
 /// A relay that left this many questions unanswered is passed over.
 constexpr int most_missed = 2;
 constexpr absl::Duration silent_time = absl::Seconds(5);
@@ -56,7 +60,9 @@
 
 bool news_relay::watches_store() const {
   if (this->holder() == this->node.settings.node) return true;
-  return this->relay.empty() || this->relay == this->node.settings.node;
+  // A node that has just started has listed everything and waits for peers.
+  if (this->relay.empty()) return false;
+  return this->relay == this->node.settings.node || !this->confirmed;
 }
 
 bool news_relay::relied_on() const { return this->choose().candidate; }
@@ -135,6 +141,7 @@
     this->ask();
     return false;
   }
+  this->confirmed = true;
   // A relay that is behind for a moment proves nothing; one that stays behind
   // lets this node's own proof grow old.
   if (this->node.routes && said.config_revision == this->node.config_revision) {
@@ -187,11 +194,13 @@
   const std::string chosen = this->choose().upstream;
   if (chosen != this->relay) {
     this->missed = 0;
+    this->confirmed = false;
     this->node.log.belief("relay_chosen", {{"peer", chosen}}, this->node.now());
   }
   this->relay = chosen;
   this->answered = true;
-  if (this->watches_store() || !this->node.directory_listed) return;
+  const bool alone = this->relay == this->node.settings.node;
+  if (alone || !this->node.directory_listed) return;
   this->answered = false;
   this->asked_at = this->node.now();
   this->link.send(this->relay,
@@ -199,6 +208,7 @@
 }
 
 net::awaitable<void> news_relay::run() {
+  co_await this->node.sleep(first_choice_time);
   for (;;) {
     net::steady_timer timer(this->node.loop);
     timer.expires_after(absl::ToChronoNanoseconds(ask_period));
--- a/src/news-relay.h
+++ b/src/news-relay.h
@@ -69,6 +69,9 @@
   /// Relays that failed this node, and until when they are passed over.
   std::map<std::string, absl::Time> failed;
   std::string relay;
+  /// Whether the relay has told fresh news since it was chosen. Until then
+  /// this node goes on to watch the store itself.
+  bool confirmed = false;
   uint64_t nonce = 0;
   absl::Time asked_at = absl::InfinitePast();
   bool answered = true;
--- a/src/node-process.cc
+++ b/src/node-process.cc
@@ -234,7 +234,9 @@
   this->fetcher.close_idle(fetch_idle, now);
   std::erase_if(this->state.avoid,
                 [&](const auto& item) { return item.second <= now; });
-  if (this->state.directory.expire(now)) this->state.forget_groups();
+  if (this->state.directory.expire(now, this->state.config_proof)) {
+    this->state.forget_groups();
+  }
   if (this->state.closing() && this->callers.is_open()) {
     boost::system::error_code ignored;
     this->callers.close(ignored);
--- a/src/server-directory.cc
+++ b/src/server-directory.cc
@@ -108,11 +108,12 @@
   return true;
 }
 
-bool server_directory::expire(absl::Time now) {
+bool server_directory::expire(absl::Time now, absl::Time known_at) {
   std::vector<std::string> lapsed;
   for (const auto& [id, server] : this->by_id) {
     const bool missing = server.lapses_at != absl::InfinitePast();
-    if (missing && server.lapses_at <= now) lapsed.push_back(id);
+    const bool over = server.lapses_at <= now && server.lapses_at <= known_at;
+    if (missing && over) lapsed.push_back(id);
   }
   for (const auto& id : lapsed) {
     this->gone_at[id] = this->by_id[id].revision;
--- a/src/store-sync.cc
+++ b/src/store-sync.cc
@@ -22,8 +22,8 @@
 constexpr absl::Duration config_read_gap = absl::Milliseconds(350);
 
 /// Long enough to cost few calls while nothing happens; short enough to notice
-/// a connection that died silently before an entry would lapse.
-constexpr absl::Duration servers_wait = absl::Seconds(4);
+/// a connection that died silently well before an entry would lapse.
+constexpr absl::Duration servers_wait = absl::Milliseconds(900);
 
 /// News of servers is gathered for this long before the next watch: each watch
 /// costs a call, and groups change in bursts. The controller waits less, since
--- a/test/server-directory-test.cc
+++ b/test/server-directory-test.cc
@@ -52,8 +52,19 @@
   d.update(server("s1", 1));
   d.replace({}, 9, start + absl::Seconds(2));
   EXPECT_NE(d.find("s1"), nullptr);
-  EXPECT_FALSE(d.expire(start + absl::Seconds(1)));
-  EXPECT_TRUE(d.expire(start + absl::Seconds(2)));
+  EXPECT_FALSE(d.expire(start + absl::Seconds(1), start + absl::Seconds(1)));
+  EXPECT_TRUE(d.expire(start + absl::Seconds(2), start + absl::Seconds(2)));
+  EXPECT_EQ(d.find("s1"), nullptr);
+}
+
+TEST(server_directory, drops_no_entry_on_old_knowledge) {
+  server_directory d;
+  d.update(server("s1", 5));
+  d.remove("s1", 6, start + absl::Seconds(2));
+  // It may be back since; nobody has told this node for a while.
+  EXPECT_FALSE(d.expire(start + absl::Seconds(4), start + absl::Seconds(1)));
+  EXPECT_NE(d.find("s1"), nullptr);
+  EXPECT_TRUE(d.expire(start + absl::Seconds(4), start + absl::Seconds(3)));
   EXPECT_EQ(d.find("s1"), nullptr);
 }
 
@@ -62,7 +73,7 @@
   d.update(server("s1", 1));
   d.replace({}, 9, start + absl::Seconds(2));
   EXPECT_TRUE(d.update(server("s1", 10)));
-  EXPECT_FALSE(d.expire(start + absl::Seconds(5)));
+  EXPECT_FALSE(d.expire(start + absl::Seconds(5), start + absl::Seconds(5)));
   EXPECT_NE(d.find("s1"), nullptr);
 }
 
