Stage spares for groups that are about to form; change a spare's weights

Each domain that lacked a group had three hosts with its weights, and hosts that came bare were told to load the smaller model: a group that was just dissolved counted as no members, so that its model seemed to need no spare. Other domains had two spares of one model and none of the other. Ruled out: too few hosts; the ceiling on loads (one to two loads at a time). Change: a missing group whose hosts a domain has for the larger part counts as standing, its missing hosts as spares below none; a spare loads another model's weights when that is needed over twice as much as it itself. Tests that failed first: stages_for_a_group_that_is_about_to_form, changes_a_spares_weights_when_the_other_model_has_none.

--- a/include/spokesail/group-controller.h
+++ b/include/spokesail/group-controller.h
@@ -257,6 +257,16 @@
   std::map<std::string, domain_weights> weights_by_domain(
       const service_state& s, absl::Time now,
       std::vector<std::string>& bare) const;
+  /// Counts the groups that will form once a domain has hosts enough.
+  void expect_groups(const service_state& s, domain_weights& weights) const;
+  /// How much a model needs one more spare in a domain that had `fewer` of
+  /// them, in members whose loss it would make good.
+  static double model_need(const model_profile& model, domain_weights& weights,
+                           int fewer);
+  /// Has one spare of a domain load another model's weights, if that model
+  /// needs it far more.
+  void restage_spare(const service_state& s, domain_weights& weights,
+                     absl::Time now, group_actions& out);
   /// The model that a domain needs a further spare of most; null if the engine
   /// has no models.
   static const model_profile* model_to_stage(const engine_profile& engine,
--- a/src/group-staging.cc
+++ b/src/group-staging.cc
@@ -20,14 +20,30 @@
 /// proportion. Chosen.
 constexpr double spare_exponent = 1.5;
 
+/// What stands for the spares of a group that lacks hosts to form.
+constexpr double no_spares = 0.1;
+
+/// A spare changes its weights only for a model that needs them this many
+/// times as much, since it is of no use while it loads.
+constexpr double restage_factor = 2;
+
+/// How much a model needs one more spare in a domain.
+double need_of(double members, int spares) {
+  const double covered = std::max(no_spares, 1.0 + spares);
+  return members / std::pow(covered, spare_exponent);
+}
+
 }  // namespace
 
 /// Hosts of one fabric domain by the model whose weights they hold.
 struct group_controller::domain_weights {
-  /// Members of groups that stand or form.
+  /// Members of groups that stand, form, or will once the hosts are there.
   std::map<std::string, int> members;
-  /// Hosts outside of groups, those that are still loading included.
+  /// Hosts outside of groups, those that are still loading included; below
+  /// zero for a group that lacks hosts to form.
   std::map<std::string, int> spares;
+  /// Free hosts that hold weights, and which.
+  std::map<std::string, std::string> holders;
 };
 
 int group_controller::loads_left(const engine_profile& engine, absl::Time now) {
@@ -89,30 +105,47 @@
       weights.spares[track.staging]++;
     } else {
       for (const auto& staged : entry.staged) weights.spares[staged]++;
-      const bool free = this->free_to_join(s, entry);
-      if (entry.staged.empty() && free) bare.push_back(id);
+      if (!this->free_to_join(s, entry)) continue;
+      if (entry.staged.empty()) bare.push_back(id);
+      for (const auto& staged : entry.staged) weights.holders[id] = staged;
     }
   }
+  for (auto& [domain, weights] : domains) this->expect_groups(s, weights);
   return domains;
 }
 
+void group_controller::expect_groups(const service_state& s,
+                                     domain_weights& weights) const {
+  for (const auto& model : s.engine->models) {
+    if (this->fill_of(s, model) >= 1) continue;
+    int& spares = weights.spares[model.name];
+    // Fewer are rather what a repair elsewhere has left.
+    if (2 * spares < model.group_size) continue;
+    weights.members[model.name] += model.group_size;
+    spares -= model.group_size;
+  }
+}
+
 const model_profile* group_controller::model_to_stage(
     const engine_profile& engine, domain_weights& weights) {
   const model_profile* best = nullptr;
   double best_need = -1;
   for (const auto& model : engine.models) {
-    const double served =
-        weights.members[model.name] + members_of_absent * model.share;
-    const double need =
-        served / std::pow(1.0 + weights.spares[model.name], spare_exponent);
-    if (need > best_need) {
-      best = &model;
-      best_need = need;
-    }
+    const double need = model_need(model, weights, 0);
+    if (need <= best_need) continue;
+    best = &model;
+    best_need = need;
   }
   return best;
 }
 
+double group_controller::model_need(const model_profile& model,
+                                    domain_weights& weights, int fewer) {
+  const double members =
+      weights.members[model.name] + members_of_absent * model.share;
+  return need_of(members, weights.spares[model.name] - fewer);
+}
+
 void group_controller::stage_spares(const service_state& s, bool loads_count,
                                     absl::Time now, group_actions& out) {
   std::vector<std::string> bare;
@@ -124,6 +157,27 @@
     if (!this->stage(s, id, *model, loads_count, now, out)) continue;
     weights.spares[model->name]++;
   }
+  if (!loads_count) return;
+  for (auto& [domain, weights] : domains) {
+    this->restage_spare(s, weights, now, out);
+  }
+}
+
+void group_controller::restage_spare(const service_state& s,
+                                     domain_weights& weights, absl::Time now,
+                                     group_actions& out) {
+  const model_profile* wanted = model_to_stage(*s.engine, weights);
+  if (wanted == nullptr) return;
+  const double need = model_need(*wanted, weights, 0);
+  for (const auto& [id, held] : weights.holders) {
+    const model_profile* model = find_model(*s.engine, held);
+    if (model == wanted) continue;
+    const bool spared = model == nullptr ||
+                        need > restage_factor * model_need(*model, weights, 1);
+    if (!spared) continue;
+    // One at a time: the next step sees what this one changes.
+    if (this->stage(s, id, *wanted, true, now, out)) return;
+  }
 }
 
 }  // namespace spokesail
--- a/standin/fleet-emulator.cc
+++ b/standin/fleet-emulator.cc
@@ -2,6 +2,7 @@
 #include "fleet-emulator.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 
 #include <algorithm>
 
@@ -106,21 +107,22 @@
     this->broken.push_back(
         absl::StrCat("opened without its size: ", head.entry.membership.group));
   }
+  // A member that was ready once and is lost since, or left, does no harm: the
+  // group stands still.
   for (const auto& id : head.members) {
-    const auto found = this->servers.find(id);
-    if (found == this->servers.end()) continue;
-    const server& member = found->second;
-    // A member that was ready and is lost excuses the opening.
-    if (!member.alive || member.dark) continue;
-    const group_membership& said = member.entry.membership;
-    const bool ready =
-        said.phase == member_phase::ready || said.phase == member_phase::open;
-    if (said.group == head.entry.membership.group && ready) continue;
+    const server& member = this->servers.at(id);
+    if (member.ready_in.count(membership_key(head)) != 0) continue;
     this->broken.push_back(absl::StrCat("opened before a member was ready: ",
                                         head.entry.membership.group, " ", id));
   }
 }
 
+std::string fleet_emulator::membership_key(const server& s) {
+  const group_membership& said = s.entry.membership;
+  return absl::StrCat(said.group, " ", said.epoch, " ",
+                      absl::StrJoin(s.members, ","));
+}
+
 void fleet_emulator::begin_load(server& s, const std::string& model,
                                 absl::Time now) {
   const model_profile* profile = find_model(*this->service.engine, model);
@@ -152,6 +154,7 @@
   group_membership& said = s.entry.membership;
   if (said.phase == member_phase::joining) {
     said.phase = member_phase::ready;
+    s.ready_in.insert(membership_key(s));
   } else if (said.phase == member_phase::ready) {
     said.phase = member_phase::open;
     this->check_open(s);
--- a/standin/fleet-emulator.h
+++ b/standin/fleet-emulator.h
@@ -101,6 +101,8 @@
     /// Highest epoch of the groups it has joined.
     int64_t epoch_seen = 0;
     std::vector<std::string> members;
+    /// Groups, by name, epoch and list, in which it has been ready.
+    std::set<std::string> ready_in;
     absl::Time phase_done = absl::InfiniteFuture();
     std::string loading;
     absl::Time load_done = absl::InfiniteFuture();
@@ -129,6 +131,8 @@
   void check_join(const server& s, const group_order& order);
   /// Notes an opening of a group that is not ready.
   void check_open(const server& head);
+  /// A server's group by name, epoch and list of members.
+  static std::string membership_key(const server& s);
   /// Whether a member of `head`'s group is there and belongs to it.
   bool member_in_place(const server& head, const std::string& id) const;
   /// Carries out late orders that are due.
--- a/test/group-controller-test.cc
+++ b/test/group-controller-test.cc
@@ -316,6 +316,77 @@
   EXPECT_EQ(ordered, (std::set<std::string>{"lm", "other"}));
 }
 
+/// Hosts of one domain in a group of each model and two free hosts that hold
+/// the smaller model's weights, by their own words.
+server_directory domain_with_spares() {
+  server_directory out;
+  const auto add = [&out](const std::string& id, const std::string& model,
+                          int rank, const std::string& staged) {
+    listed_server server;
+    server.entry.id = id;
+    server.entry.service = "lm";
+    server.entry.domain = "d0";
+    server.entry.staged = {staged};
+    if (rank >= 0) {
+      const auto phase = rank == 0 ? member_phase::open : member_phase::ready;
+      server.entry.membership = {group_name(model, 7), 7, rank, phase};
+    }
+    server.revision = out.revision() + 1;
+    out.update(server);
+    out.caught_up(server.revision);
+  };
+  for (int i = 0; i < 4; ++i) add(absl::StrCat("l", i), "large", i, "large");
+  for (int i = 0; i < 2; ++i) add(absl::StrCat("s", i), "small", i, "small");
+  for (int i = 0; i < 2; ++i) add(absl::StrCat("f", i), "", -1, "small");
+  return out;
+}
+
+TEST(group_controller, changes_a_spares_weights_when_the_other_model_has_none) {
+  const server_directory directory = domain_with_spares();
+  routing_config config;
+  config.services = {engine_service()};
+  group_controller controller{group_controller_options{}};
+  controller.start_term(1);
+  std::vector<group_order> stages;
+  absl::Time now = absl::FromUnixSeconds(1000);
+  for (int i = 0; i < 20; ++i, now += step_time) {
+    const auto actions = controller.step(directory, config, true, now);
+    for (const auto& id : actions.reports) {
+      controller.on_report(id, server_report{}, now);
+    }
+    for (const auto& order : actions.orders) {
+      stages.push_back(order);
+      controller.on_order(order, order_result::begun, now);
+    }
+  }
+  ASSERT_EQ(stages.size(), 1U);
+  EXPECT_EQ(stages[0].kind, group_order_kind::stage);
+  EXPECT_EQ(stages[0].model, "large");
+}
+
+TEST(group_controller, stages_for_a_group_that_is_about_to_form) {
+  fleet_run run = standing_fleet(10);
+  // A second loss in one domain leaves the larger model without a spare there.
+  const std::string domain = "d2";
+  for (int lost = 0; lost < 2; ++lost) {
+    for (const auto& [id, server] : run.fleet.directory().servers()) {
+      const auto& said = server.entry.membership;
+      if (server.entry.domain != domain || said.rank != 1) continue;
+      if (group_model(said.group) != "large") continue;
+      run.fleet.kill(id, run.now);
+      run.notice(id);
+      break;
+    }
+    run.run_for(absl::Seconds(5));
+  }
+  EXPECT_EQ(run.fleet.serving("large"), 5);
+  const std::string added = run.fleet.add(domain, run.now);
+  run.run_for(absl::Seconds(20));
+  EXPECT_EQ(run.fleet.serving("large"), 6);
+  EXPECT_EQ(run.fleet.directory().find(added)->staged,
+            std::vector<std::string>{"large"});
+}
+
 /// One random fault.
 void strike(fleet_run& run) {
   const std::string id = run.some_server();
