Read copies of the configuration, weigh two groups of other halls

Cause: calls, and late first events under a burst. A killed holder made 195 relays be passed over in one second, and before the first configuration no knowledge counted as fresh. Change: a node that a relay told of a revision reads it from a copy at a tenth of the price, and from the store itself if the copy is older; two drawn groups of other halls are weighed beside all of the own; relays are asked every 180 ms; a node that begins to watch has its own proof after 50 ms; an empty store can be known freshly; an unreadable configuration proves nothing; nodes that start together read the lease over two seconds.

--- a/src/group-duty.cc
+++ b/src/group-duty.cc
@@ -29,7 +29,7 @@
 /// A node that has not heard of the lease from a peer by then reads it; drawn
 /// between these, so that few nodes read it when all start at once.
 constexpr absl::Duration earliest_read = absl::Milliseconds(250);
-constexpr absl::Duration latest_read = absl::Milliseconds(900);
+constexpr absl::Duration latest_read = absl::Milliseconds(2000);
 
 /// Candidates take a lease that ran out over in turn, this long one after the
 /// other: a store's answer and a message to the peers fit in between.
--- a/src/news-relay.cc
+++ b/src/news-relay.cc
@@ -13,7 +13,7 @@
 
 /// How often a node asks its relay. Changes are passed on unasked; asking
 /// finds those that got lost and proves how old the configuration is.
-constexpr absl::Duration ask_period = absl::Milliseconds(250);
+constexpr absl::Duration ask_period = absl::Milliseconds(180);
 
 /// A node that has started chooses its first relay after this long, when it
 /// has heard of its peers.
@@ -24,9 +24,10 @@
 constexpr absl::Duration silent_time = absl::Seconds(5);
 
 /// A relay whose own proof is older than this is itself cut off. The holder's
-/// watch proves the configuration every 0.4 s, and each relay on the way adds
-/// the time between two questions.
-constexpr absl::Duration oldest_proof = absl::Milliseconds(1150);
+/// watch proves the configuration every 0.4 s, each relay on the way adds the
+/// time between two questions, and a relay whose holder dies needs two more of
+/// them before it watches the store itself.
+constexpr absl::Duration oldest_proof = absl::Milliseconds(1300);
 
 /// A relay without fresh news is asked again after this long: the store may be
 /// away, and then it is the first to know of its return.
@@ -144,7 +145,7 @@
   this->confirmed = true;
   // A relay that is behind for a moment proves nothing; one that stays behind
   // lets this node's own proof grow old.
-  if (this->node.routes && said.config_revision == this->node.config_revision) {
+  if (said.config_revision == this->node.config_revision) {
     this->node.config_proof =
         std::max(this->node.config_proof, this->asked_at - said.config_age);
   }
@@ -171,7 +172,9 @@
 void news_relay::take(const std::string& peer, const news& said) {
   const bool asked_for = said.nonce != 0;
   if (asked_for && !this->take_answer(peer, said)) return;
-  if (said.config_revision > this->node.config_revision) this->on_config();
+  if (said.config_revision > this->node.config_revision) {
+    this->on_config(said.config_revision);
+  }
   // Changes apply only to who has all those before.
   if (said.from_revision < 0) {
     if (asked_for) this->node.directory_listed = false;
--- a/src/news-relay.h
+++ b/src/news-relay.h
@@ -41,7 +41,7 @@
   /// Name of the node that holds the controller's lease; empty if unknown.
   std::function<std::string()> holder;
   /// Called when a relay knows a later configuration.
-  std::function<void()> on_config;
+  std::function<void(int64_t revision)> on_config;
   /// Called when the servers have changed.
   std::function<void()> on_servers;
 
--- a/src/node-process.cc
+++ b/src/node-process.cc
@@ -91,7 +91,9 @@
     this->relay.take(peer, said);
   };
   this->relay.holder = [this] { return this->duty.holder(); };
-  this->relay.on_config = [this] { this->sync.read_config(); };
+  this->relay.on_config = [this](int64_t revision) {
+    this->sync.read_config(revision);
+  };
   this->relay.on_servers = [this] { this->relay.push(); };
   this->sync.watches = [this] { return this->relay.watches_store(); };
   this->sync.relied_on = [this] { return this->relay.relied_on(); };
--- a/src/peer-link.cc
+++ b/src/peer-link.cc
@@ -18,7 +18,7 @@
 
 /// How often the store's list of nodes is read, from a copy that may be stale:
 /// a new node also tells of itself by its own messages.
-constexpr absl::Duration list_period = absl::Seconds(8);
+constexpr absl::Duration list_period = absl::Seconds(15);
 constexpr absl::Duration first_list_period = absl::Milliseconds(700);
 
 /// Lists at the start that are not stale. One is enough: of two nodes, the one
--- a/src/request-place.cc
+++ b/src/request-place.cc
@@ -14,6 +14,11 @@
 constexpr double other_hall_ms = 3;
 constexpr double stale_share = 0.06;
 
+/// Groups of other halls that one request weighs, drawn at random. Two are
+/// known to spread load nearly as well as all when news of it is fresh, and far
+/// better when it is old.
+constexpr size_t far_choices = 2;
+
 /// What going to a plain server in another data hall counts as, in requests.
 /// Chosen, not measured.
 constexpr double other_hall_requests = 0.5;
@@ -74,32 +79,49 @@
 }
 
 std::optional<request_place> request_run::pick_group() {
-  const absl::Time now = this->node.now();
-  std::vector<const group_view*> groups;
+  std::vector<const group_view*> groups = this->groups_to_weigh();
   std::vector<group_option> options;
-  for (const auto& group : this->node.groups(this->service->name)) {
-    if (!this->may_serve(group)) continue;
-    const server_entry* head = this->node.directory.find(group.head());
-    const bool near = head->hall == this->node.settings.hall;
-    const place_load load = this->node.loads.total(group.name, now);
-    groups.push_back(&group);
-    options.push_back({group.name, load.running, load.unread_tokens, 1,
-                       near ? 0 : this->far_cost_ms()});
+  const absl::Time now = this->node.now();
+  for (const group_view* group : groups) {
+    const place_load load = this->node.loads.total(group->name, now);
+    options.push_back({group->name, load.running, load.unread_tokens, 1,
+                       this->is_near(*group) ? 0 : this->far_cost_ms()});
   }
-  const auto found =
-      choose_group(*this->service->engine, *this->model, options,
-                   this->expected_size(), this->node.random);
+  const auto found = choose_group(*this->service->engine, *this->model, options,
+                                  this->expected_size(), this->node.random);
   if (!found) return std::nullopt;
   const group_view& group = *groups[*found];
-  const server_entry* head = this->node.directory.find(group.head());
   const group_option& option = options[*found];
-  this->chosen = {group.name, option.distance_ms == 0, option.running,
+  this->chosen = {group.name, this->is_near(group), option.running,
                   predict_first_event_ms(*this->service->engine, *this->model,
                                          option, this->expected_size().prompt)};
+  const server_entry* head = this->node.directory.find(group.head());
   return request_place{head->id, head->address, group.name, group.epoch,
                        group.members};
 }
 
+std::vector<const group_view*> request_run::groups_to_weigh() {
+  std::vector<const group_view*> out;
+  std::vector<const group_view*> far;
+  for (const auto& group : this->node.groups(this->service->name)) {
+    if (!this->may_serve(group)) continue;
+    (this->is_near(group) ? out : far).push_back(&group);
+  }
+  // What is known of other halls is old, so that the emptiest group there would
+  // draw the requests of all nodes at once.
+  for (size_t drawn = 0; drawn < far_choices && !far.empty(); ++drawn) {
+    const size_t at = this->node.random.below(far.size());
+    out.push_back(far[at]);
+    far.erase(far.begin() + static_cast<ptrdiff_t>(at));
+  }
+  return out;
+}
+
+bool request_run::is_near(const group_view& group) const {
+  const server_entry* head = this->node.directory.find(group.head());
+  return head != nullptr && head->hall == this->node.settings.hall;
+}
+
 double request_run::far_cost_ms() const {
   return other_hall_ms +
          stale_share * absl::ToDoubleMilliseconds(this->node.far_news_period);
--- a/src/request-run.h
+++ b/src/request-run.h
@@ -105,6 +105,11 @@
   boost::asio::awaitable<std::optional<request_place>> find_place();
   std::optional<request_place> pick();
   std::optional<request_place> pick_group();
+  /// The groups that may serve the request: all of this data hall, and some of
+  /// the others.
+  std::vector<const group_view*> groups_to_weigh();
+  /// Whether a group is in this node's data hall.
+  bool is_near(const group_view& group) const;
   std::optional<request_place> pick_server();
   /// Whether a group could take the request, its load aside.
   bool may_serve(const group_view& group) const;
--- a/src/store-sync.cc
+++ b/src/store-sync.cc
@@ -2,6 +2,7 @@
 #include "store-sync.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 
 #include <algorithm>
 
@@ -17,6 +18,10 @@
 /// holder of the lease watches as a rule, so that the calls stay few.
 constexpr absl::Duration config_wait = absl::Milliseconds(400);
 
+/// The first watch of a node that begins to watch is short, so that it has a
+/// proof of its own before those that ask it pass it over.
+constexpr absl::Duration first_config_wait = absl::Milliseconds(50);
+
 /// A node that is told of changes reads the configuration at most this often:
 /// changes come in bursts, and each read is priced.
 constexpr absl::Duration config_read_gap = absl::Milliseconds(350);
@@ -61,16 +66,21 @@
         watch_name(watch_verb) {}
   virtual ~store_feed() = default;
 
-  /// Longest wait of one watch.
-  virtual absl::Duration wait() const = 0;
+  /// Longest wait of the next watch, which may be the first in a row.
+  virtual absl::Duration wait(bool first) = 0;
   /// Whether the kind may be listed now.
   virtual bool may_list() const = 0;
   /// Whether a node that does not watch has to list the kind again.
   virtual bool must_list() const = 0;
   /// The revision known from elsewhere, for the next watch; 0 if none.
   virtual int64_t known_revision() const = 0;
-  /// Takes a whole listing that was asked for at `sent`.
-  virtual void take_listing(const object_listing& listing, absl::Time sent) = 0;
+  /// Whether a copy that may be old can hold what is wanted.
+  virtual bool may_copy() const { return false; }
+  /// Whether a listing from such a copy holds it.
+  virtual bool holds_wanted(const object_listing&) const { return false; }
+  /// Takes a whole listing that is known to have held at `proof`.
+  virtual void take_listing(const object_listing& listing,
+                            absl::Time proof) = 0;
   /// Takes a watch's answer. Returns the pause before the next watch.
   virtual absl::Duration take_changes(const object_changes& changes,
                                       absl::Time sent) = 0;
@@ -90,18 +100,31 @@
                    "watch_config"),
         sync(owner) {}
 
-  absl::Duration wait() const override { return config_wait; }
+  absl::Duration wait(bool first) override {
+    this->waited = first ? first_config_wait : config_wait;
+    return this->waited;
+  }
   bool may_list() const override { return true; }
   bool must_list() const override {
-    return this->sync.config_wanted &&
+    return this->sync.config_wanted > this->sync.node.config_revision &&
            this->sync.node.now() - this->listed_at >= config_read_gap;
   }
+  // A relay's word proves the revision, wherever the content comes from.
+  bool may_copy() const override {
+    return this->sync.config_wanted > this->sync.node.config_revision;
+  }
+  bool holds_wanted(const object_listing& listing) const override {
+    return std::any_of(listing.objects.begin(), listing.objects.end(),
+                       [this](const object& o) {
+                         return o.version >= this->sync.config_wanted;
+                       });
+  }
   int64_t known_revision() const override { return 0; }
 
-  void take_listing(const object_listing& listing, absl::Time sent) override {
-    this->listed_at = sent;
-    this->sync.config_wanted = false;
-    for (const auto& o : listing.objects) this->sync.take_config(o, sent);
+  void take_listing(const object_listing& listing, absl::Time proof) override {
+    this->listed_at = this->sync.node.now();
+    for (const auto& o : listing.objects) this->sync.take_config(o);
+    this->sync.take_proof(proof);
   }
 
   absl::Duration take_changes(const object_changes& changes,
@@ -109,16 +132,18 @@
     node_context& node = this->sync.node;
     // A watch that ran out saw nothing until its wait was over.
     const absl::Time proof = changes.objects.empty()
-                                 ? std::min(node.now(), sent + config_wait)
+                                 ? std::min(node.now(), sent + this->waited)
                                  : sent;
-    for (const auto& o : changes.objects) this->sync.take_config(o, proof);
-    if (node.routes) node.config_proof = std::max(node.config_proof, proof);
+    for (const auto& o : changes.objects) this->sync.take_config(o);
+    this->sync.take_proof(proof);
     return absl::ZeroDuration();
   }
 
  private:
   store_sync& sync;
   absl::Time listed_at = absl::InfinitePast();
+  /// Wait of the watch under way.
+  absl::Duration waited = config_wait;
 };
 
 /// The servers' entries.
@@ -129,7 +154,7 @@
                    "watch_servers"),
         sync(owner) {}
 
-  absl::Duration wait() const override { return servers_wait; }
+  absl::Duration wait(bool) override { return servers_wait; }
   // While the store is away, only the configuration is asked for.
   bool may_list() const override { return this->sync.reachable; }
   bool must_list() const override {
@@ -188,23 +213,26 @@
 
 net::awaitable<void> store_sync::follow_changes(store_feed& feed,
                                                 int64_t revision) {
+  bool first = true;
   for (;;) {
     if (this->watches()) {
-      const bool go_on = co_await this->watch_once(feed, revision);
+      const bool go_on = co_await this->watch_once(feed, revision, first);
       if (!go_on) co_return;
+      first = false;
       continue;
     }
+    first = true;
     co_await this->node.sleep(look_again);
     if (feed.must_list()) co_return;
     revision = std::max(revision, feed.known_revision());
   }
 }
 
-net::awaitable<bool> store_sync::watch_once(store_feed& feed,
-                                            int64_t& revision) {
+net::awaitable<bool> store_sync::watch_once(store_feed& feed, int64_t& revision,
+                                            bool first) {
   const absl::Time sent = this->node.now();
   object_changes changes =
-      co_await this->node.store.watch(feed.kind, revision, feed.wait());
+      co_await this->node.store.watch(feed.kind, revision, feed.wait(first));
   this->node.metrics.count_store_call(feed.watch_name,
                                       store_status_name(changes.status));
   this->note_store(changes.status != store_status::unavailable, changes.error);
@@ -220,6 +248,10 @@
 }
 
 net::awaitable<bool> store_sync::list(store_feed& feed, int64_t& revision) {
+  if (feed.may_copy()) {
+    const bool enough = co_await this->list_copy(feed, revision);
+    if (enough) co_return true;
+  }
   const absl::Time sent = this->node.now();
   const object_listing listing =
       co_await this->node.store.list(feed.kind, false);
@@ -233,6 +265,21 @@
   co_return true;
 }
 
+net::awaitable<bool> store_sync::list_copy(store_feed& feed,
+                                           int64_t& revision) {
+  const object_listing listing =
+      co_await this->node.store.list(feed.kind, true);
+  const bool enough =
+      listing.status == store_status::ok && feed.holds_wanted(listing);
+  this->node.metrics.count_store_call(
+      absl::StrCat(feed.list_name, "_copy"),
+      enough ? store_status_name(listing.status) : "old");
+  if (!enough) co_return false;
+  feed.take_listing(listing, absl::InfinitePast());
+  revision = listing.revision;
+  co_return true;
+}
+
 absl::Duration store_sync::retry_pause(backoff& pauses) {
   if (this->relied_on()) {
     pauses.set_bounds(first_pause, longest_pause);
@@ -257,28 +304,31 @@
       now);
 }
 
-void store_sync::take_config(const object& o, absl::Time proof) {
+void store_sync::take_config(const object& o) {
   if (o.key.name != this->node.adapter.kinds().config_name || o.deleted) return;
-  if (o.version > this->node.config_revision) {
-    auto config = this->node.adapter.read_config(o);
-    if (!config) {
-      this->node.log.belief("config_unreadable",
-                            {{"rev", absl::StrCat(o.version)}},
-                            this->node.now());
-      return;
-    }
-    this->node.config_revision = o.version;
-    this->node.routes = std::make_shared<const routing_table>(*config);
-    this->node.forget_groups();
-    this->node.log.belief(
-        "config_in_force",
-        {{"version", absl::StrCat(config->version)},
-         {"rev", absl::StrCat(o.version)},
-         {"routes", absl::StrCat(config->routes.size())},
-         {"workspaces", absl::StrCat(config->workspaces.size())}},
-        this->node.now());
-    this->on_change();
+  if (o.version <= this->node.config_revision) return;
+  auto config = this->node.adapter.read_config(o);
+  if (!config) {
+    this->unreadable_config = o.version;
+    this->node.log.belief("config_unreadable",
+                          {{"rev", absl::StrCat(o.version)}}, this->node.now());
+    return;
   }
+  this->node.config_revision = o.version;
+  this->node.routes = std::make_shared<const routing_table>(*config);
+  this->node.forget_groups();
+  this->node.log.belief(
+      "config_in_force",
+      {{"version", absl::StrCat(config->version)},
+       {"rev", absl::StrCat(o.version)},
+       {"routes", absl::StrCat(config->routes.size())},
+       {"workspaces", absl::StrCat(config->workspaces.size())}},
+      this->node.now());
+  this->on_change();
+}
+
+void store_sync::take_proof(absl::Time proof) {
+  if (this->unreadable_config > this->node.config_revision) return;
   this->node.config_proof = std::max(this->node.config_proof, proof);
 }
 
@@ -326,6 +376,7 @@
                            {"rev", absl::StrCat(o.version)},
                            {"draining", entry->draining ? "1" : "0"},
                            {"domain", entry->domain},
+                           {"staged", absl::StrJoin(entry->staged, ",")},
                            {"group", entry->membership.group},
                            {"rank", absl::StrCat(entry->membership.rank)},
                            {"phase", phase_name(entry->membership.phase)}},
--- a/src/store-sync.h
+++ b/src/store-sync.h
@@ -34,8 +34,8 @@
   std::function<bool()> watches;
   /// Whether others rely on this node to find a store that comes back.
   std::function<bool()> relied_on;
-  /// Asks for the configuration to be read once.
-  void read_config() { this->config_wanted = true; }
+  /// Asks for the configuration of at least this revision to be read.
+  void read_config(int64_t revision) { this->config_wanted = revision; }
 
  private:
   friend class config_feed;
@@ -47,9 +47,16 @@
   boost::asio::awaitable<void> follow_changes(store_feed& feed,
                                               int64_t revision);
   /// Watches once. False if the kind has to be listed again.
-  boost::asio::awaitable<bool> watch_once(store_feed& feed, int64_t& revision);
+  boost::asio::awaitable<bool> watch_once(store_feed& feed, int64_t& revision,
+                                          bool first);
   boost::asio::awaitable<bool> list(store_feed& feed, int64_t& revision);
-  void take_config(const object& o, absl::Time proof);
+  /// Lists from a copy that may be old, which costs less. False if it holds
+  /// less than what is wanted.
+  boost::asio::awaitable<bool> list_copy(store_feed& feed, int64_t& revision);
+  void take_config(const object& o);
+  /// Takes the configuration in force as proven at `proof`, unless a later one
+  /// is there that could not be read.
+  void take_proof(absl::Time proof);
   void take_servers(const std::vector<object>& objects, int64_t revision);
   void replace_servers(const object_listing& listing);
   /// Until when entries that are missing after an outage are kept; infinite
@@ -61,7 +68,10 @@
 
   node_context& node;
   bool reachable = true;
-  bool config_wanted = false;
+  /// Revision of the configuration that a relay has told of.
+  int64_t config_wanted = 0;
+  /// Revision of the last configuration that could not be read.
+  int64_t unreadable_config = 0;
   absl::Time lost_at = absl::InfinitePast();
   /// When the store came back after it was away.
   absl::Time back_at = absl::InfinitePast();
