--- a/include/spokesail/group-controller.h
+++ b/include/spokesail/group-controller.h
@@ -243,27 +243,14 @@
 
   // The staging of weights: group-staging.cc.
 
-  /// What a load from the weight store is for.
-  enum class load_purpose {
-    /// To form groups before there are requests, when loads are free.
-    before_requests,
-    /// To let a group form that lacks hosts with its weights.
-    group,
-    /// For a repair that may come.
-    spare
-  };
   /// Loads from the weight store that may begin now.
   int loads_left(const engine_profile& engine, absl::Time now);
-  /// Whether a load may begin now, by the store's rate and by the loads that
-  /// run: beyond a number of them each takes longer.
-  bool may_load(const engine_profile& engine, load_purpose purpose,
-                absl::Time now);
   /// Stages the hosts of `f` that lack the weights.
   void stage_for(const service_state& s, const formation& f, absl::Time now,
                  group_actions& out);
   /// Tells one server to stage a model. False if it may not now.
   bool stage(const service_state& s, const std::string& id,
-             const model_profile& model, load_purpose purpose, absl::Time now,
+             const model_profile& model, bool loads_count, absl::Time now,
              group_actions& out);
   /// What the hosts of each domain hold. Adds free hosts with no weights to
   /// `bare`.
--- a/src/group-controller.cc
+++ b/src/group-controller.cc
@@ -101,12 +101,7 @@
   const bool counted =
       result == order_result::begun || order.kind == group_order_kind::leave;
   if (counted) track.orders_taken = order.expected_orders + 1;
-  if (order.kind == group_order_kind::stage) {
-    // A load may take far longer than it should; its end shows in the entry.
-    track.order_running = true;
-    track.probe_at = std::min(track.probe_at, track.staging_until);
-    return;
-  }
+  if (order.kind == group_order_kind::stage) return;
   if (order.kind == group_order_kind::join) track.last_model = order.model;
   if (order.kind == group_order_kind::leave && track.leads == order.group) {
     this->released.insert(order.group);
@@ -154,13 +149,6 @@
   for (const auto& [id, server] : directory.servers()) {
     if (server.entry.domain.empty()) continue;
     server_track& track = this->tracks[id];
-    const auto& staged = server.entry.staged;
-    if (std::find(staged.begin(), staged.end(), track.staging) !=
-        staged.end()) {
-      track.staging.clear();
-      track.staging_until = absl::InfinitePast();
-      track.order_running = false;
-    }
     if (track.assumed && (now >= track.assumed_until ||
                           confirms(server.entry.membership, *track.assumed))) {
       track.assumed.reset();
--- a/src/group-staging.cc
+++ b/src/group-staging.cc
@@ -7,14 +7,9 @@
 namespace spokesail {
 namespace {
 
-/// A host that should have staged a model by now is asked after this long
-/// more; it is told again only if it is not busy.
+/// A staging that takes this much longer than a load is taken to have failed.
 constexpr absl::Duration stage_slack = absl::Seconds(1);
 
-/// Loads that may run at once for groups that lack hosts, against those that
-/// the weight store runs at full speed: a group is worth a little slowness.
-constexpr double group_loads_factor = 1.5;
-
 /// What a model counts as in a domain where it has no member, in members for
 /// each whole share, so that a group of it may form there. Chosen.
 constexpr double members_of_absent = 0.5;
@@ -63,37 +58,21 @@
          static_cast<int>(this->loads.size());
 }
 
-bool group_controller::may_load(const engine_profile& engine,
-                                load_purpose purpose, absl::Time now) {
-  if (purpose == load_purpose::before_requests) return true;
-  if (this->loads_left(engine, now) <= 0) return false;
-  const auto running = std::count_if(
-      this->tracks.begin(), this->tracks.end(), [&](const auto& item) {
-        const server_track& track = item.second;
-        return now < track.staging_until ||
-               (track.order_running && !track.staging.empty());
-      });
-  const double most =
-      engine.loads_at_once *
-      (purpose == load_purpose::group ? group_loads_factor : 1.0);
-  return engine.loads_at_once <= 0 || static_cast<double>(running) < most;
-}
-
 void group_controller::stage_for(const service_state& s, const formation& f,
                                  absl::Time now, group_actions& out) {
   for (const auto& id : f.members) {
     if (staged_on(s.entry(id), *f.model)) continue;
-    this->stage(s, id, *f.model, load_purpose::group, now, out);
+    this->stage(s, id, *f.model, true, now, out);
   }
 }
 
 bool group_controller::stage(const service_state& s, const std::string& id,
-                             const model_profile& model, load_purpose purpose,
+                             const model_profile& model, bool loads_count,
                              absl::Time now, group_actions& out) {
   // An earlier holder may have told it to load; it is not disturbed.
   if (this->tracks[id].order_running) return false;
   if (now < this->tracks[id].staging_until) return false;
-  if (!this->may_load(*s.engine, purpose, now)) return false;
+  if (loads_count && this->loads_left(*s.engine, now) <= 0) return false;
   group_order order;
   order.kind = group_order_kind::stage;
   order.model = model.name;
@@ -175,12 +154,7 @@
     domain_weights& weights = domains[s.entry(id).domain];
     const model_profile* model = model_to_stage(*s.engine, weights);
     if (model == nullptr) return;
-    load_purpose purpose = load_purpose::before_requests;
-    if (loads_count) {
-      purpose = weights.spares[model->name] < 0 ? load_purpose::group
-                                                : load_purpose::spare;
-    }
-    if (!this->stage(s, id, *model, purpose, now, out)) continue;
+    if (!this->stage(s, id, *model, loads_count, now, out)) continue;
     weights.spares[model->name]++;
   }
   if (!loads_count) return;
@@ -202,9 +176,7 @@
                         need > restage_factor * model_need(*model, weights, 1);
     if (!spared) continue;
     // One at a time: the next step sees what this one changes.
-    const auto purpose = weights.spares[wanted->name] < 0 ? load_purpose::group
-                                                          : load_purpose::spare;
-    if (this->stage(s, id, *wanted, purpose, now, out)) return;
+    if (this->stage(s, id, *wanted, true, now, out)) return;
   }
 }
 
--- a/standin/fleet-emulator.cc
+++ b/standin/fleet-emulator.cc
@@ -59,12 +59,6 @@
   this->servers.at(id).dark = dark;
 }
 
-void fleet_emulator::delay_loads(absl::Duration more) {
-  for (auto& [id, s] : this->servers) {
-    if (!s.loading.empty()) s.load_done += more;
-  }
-}
-
 void fleet_emulator::drain(const std::string& id, absl::Time now) {
   server& s = this->servers.at(id);
   if (!s.alive) return;
--- a/standin/fleet-emulator.h
+++ b/standin/fleet-emulator.h
@@ -61,9 +61,6 @@
   /// Announces that a server is leaving.
   void drain(const std::string& id, absl::Time now);
 
-  /// Has the loads that run take so much longer, as when there are many.
-  void delay_loads(absl::Duration more);
-
   /// Moves loads, joins, openings, stalls, late orders and entries on.
   void advance(absl::Time now);
 
--- a/test/group-controller-test.cc
+++ b/test/group-controller-test.cc
@@ -284,36 +284,6 @@
   EXPECT_GT(run.most_loads(absl::Seconds(5), since), 5);
 }
 
-TEST(group_controller,
-     starts_no_more_loads_than_the_weight_store_runs_at_once) {
-  fleet_run run = standing_fleet(11);
-  const size_t before = run.fleet.loads.size();
-  for (int i = 0; i < 30; ++i) run.fleet.add(absl::StrCat("d", i % 6), run.now);
-  // Loads take 12 s or 16 s: all that begin by now run at the same time.
-  run.run_for(absl::Seconds(11));
-  // Half as many more may run for groups that lack hosts, which they do here:
-  // with so many hosts more groups are wanted.
-  const auto at_once =
-      static_cast<size_t>(engine_service().engine->loads_at_once);
-  EXPECT_GE(run.fleet.loads.size() - before, at_once);
-  EXPECT_LE(run.fleet.loads.size() - before, at_once + at_once / 2);
-  run.run_for(absl::Seconds(90));
-  for (const auto& [id, server] : run.fleet.directory().servers()) {
-    EXPECT_EQ(server.entry.staged.size(), 1U) << id;
-  }
-}
-
-TEST(group_controller, does_not_start_a_slow_load_anew) {
-  fleet_run run = standing_fleet(12);
-  const std::string added = run.fleet.add("d0", run.now);
-  run.run_for(absl::Seconds(2));
-  const size_t loads = run.fleet.loads.size();
-  run.fleet.delay_loads(absl::Seconds(30));
-  run.run_for(absl::Seconds(60));
-  EXPECT_EQ(run.fleet.loads.size(), loads);
-  EXPECT_EQ(run.fleet.directory().find(added)->staged.size(), 1U);
-}
-
 TEST(group_controller, forms_the_groups_of_each_of_two_services) {
   const absl::Time began = absl::FromUnixSeconds(1000);
   routing_config config;
