Move the news of servers into functions of their own

Cause: news_relay chose relays, kept followers and also turned the directory of servers into news and back.

Change: news_since and apply_news in src/server-news.h know only the directory. news_relay::view gathers what choose_relay needs, and take_servers holds the second half of take. The pause between questions uses the node's own sleep. The file says what it is for.

No behaviour change.

--- a/src/news-relay.cc
+++ b/src/news-relay.cc
@@ -1,10 +1,11 @@
+// Questions to relays, and answers to those that ask this node.
 #include "news-relay.h"
 
 #include <absl/strings/str_cat.h>
 
-#include <boost/asio/steady_timer.hpp>
+#include <algorithm>
 
-#include "detail/socket.h"
+#include "server-news.h"
 
 namespace spokesail {
 namespace {
@@ -41,24 +42,26 @@
 
 }  // namespace
 
-relay_choice news_relay::choose() const {
-  relay_view view;
-  view.self = this->node.settings.node;
+relay_view news_relay::view() const {
+  relay_view out;
+  out.self = this->node.settings.node;
   const std::string holder_name = this->holder();
-  if (holder_name == view.self) view.holder = holder_name;
+  if (holder_name == out.self) out.holder = holder_name;
   for (const auto& [name, p] : this->link.live()) {
     const bool near = p.hall == this->node.settings.hall;
-    if (near) view.hall_peers.push_back(name);
+    if (near) out.hall_peers.push_back(name);
     if (name != holder_name) continue;
-    view.holder = name;
-    view.holder_near = near;
+    out.holder = name;
+    out.holder_near = near;
   }
   for (const auto& [name, until] : this->failed) {
-    if (this->node.now() < until) view.passed_over.insert(name);
+    if (this->node.now() < until) out.passed_over.insert(name);
   }
-  return choose_relay(view);
+  return out;
 }
 
+relay_choice news_relay::choose() const { return choose_relay(this->view()); }
+
 bool news_relay::watches_store() const {
   if (this->holder() == this->node.settings.node) return true;
   // A node that has just started has listed everything and waits for peers.
@@ -76,7 +79,6 @@
 }
 
 news news_relay::compose(int64_t from) const {
-  const absl::Time now = this->node.now();
   news out;
   out.config_revision = this->node.config_revision;
   out.config_age =
@@ -84,27 +86,12 @@
   out.store_reachable = this->node.store_reachable;
   out.from_revision = from;
   out.to_revision = this->node.directory.revision();
-  for (const auto& [id, server] : this->node.directory.servers()) {
-    const bool lapsing = server.lapses_at != absl::InfinitePast();
-    if (server.revision <= from && !lapsing) continue;
-    server_news item;
-    item.server = server;
-    if (lapsing) {
-      item.lapses_in = std::max(absl::Milliseconds(1), server.lapses_at - now);
-    }
-    out.servers.push_back(item);
-  }
-  for (const auto& [id, revision] : this->node.directory.gone()) {
-    if (revision <= from) continue;
-    server_news item;
-    item.server.entry.id = id;
-    item.server.revision = revision;
-    item.gone = true;
-    out.servers.push_back(item);
-  }
+  out.servers = news_since(this->node.directory, from, this->node.now());
   // Who is too far behind gets no servers, and has to list them.
-  if (out.servers.size() > most_changes)
-    out.servers.clear(), out.from_revision = -1;
+  if (out.servers.size() > most_changes) {
+    out.servers.clear();
+    out.from_revision = -1;
+  }
   return out;
 }
 
@@ -152,36 +139,24 @@
   return true;
 }
 
-bool news_relay::apply(const std::vector<server_news>& servers) {
-  bool changed = false;
-  for (const auto& item : servers) {
-    const listed_server& server = item.server;
-    if (item.gone) {
-      changed |= this->node.directory.remove(server.entry.id, server.revision,
-                                             absl::InfinitePast());
-    } else if (item.lapses_in > absl::ZeroDuration()) {
-      this->node.directory.remove(server.entry.id, server.revision,
-                                  this->node.now() + item.lapses_in);
-    } else {
-      changed |= this->node.directory.update(server);
-    }
-  }
-  return changed;
-}
-
 void news_relay::take(const std::string& peer, const news& said) {
   const bool asked_for = said.nonce != 0;
   if (asked_for && !this->take_answer(peer, said)) return;
   if (said.config_revision > this->node.config_revision) {
     this->on_config(said.config_revision);
   }
-  // Changes apply only to who has all those before.
   if (said.from_revision < 0) {
     if (asked_for) this->node.directory_listed = false;
     return;
   }
+  this->take_servers(peer, said);
+}
+
+void news_relay::take_servers(const std::string& peer, const news& said) {
+  // Changes apply only to who has all those before.
   if (said.from_revision > this->node.directory.revision()) return;
-  const bool changed = this->apply(said.servers);
+  const bool changed =
+      apply_news(this->node.directory, said.servers, this->node.now());
   this->node.directory.caught_up(said.to_revision);
   if (!changed) return;
   this->node.forget_groups();
@@ -213,9 +188,7 @@
 net::awaitable<void> news_relay::run() {
   co_await this->node.sleep(first_choice_time);
   for (;;) {
-    net::steady_timer timer(this->node.loop);
-    timer.expires_after(absl::ToChronoNanoseconds(ask_period));
-    co_await timer.async_wait(detail::use_tuple);
+    co_await this->node.sleep(ask_period);
     if (!this->answered && ++this->missed >= most_missed) {
       this->fail(this->relay, silent_time, "does not answer");
     }
--- a/src/news-relay.h
+++ b/src/news-relay.h
@@ -47,12 +47,15 @@
 
  private:
   void ask();
+  /// What this node knows of those that it could ask.
+  relay_view view() const;
   relay_choice choose() const;
   /// Takes the proof, or the news, that an answer to `ask` brings. False if
   /// the relay does not know better than this node.
   bool take_answer(const std::string& peer, const news& said);
-  /// Applies changes of servers. False if none was new.
-  bool apply(const std::vector<server_news>& servers);
+  /// Takes the changes of servers that `said` brings, if they follow on what
+  /// this node knows.
+  void take_servers(const std::string& peer, const news& said);
   news compose(int64_t from) const;
   /// Passes a relay over for a while.
   void fail(const std::string& peer, absl::Duration time, const char* why);
