Split the keeping of the lease from the duty under it

Change: lease_keeper has the lease; group_duty the controller, its orders and reports. node_process holds both and starts both.

No behaviour change.

--- /dev/null
+++ b/src/lease-keeper.cc
@@ -0,0 +1,182 @@
+// Reads and writes of the lease.
+#include "lease-keeper.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+#include "spokesail/hash.h"
+
+namespace spokesail {
+namespace {
+
+namespace net = boost::asio;
+
+/// Name of the lease in the store.
+constexpr char lease_name[] = "groups";
+
+/// Period at which nodes look whether the lease is to be renewed or has run
+/// out.
+constexpr absl::Duration look_period = absl::Milliseconds(100);
+
+/// A node that has not heard of the lease from a peer by then reads it; drawn
+/// between these, so that few nodes read it when all start at once.
+constexpr absl::Duration earliest_read = absl::Milliseconds(250);
+constexpr absl::Duration latest_read = absl::Milliseconds(2000);
+
+/// Candidates take a lease that ran out over in turn, this long one after the
+/// other: a store's answer and a message to the peers fit in between.
+constexpr absl::Duration turn_step = absl::Milliseconds(60);
+/// Candidates beyond this rank share the last turns by chance.
+constexpr int most_turns = 12;
+
+/// Who has had no news of the store for this long would hardly reach it.
+constexpr absl::Duration reach_time = absl::Milliseconds(1500);
+
+/// Pauses after calls for the lease that failed. The holder has about 1.7 s
+/// left when a renewal fails.
+constexpr absl::Duration first_pause = absl::Milliseconds(100);
+constexpr absl::Duration longest_pause = absl::Milliseconds(800);
+
+/// A holder that found itself cut off from the servers leaves the duty to
+/// others for this long.
+constexpr absl::Duration stand_down_time = absl::Seconds(5);
+
+}  // namespace
+
+lease_keeper::lease_keeper(node_context& state)
+    : node(state),
+      self(absl::StrCat(state.settings.node, "/", state.random.engine())),
+      lease(lease_name, this->self, state.settings.lease),
+      pauses(first_pause, longest_pause) {}
+
+bool lease_keeper::holds() const {
+  return this->lease.held(this->node.now()) && !this->giving_up;
+}
+
+std::string lease_keeper::holder() const {
+  if (this->holds()) return this->node.settings.node;
+  const std::string& holder = this->lease.last_seen().holder;
+  const std::string name = holder.substr(0, holder.rfind('/'));
+  // What this node itself held before it started anew, or gave up, is over.
+  return name == this->node.settings.node ? "" : name;
+}
+
+std::optional<lease_word> lease_keeper::word() const {
+  // Who gave the lease up passes that on too, so that others need not wait.
+  const bool gave_up = this->giving_up && this->lease.released();
+  if (!this->holds() && !gave_up) return std::nullopt;
+  const object& seen = this->lease.last_object();
+  return lease_word{seen.version, seen.body};
+}
+
+void lease_keeper::observe(const lease_word& said) {
+  object seen{{kinds::lease, lease_name}, said.version, said.record, false};
+  this->lease.observe(seen, this->node.now(), this->turn());
+  this->known = true;
+}
+
+void lease_keeper::stop() {
+  this->giving_up = true;
+  this->lease.release();
+}
+
+void lease_keeper::stand_down() {
+  this->stood_down_until = this->node.now() + stand_down_time;
+  this->lease.abandon();
+}
+
+double lease_keeper::turn() {
+  const auto names = this->candidates();
+  const auto order = rendezvous("lease", names, most_turns);
+  const auto at =
+      std::find(order.begin(), order.end(), this->node.settings.node);
+  const double rank = at == order.end()
+                          ? most_turns * (1 + this->node.random.unit())
+                          : static_cast<double>(at - order.begin());
+  return rank * turn_step / this->node.settings.lease.takeover_spread;
+}
+
+bool lease_keeper::may_ask() const {
+  const absl::Time now = this->node.now();
+  if (now < this->quiet_until) return false;
+  if (this->holds()) return true;
+  if (now < this->stood_down_until) return false;
+  if (!this->node.routes || !this->node.directory_listed) return false;
+  return this->node.config_age() < reach_time;
+}
+
+bool lease_keeper::may_read() {
+  const absl::Time now = this->node.now();
+  if (this->first_read == absl::InfiniteFuture()) {
+    this->first_read = now + earliest_read +
+                       (latest_read - earliest_read) * this->node.random.unit();
+  }
+  return now >= this->first_read;
+}
+
+void lease_keeper::pause_calls() {
+  this->quiet_until = this->node.now() + this->pauses.next(this->node.random);
+}
+
+net::awaitable<void> lease_keeper::write() {
+  const auto call = this->lease.due(
+      this->node.now(),
+      absl::StrCat(this->self, "-", this->node.random.below(1ULL << 40)));
+  if (!call) co_return;
+  const platform_answer answer = co_await this->node.store.call(*call);
+  this->node.metrics.count_store_call(
+      "lease", answer.status == call_status::ok ? "ok" : "failed");
+  const bool held = this->lease.held(this->node.now());
+  this->lease.on_answer(answer, this->node.now(), this->turn());
+  if (answer.status == call_status::unavailable) {
+    this->pause_calls();
+  } else {
+    this->pauses.reset();
+  }
+  if (held == this->lease.held(this->node.now())) co_return;
+  this->node.log.belief(held ? "lease_lost" : "lease_taken",
+                        {{"fence", absl::StrCat(this->lease.fence())},
+                         {"holder", this->lease.last_seen().holder}},
+                        this->node.now());
+}
+
+net::awaitable<bool> lease_keeper::read() {
+  const platform_call call{call_kind::read, {kinds::lease, lease_name}, 0, ""};
+  const platform_answer answer = co_await this->node.store.call(call);
+  this->node.metrics.count_store_call("get_lease", "sent");
+  if (answer.status == call_status::unavailable) {
+    this->pause_calls();
+    co_return false;
+  }
+  this->known = true;
+  if (answer.status == call_status::not_found) {
+    this->lease.observe_absent(this->node.now(), this->node.random.unit());
+  } else {
+    this->lease.observe(answer.found, this->node.now(), this->turn());
+  }
+  co_return true;
+}
+
+net::awaitable<void> lease_keeper::look() {
+  if (this->giving_up) {
+    if (!this->lease.released()) co_await this->write();
+    co_return;
+  }
+  if (!this->may_ask()) co_return;
+  if (!this->known) {
+    if (!this->may_read()) co_return;
+    const bool answered = co_await this->read();
+    if (!answered) co_return;
+  }
+  co_await this->write();
+}
+
+net::awaitable<void> lease_keeper::run() {
+  for (;;) {
+    co_await this->look();
+    co_await this->node.sleep(look_period);
+  }
+}
+
+}  // namespace spokesail
--- a/src/node-process.cc
+++ b/src/node-process.cc
@@ -55,7 +55,8 @@
       link(state),
       gossip(state, link),
       relay(state, link),
-      duty(state),
+      lease(state),
+      duty(state, lease),
       stalls(state) {}
 
 bool node_process::listen() {
@@ -65,15 +66,15 @@
 }
 
 void node_process::connect_parts() {
-  this->gossip.lease = [this] { return this->duty.word(); };
+  this->gossip.lease = [this] { return this->lease.word(); };
   this->gossip.silent = [this] { return this->duty.silent(); };
-  this->duty.candidates = [this] {
+  this->lease.candidates = [this] {
     std::vector<std::string> names = {this->settings.node};
     for (const auto& [name, p] : this->link.live()) names.push_back(name);
     return names;
   };
   this->gossip.on_lease = [this](const lease_word& word) {
-    this->duty.observe(word);
+    this->lease.observe(word);
   };
   this->gossip.on_suspect = [this](const std::string& id) {
     this->duty.suspect(id);
@@ -90,7 +91,7 @@
   this->link.on_news = [this](const std::string& peer, const auto& said) {
     this->relay.take(peer, said);
   };
-  this->relay.holder = [this] { return this->duty.holder(); };
+  this->relay.holder = [this] { return this->lease.holder(); };
   this->relay.on_config = [this](int64_t revision) {
     this->sync.read_config(revision);
   };
@@ -98,7 +99,7 @@
   this->sync.watches = [this] { return this->relay.watches_store(); };
   this->sync.relied_on = [this] { return this->relay.relied_on(); };
   this->sync.on_change = [this] { this->relay.push(); };
-  this->sync.urgent = [this] { return this->duty.holds(); };
+  this->sync.urgent = [this] { return this->lease.holds(); };
 }
 
 void node_process::start() {
@@ -109,6 +110,7 @@
   this->spawn(this->link.receive());
   this->spawn(this->gossip.run());
   this->spawn(this->relay.run());
+  this->spawn(this->lease.run());
   this->spawn(this->duty.run());
   this->spawn(this->accept_callers());
   this->spawn(this->serve_small(this->readiness, true));
@@ -208,7 +210,7 @@
   m.set_gauge("servers",
               static_cast<double>(this->state.directory.servers().size()));
   m.set_gauge("live_nodes", this->state.live_nodes);
-  m.set_gauge("lease_held", this->duty.holds() ? 1 : 0);
+  m.set_gauge("lease_held", this->lease.holds() ? 1 : 0);
   m.set_gauge("config_age_seconds",
               absl::ToDoubleSeconds(
                   std::min(this->state.config_age(), absl::Hours(1))));
@@ -280,7 +282,7 @@
 void node_process::stop(const std::string& why) {
   if (this->state.stopping()) return;
   this->state.stopping_since = this->state.now();
-  this->duty.stop();
+  this->lease.stop();
   this->log.belief("stopping",
                    {{"why", why},
                     {"sessions", absl::StrCat(this->state.sessions.size())},
--- a/src/node-process.h
+++ b/src/node-process.h
@@ -12,6 +12,7 @@
 
 #include "group-duty.h"
 #include "http-fetch.h"
+#include "lease-keeper.h"
 #include "news-relay.h"
 #include "node-context.h"
 #include "node-gossip.h"
@@ -44,7 +45,7 @@
   /// The node's state, for tests.
   node_context& context() { return this->state; }
   /// Whether this node forms groups, for tests.
-  bool holds_lease() const { return this->duty.holds(); }
+  bool holds_lease() const { return this->lease.holds(); }
   /// Whether this node watches the store for its data hall, for tests.
   bool watches_store() const { return this->relay.watches_store(); }
 
@@ -84,6 +85,7 @@
   peer_link link;
   node_gossip gossip;
   news_relay relay;
+  lease_keeper lease;
   group_duty duty;
   stall_watch stalls;
   boost::asio::ip::tcp::acceptor callers{loop};
