Count the servers of halls once when looking whether a holder is cut off

Cause: two loops over the directory filled two maps by hall.

Change: one loop fills one map of both counts.

No behaviour change.

--- a/src/group-controller.cc
+++ b/src/group-controller.cc
@@ -22,6 +22,12 @@
 /// however small the fleet is. Chosen, not measured.
 constexpr size_t few_silent = 2;
 
+/// The servers of one data hall.
+struct hall_count {
+  int servers = 0;
+  int silent = 0;
+};
+
 /// Whether a server's own word confirms what it was assumed to have become.
 bool confirms(const group_membership& said, const group_membership& assumed) {
   if (assumed.phase == member_phase::none) {
@@ -208,26 +214,23 @@
 }
 
 bool group_controller::cut_off(const server_directory& directory) const {
-  const auto silent = this->silent_servers();
-  if (silent.size() <= few_silent) return false;
+  if (this->silent_servers().size() <= few_silent) return false;
   // A data hall that is cut off from a sound holder is silent as a whole, so
   // halls are counted rather than servers.
-  std::map<std::string, int> servers;
+  std::map<std::string, hall_count> halls;
   for (const auto& [id, track] : this->tracks) {
     const server_entry* entry = directory.find(id);
-    if (entry != nullptr) servers[entry->hall]++;
-  }
-  std::map<std::string, int> missing;
-  for (const auto& id : silent) {
-    const server_entry* entry = directory.find(id);
-    if (entry != nullptr) missing[entry->hall]++;
+    if (entry == nullptr) continue;
+    hall_count& hall = halls[entry->hall];
+    hall.servers++;
+    if (track.silent) hall.silent++;
   }
-  const auto halls =
-      std::count_if(missing.begin(), missing.end(), [&](const auto& hall) {
-        const double limit = this->options.cut_off_share * servers[hall.first];
-        return hall.second > limit;
+  const auto dark =
+      std::count_if(halls.begin(), halls.end(), [&](const auto& hall) {
+        const auto& [servers, silent] = hall.second;
+        return silent > this->options.cut_off_share * servers;
       });
-  return 2 * static_cast<size_t>(halls) > servers.size();
+  return 2 * static_cast<size_t>(dark) > halls.size();
 }
 
 group_actions group_controller::step(const server_directory& directory,
