Weigh groups in a function of their own when a place is picked

Cause: pick_group gathered, weighed, chose and noted the choice; that a server is near was written out three times, and the comment on find_place stood above wait_until.

Change: weigh makes the options; is_near takes a server's entry.

--- a/src/request-place.cc
+++ b/src/request-place.cc
@@ -79,33 +79,43 @@
 }
 
 std::optional<request_place> request_run::pick_group() {
-  std::vector<const group_view*> groups = this->groups_to_weigh();
-  std::vector<group_option> options;
-  const absl::Time now = this->node.now();
-  for (const group_view* group : groups) {
-    const place_load load = this->node.loads.total(group->name, now);
-    options.push_back({group->name, load.running, load.unread_tokens, 1,
-                       this->is_near(*group) ? 0 : this->far_cost_ms()});
-  }
-  const auto found = choose_group(*this->service->engine, *this->model, options,
-                                  this->expected_size(), this->node.random);
+  const engine_profile& engine = *this->service->engine;
+  const request_size size = this->expected_size();
+  const std::vector<const group_view*> groups = this->groups_to_weigh();
+  const std::vector<group_option> options = this->weigh(groups);
+  const auto found =
+      choose_group(engine, *this->model, options, size, this->node.random);
   if (!found) return std::nullopt;
   const group_view& group = *groups[*found];
   const group_option& option = options[*found];
-  this->chosen = {group.name, this->is_near(group), option.running,
-                  predict_first_event_ms(*this->service->engine, *this->model,
-                                         option, this->expected_size().prompt)};
   const server_entry* head = this->node.directory.find(group.head());
+  this->chosen = {
+      group.name, this->is_near(*head), option.running,
+      predict_first_event_ms(engine, *this->model, option, size.prompt)};
   return request_place{head->id, head->address, group.name, group.epoch,
                        group.members};
 }
 
+std::vector<group_option> request_run::weigh(
+    const std::vector<const group_view*>& groups) const {
+  const absl::Time now = this->node.now();
+  std::vector<group_option> out;
+  for (const group_view* group : groups) {
+    const place_load load = this->node.loads.total(group->name, now);
+    const server_entry* head = this->node.directory.find(group->head());
+    out.push_back({group->name, load.running, load.unread_tokens, 1,
+                   this->is_near(*head) ? 0 : this->far_cost_ms()});
+  }
+  return out;
+}
+
 std::vector<const group_view*> request_run::groups_to_weigh() {
   std::vector<const group_view*> out;
   std::vector<const group_view*> far;
   for (const auto& group : this->node.groups(this->service->name)) {
     if (!this->may_serve(group)) continue;
-    (this->is_near(group) ? out : far).push_back(&group);
+    const server_entry* head = this->node.directory.find(group.head());
+    (this->is_near(*head) ? out : far).push_back(&group);
   }
   // What is known of other halls is old, so that the emptiest group there would
   // draw the requests of all nodes at once.
@@ -117,9 +127,8 @@
   return out;
 }
 
-bool request_run::is_near(const group_view& group) const {
-  const server_entry* head = this->node.directory.find(group.head());
-  return head != nullptr && head->hall == this->node.settings.hall;
+bool request_run::is_near(const server_entry& entry) const {
+  return entry.hall == this->node.settings.hall;
 }
 
 double request_run::far_cost_ms() const {
@@ -135,16 +144,15 @@
     const server_entry& entry = server.entry;
     if (entry.service != this->service->name || entry.draining) continue;
     if (this->tried.count(id) != 0 || this->node.avoided(id)) continue;
-    const double cost =
-        this->node.loads.total(id, now).running +
-        (entry.hall == this->node.settings.hall ? 0 : other_hall_requests) +
-        drawn_requests * this->node.random.unit();
+    const double cost = this->node.loads.total(id, now).running +
+                        (this->is_near(entry) ? 0 : other_hall_requests) +
+                        drawn_requests * this->node.random.unit();
     if (best != nullptr && cost >= least) continue;
     best = &entry;
     least = cost;
   }
   if (best == nullptr) return std::nullopt;
-  this->chosen = {best->id, best->hall == this->node.settings.hall,
+  this->chosen = {best->id, this->is_near(*best),
                   this->node.loads.total(best->id, now).running, 0};
   return request_place{best->id, best->address, "", 0, {best->id}};
 }
--- a/src/request-run.h
+++ b/src/request-run.h
@@ -99,17 +99,20 @@
 
   /// Draws a service of the route by weight; null if it is not configured.
   void choose_service();
-  /// Waits for a place for a part of the goal; nothing if there is none.
   /// Until when it waits for a place.
   absl::Time wait_until() const;
+  /// Waits for a place for a part of the goal; nothing if there is none.
   boost::asio::awaitable<std::optional<request_place>> find_place();
   std::optional<request_place> pick();
   std::optional<request_place> pick_group();
   /// The groups that may serve the request: all of this data hall, and some of
   /// the others.
   std::vector<const group_view*> groups_to_weigh();
-  /// Whether a group is in this node's data hall.
-  bool is_near(const group_view& group) const;
+  /// These groups as the prediction takes them.
+  std::vector<group_option> weigh(
+      const std::vector<const group_view*>& groups) const;
+  /// Whether a server is in this node's data hall.
+  bool is_near(const server_entry& entry) const;
   std::optional<request_place> pick_server();
   /// Whether a group could take the request, its load aside.
   bool may_serve(const group_view& group) const;
