Split the long functions of the soak

Cause: play, main and send_one each did several things; some numbers stood without a name, and the checks did not say what they check.

Change: start_callers, stop_callers, check_all, excused, draw and print are functions; a switch takes the place of four ifs; the id of the soak's own requests, the number of faults and the least delay have names.

No behaviour change: a seed draws the same faults and requests.

--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -22,7 +22,7 @@
 using net::ip::tcp;
 using standin::sleep_for;
 
-constexpr unsigned http_11 = 11;
+constexpr uint64_t request_kinds = 3;
 /// Events of each stream that the stand-in's engines write.
 constexpr int stream_events = 12;
 constexpr absl::Duration patience = absl::Seconds(4);
@@ -134,21 +134,25 @@
   return request_end::answered;
 }
 
+sent_request caller::draw() {
+  sent_request out;
+  out.kind = static_cast<request_kind>(this->random.below(request_kinds));
+  // A quarter of the requests use the key that a fault takes away.
+  out.key = this->random.below(4) == 0 ? "key-2" : "key-1";
+  out.node = this->node;
+  out.sent = boot_now();
+  return out;
+}
+
 net::awaitable<void> caller::send_one() {
-  if (!this->socket.is_open()) {
-    const bool connected = co_await this->connect();
-    if (!connected) {
-      detail::close_quietly(this->socket);
-      co_await sleep_for(reconnect_rest);
-      co_return;
-    }
+  const bool connected = this->socket.is_open() || co_await this->connect();
+  if (!connected) {
+    detail::close_quietly(this->socket);
+    co_await sleep_for(reconnect_rest);
+    co_return;
   }
   const std::string id = absl::StrCat(this->name, "-", this->count++);
-  sent_request what;
-  what.kind = static_cast<request_kind>(this->random.below(3));
-  what.key = this->random.below(4) == 0 ? "key-2" : "key-1";
-  what.node = this->node;
-  what.sent = boot_now();
+  const sent_request what = this->draw();
   this->sent[id] = what;
   const request out = this->compose(id, what);
   auto [error, size] = co_await http::async_write(this->socket, out, use_tuple);
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -80,6 +80,8 @@
   using response =
       boost::beast::http::response<boost::beast::http::string_body>;
 
+  /// A request of some kind, from now on.
+  sent_request draw();
   /// Sends one request and waits for its end.
   boost::asio::awaitable<void> send_one();
   /// Connects to some node. False if it cannot be reached.
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -50,6 +50,18 @@
   return result;
 }
 
+void print(uint64_t seed, const soak_result& result) {
+  std::cout << "event=soak seed=" << seed << " faults=" << result.faults;
+  for (const auto& [end_name, count] : result.ends) {
+    std::cout << " " << end_name << "=" << count;
+  }
+  std::cout << " breaches=" << result.breaches.size() << std::endl;
+  for (const auto& breach : result.breaches) {
+    std::cout << "event=breach seed=" << seed << " what=\"" << breach << "\""
+              << std::endl;
+  }
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -61,15 +73,7 @@
       first + static_cast<uint64_t>(absl::GetFlag(FLAGS_seeds));
   for (uint64_t seed = first; seed < end; ++seed) {
     const soak_result result = play(seed);
-    std::cout << "event=soak seed=" << seed << " faults=" << result.faults;
-    for (const auto& [end_name, count] : result.ends) {
-      std::cout << " " << end_name << "=" << count;
-    }
-    std::cout << " breaches=" << result.breaches.size() << std::endl;
-    for (const auto& breach : result.breaches) {
-      std::cout << "event=breach seed=" << seed << " what=\"" << breach << "\""
-                << std::endl;
-    }
+    print(seed, result);
     failed += result.breaches.empty() ? 0 : 1;
   }
   std::cout << (end - first - static_cast<uint64_t>(failed)) << " passed, "
--- a/soak/soak-checks.cc
+++ b/soak/soak-checks.cc
@@ -35,6 +35,13 @@
 
 }  // namespace
 
+void soak_run::check_all(const nlohmann::json& record) {
+  this->check_ends();
+  this->check_runs(record);
+  this->check_keys(record);
+  this->check_planned_stops(record);
+}
+
 void soak_run::check_runs(const nlohmann::json& record) {
   const auto runs = record.value("runs", std::map<std::string, int>());
   const auto workspaces =
@@ -84,6 +91,14 @@
   }
 }
 
+bool soak_run::excused(const sent_request& r) const {
+  return std::any_of(
+      this->struck.begin(), this->struck.end(), [&](const auto& fault) {
+        return !fault.planned && fault.from <= r.ended + before_fault &&
+               fault.to + after_fault >= r.sent;
+      });
+}
+
 void soak_run::check_planned_stops(const nlohmann::json& record) {
   const auto runs = record.value("runs", std::map<std::string, int>());
   for (const auto& c : this->callers) {
@@ -91,12 +106,7 @@
       // One that no server has seen may have crossed the end of its connection.
       if (r.end != request_end::cut || runs.count(id) == 0) continue;
       if (r.ended == absl::InfiniteFuture()) continue;
-      const bool excused = std::any_of(
-          this->struck.begin(), this->struck.end(), [&](const auto& fault) {
-            return !fault.planned && fault.from <= r.ended + before_fault &&
-                   fault.to + after_fault >= r.sent;
-          });
-      if (excused) continue;
+      if (this->excused(r)) continue;
       this->result.breaches.push_back(id + ": cut off while nothing failed");
     }
   }
--- a/soak/soak-faults.cc
+++ b/soak/soak-faults.cc
@@ -23,11 +23,15 @@
 constexpr absl::Duration longest_gap = absl::Milliseconds(900);
 constexpr absl::Duration least_fault = absl::Milliseconds(200);
 constexpr absl::Duration longest_fault = absl::Milliseconds(3500);
+constexpr absl::Duration least_delay = absl::Milliseconds(10);
 constexpr absl::Duration longest_delay = absl::Milliseconds(300);
 /// A process that was stopped is started again after this long at most.
 constexpr absl::Duration longest_down = absl::Milliseconds(900);
 constexpr absl::Duration look_again = absl::Milliseconds(20);
 
+/// Numbers that `strike` knows; a fault that has several is drawn more often.
+constexpr uint64_t fault_kinds = 12;
+
 }  // namespace
 
 absl::Duration soak_run::drawn(absl::Duration least, absl::Duration most) {
@@ -52,7 +56,7 @@
     co_await sleep_for(this->drawn(least_gap, longest_gap));
     if (this->at_work >= most_at_work) continue;
     this->at_work++;
-    const uint64_t kind = this->random.below(12);
+    const uint64_t kind = this->random.below(fault_kinds);
     net::co_spawn(
         this->loop,
         [this, kind]() -> net::awaitable<void> {
@@ -128,17 +132,21 @@
   const uint64_t how = this->random.below(4);
   static const char* const names[] = {"reset", "delay", "one_way", "silence"};
   const size_t at = this->begin_struck(names[how], false);
-  if (how == 0) relay.reset_all();
-  if (how == 1) {
-    relay.faults.delay = this->drawn(absl::Milliseconds(10), longest_delay);
-  }
-  if (how == 2) {
-    const bool forth = this->random.below(2) == 0;
-    (forth ? relay.faults.hold_forth : relay.faults.hold_back) = true;
-  }
-  if (how == 3) {
-    relay.faults.hold_forth = true;
-    relay.faults.hold_back = true;
+  switch (how) {
+    case 0:
+      relay.reset_all();
+      break;
+    case 1:
+      relay.faults.delay = this->drawn(least_delay, longest_delay);
+      break;
+    case 2: {
+      const bool forth = this->random.below(2) == 0;
+      (forth ? relay.faults.hold_forth : relay.faults.hold_back) = true;
+      break;
+    }
+    default:
+      relay.faults.hold_forth = true;
+      relay.faults.hold_back = true;
   }
   co_await sleep_for(this->drawn(least_fault, longest_fault));
   relay.faults = {};
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -29,6 +29,9 @@
 /// Requests that run when the callers stop end within this time.
 constexpr absl::Duration last_requests = absl::Seconds(8);
 
+/// Id of the requests by which the soak itself asks whether a node serves.
+constexpr char probe_id[] = "probe";
+
 /// An address of this process' own on loopback, which no other process uses.
 std::string own_address() {
   static int port = 20000;
@@ -118,11 +121,12 @@
   http_request request(http::verb::post, "/draft/probe", http_11);
   request.set(http::field::host, "callers.example");
   request.set(http::field::authorization, "Bearer key-1");
-  request.set("X-Request-Id", "probe");
+  request.set("X-Request-Id", probe_id);
   request.set("X-Model", "large");
   const fetch_result got =
       co_await this->fetcher.fetch(address, request, ask_limit);
-  co_return got.status == fetch_status::ok&& got.response.result_int() == 200;
+  if (got.status != fetch_status::ok) co_return false;
+  co_return got.response.result_int() == 200;
 }
 
 net::awaitable<bool> soak_run::wait_serving(absl::Duration limit) {
@@ -137,21 +141,16 @@
   co_return true;
 }
 
-net::awaitable<soak_result> soak_run::play() {
-  if (!co_await this->start_fleet()) {
-    this->result.breaches.push_back("the nodes do not serve after their start");
-    co_return this->result;
-  }
+void soak_run::start_callers() {
   for (int i = 0; i < this->options.callers; ++i) {
     this->callers.push_back(
         std::make_unique<caller>(this->loop, this->addresses,
                                  absl::StrCat("c", i), this->random.engine()));
     net::co_spawn(this->loop, this->callers.back()->run(), net::detached);
   }
-  co_await this->strike_all();
-  if (!co_await this->wait_serving(start_limit)) {
-    this->result.breaches.push_back("the nodes do not serve after the faults");
-  }
+}
+
+net::awaitable<void> soak_run::stop_callers() {
   for (auto& c : this->callers) c->stop();
   const absl::Time until = boot_now() + last_requests;
   const auto done = [](const auto& c) { return c->done(); };
@@ -159,16 +158,26 @@
          !std::all_of(this->callers.begin(), this->callers.end(), done)) {
     co_await sleep_for(look_again);
   }
+}
+
+net::awaitable<soak_result> soak_run::play() {
+  if (!co_await this->start_fleet()) {
+    this->result.breaches.push_back("the nodes do not serve after their start");
+    co_return this->result;
+  }
+  this->start_callers();
+  co_await this->strike_all();
+  if (!co_await this->wait_serving(start_limit)) {
+    this->result.breaches.push_back("the nodes do not serve after the faults");
+  }
+  co_await this->stop_callers();
   json record = co_await this->steer("/record", nullptr);
   if (!record.is_object()) {
     this->result.breaches.push_back("the fleet's process does not answer");
     record = json::object();
   }
-  record["runs"].erase("probe");
-  this->check_ends();
-  this->check_runs(record);
-  this->check_keys(record);
-  this->check_planned_stops(record);
+  record["runs"].erase(probe_id);
+  this->check_all(record);
   co_return this->result;
 }
 
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -73,6 +73,9 @@
   /// Waits until all nodes serve. False if they do not within the time.
   boost::asio::awaitable<bool> wait_serving(absl::Duration limit);
   boost::asio::awaitable<bool> serves(const std::string& address);
+  void start_callers();
+  /// Has the callers send no more, and waits for their last requests.
+  boost::asio::awaitable<void> stop_callers();
   /// Asks the fleet's process; null if it does not answer.
   boost::asio::awaitable<nlohmann::json> steer(std::string call,
                                                nlohmann::json body);
@@ -98,10 +101,18 @@
 
   // What must hold: soak-checks.cc.
 
+  /// Checks what callers saw against the fleet's record of what ran.
+  void check_all(const nlohmann::json& record);
+  /// Takes the callers' own breaches, and counts requests by their ends.
+  void check_ends();
+  /// No request ran that was refused, or more often than it may.
   void check_runs(const nlohmann::json& record);
+  /// No request ran by a key that had been taken away for long enough.
   void check_keys(const nlohmann::json& record);
+  /// No request that a server had was cut off but by an unplanned fault.
   void check_planned_stops(const nlohmann::json& record);
-  void check_ends();
+  /// Whether an unplanned fault may have cut this request off.
+  bool excused(const sent_request& r) const;
 
   boost::asio::io_context& loop;
   soak_options options;
