--- a/standin/fleet-main.cc
+++ b/standin/fleet-main.cc
@@ -1,17 +1,16 @@
 // The small fleet as a process of its own, steered over HTTP by a soak.
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
-#include <absl/strings/numbers.h>
-#include <absl/time/clock.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
-#include <iostream>
+#include <memory>
 
 #include "fleet-loop.h"
 #include "fleet-standin.h"
+#include "fleet-steering.h"
 
 ABSL_FLAG(std::string, address, "127.0.0.1", "IP address to steer it at");
 ABSL_FLAG(int, port, 0, "port to steer it at");
@@ -26,60 +25,7 @@
 using net::ip::tcp;
 using json = nlohmann::json;
 
-/// What the soak asks for, carried out on the fleet's loop.
-class steering {
- public:
-  explicit steering(fleet_standin& what) : fleet(what) {}
-
-  /// The answer to one call; null if there is no such call.
-  json carry_out(const std::string& call, const json& body) {
-    if (call == "/address") return {{"store", this->fleet.store_address()}};
-    if (call == "/record") return this->record();
-    if (call == "/keys") {
-      this->fleet.configure(this->fleet.sample_config(body));
-      return json::object();
-    }
-    if (call == "/faults") return this->set_faults(body);
-    if (call == "/dark") {
-      this->fleet.engines().set_dark(body.at("server"), body.at("dark"));
-      return json::object();
-    }
-    if (call == "/drain") {
-      this->fleet.engines().drain(body.at("server"), absl::Now());
-      return json::object();
-    }
-    return nullptr;
-  }
-
- private:
-  json record() const {
-    return {{"runs", this->fleet.record.runs},
-            {"workspaces", this->fleet.record.workspaces},
-            {"breaches", this->fleet.engines().breaches()},
-            {"servers", this->fleet.engines().living()},
-            {"serving", this->fleet.serving("large")}};
-  }
-
-  json set_faults(const json& body) {
-    fleet_faults& f = this->fleet.faults;
-    f.store_silent = body.value("store_silent", f.store_silent);
-    f.lose_plain_answers =
-        body.value("lose_plain_answers", f.lose_plain_answers);
-    f.shed_plain = body.value("shed_plain", f.shed_plain);
-    f.cross_plain_answers =
-        body.value("cross_plain_answers", f.cross_plain_answers);
-    f.break_after_events =
-        body.value("break_after_events", f.break_after_events);
-    order_faults& orders = this->fleet.engines().faults;
-    orders.late = body.value("late_orders", orders.late);
-    orders.answer_lost = body.value("lost_order_answers", orders.answer_lost);
-    return json::object();
-  }
-
-  fleet_standin& fleet;
-};
-
-net::awaitable<void> serve(steering& steer,
+net::awaitable<void> serve(fleet_steering& steer,
                            std::shared_ptr<tcp::socket> socket) {
   boost::beast::flat_buffer buffer;
   for (;;) {
@@ -96,7 +42,7 @@
   }
 }
 
-net::awaitable<void> accept(net::io_context& loop, steering& steer,
+net::awaitable<void> accept(net::io_context& loop, fleet_steering& steer,
                             tcp::acceptor& acceptor) {
   for (;;) {
     auto [error, socket] = co_await acceptor.async_accept(use_tuple);
@@ -117,7 +63,7 @@
                       absl::GetFlag(FLAGS_hosts));
   fleet.configure(fleet.sample_config({"key-1", "key-2"}));
   fleet.start();
-  spokesail::standin::steering steer(fleet);
+  spokesail::standin::fleet_steering steer(fleet);
   boost::asio::ip::tcp::acceptor acceptor(
       loop, {boost::asio::ip::make_address(absl::GetFlag(FLAGS_address)),
              static_cast<uint16_t>(absl::GetFlag(FLAGS_port))});
--- /dev/null
+++ b/standin/fleet-steering.cc
@@ -0,0 +1,51 @@
+// The calls by which a soak steers the fleet.
+#include "fleet-steering.h"
+
+#include <absl/time/clock.h>
+
+namespace spokesail::standin {
+
+using json = nlohmann::json;
+
+json fleet_steering::carry_out(const std::string& call, const json& body) {
+  if (call == "/address") return {{"store", this->fleet.store_address()}};
+  if (call == "/record") return this->record();
+  if (call == "/keys") {
+    this->fleet.configure(this->fleet.sample_config(body));
+    return json::object();
+  }
+  if (call == "/faults") return this->set_faults(body);
+  if (call == "/dark") {
+    this->fleet.engines().set_dark(body.at("server"), body.at("dark"));
+    return json::object();
+  }
+  if (call == "/drain") {
+    this->fleet.engines().drain(body.at("server"), absl::Now());
+    return json::object();
+  }
+  return nullptr;
+}
+
+json fleet_steering::record() const {
+  return {{"runs", this->fleet.record.runs},
+          {"workspaces", this->fleet.record.workspaces},
+          {"breaches", this->fleet.engines().breaches()},
+          {"servers", this->fleet.engines().living()},
+          {"serving", this->fleet.serving("large")}};
+}
+
+json fleet_steering::set_faults(const json& body) {
+  fleet_faults& f = this->fleet.faults;
+  f.store_silent = body.value("store_silent", f.store_silent);
+  f.lose_plain_answers = body.value("lose_plain_answers", f.lose_plain_answers);
+  f.shed_plain = body.value("shed_plain", f.shed_plain);
+  f.cross_plain_answers =
+      body.value("cross_plain_answers", f.cross_plain_answers);
+  f.break_after_events = body.value("break_after_events", f.break_after_events);
+  order_faults& orders = this->fleet.engines().faults;
+  orders.late = body.value("late_orders", orders.late);
+  orders.answer_lost = body.value("lost_order_answers", orders.answer_lost);
+  return json::object();
+}
+
+}  // namespace spokesail::standin
