--- a/src/node-process.cc
+++ b/src/node-process.cc
@@ -35,7 +35,7 @@
 
 /// Period of the line that gives the calls to the store since the start. Each
 /// call is priced; this is often enough to see which kind grew in an incident.
-constexpr absl::Duration summary_period = absl::Seconds(5);
+constexpr absl::Duration store_calls_period = absl::Seconds(5);
 
 /// Kept connections to servers and store rest at most this long.
 constexpr absl::Duration fetch_idle = absl::Seconds(4);
@@ -55,7 +55,8 @@
       link(state),
       gossip(state, link),
       relay(state, link),
-      duty(state),
+      lease(state),
+      duty(state, lease),
       stalls(state) {}
 
 bool node_process::listen() {
@@ -64,23 +65,13 @@
          this->open(this->metrics, this->settings.metrics_address);
 }
 
-void node_process::connect_parts() {
-  this->gossip.lease = [this] { return this->duty.word(); };
-  this->gossip.silent = [this] { return this->duty.silent(); };
-  this->duty.candidates = [this] {
-    std::vector<std::string> names = {this->settings.node};
-    for (const auto& [name, p] : this->link.live()) names.push_back(name);
-    return names;
-  };
-  this->gossip.on_lease = [this](const lease_word& word) {
-    this->duty.observe(word);
-  };
-  this->gossip.on_suspect = [this](const std::string& id) {
-    this->duty.suspect(id);
-  };
-  this->stalls.on_suspect = [this](const std::string& id) {
-    this->duty.suspect(id);
-  };
+std::vector<std::string> node_process::live_nodes() const {
+  std::vector<std::string> names = {this->settings.node};
+  for (const auto& [name, p] : this->link.live()) names.push_back(name);
+  return names;
+}
+
+void node_process::connect_messages() {
   this->link.on_gossip = [this](const std::string& peer, const auto& said) {
     this->gossip.take(peer, said);
   };
@@ -90,7 +81,25 @@
   this->link.on_news = [this](const std::string& peer, const auto& said) {
     this->relay.take(peer, said);
   };
-  this->relay.holder = [this] { return this->duty.holder(); };
+}
+
+void node_process::connect_duty() {
+  this->lease.candidates = [this] { return this->live_nodes(); };
+  this->gossip.lease = [this] { return this->lease.word(); };
+  this->gossip.silent = [this] { return this->duty.silent(); };
+  this->gossip.on_lease = [this](const lease_word& word) {
+    this->lease.observe(word);
+  };
+  this->gossip.on_suspect = [this](const std::string& id) {
+    this->duty.suspect(id);
+  };
+  this->stalls.on_suspect = [this](const std::string& id) {
+    this->duty.suspect(id);
+  };
+}
+
+void node_process::connect_store() {
+  this->relay.holder = [this] { return this->lease.holder(); };
   this->relay.on_config = [this](int64_t revision) {
     this->sync.read_config(revision);
   };
@@ -98,17 +107,20 @@
   this->sync.watches = [this] { return this->relay.watches_store(); };
   this->sync.relied_on = [this] { return this->relay.relied_on(); };
   this->sync.on_change = [this] { this->relay.push(); };
-  this->sync.urgent = [this] { return this->duty.holds(); };
+  this->sync.urgent = [this] { return this->lease.holds(); };
 }
 
 void node_process::start() {
-  this->connect_parts();
+  this->connect_messages();
+  this->connect_duty();
+  this->connect_store();
   this->spawn(this->sync.follow_config());
   this->spawn(this->sync.follow_servers());
   this->spawn(this->link.keep_peers());
   this->spawn(this->link.receive());
   this->spawn(this->gossip.run());
   this->spawn(this->relay.run());
+  this->spawn(this->lease.run());
   this->spawn(this->duty.run());
   this->spawn(this->accept_callers());
   this->spawn(this->serve_small(this->readiness, true));
@@ -208,7 +220,7 @@
   m.set_gauge("servers",
               static_cast<double>(this->state.directory.servers().size()));
   m.set_gauge("live_nodes", this->state.live_nodes);
-  m.set_gauge("lease_held", this->duty.holds() ? 1 : 0);
+  m.set_gauge("lease_held", this->lease.holds() ? 1 : 0);
   m.set_gauge("config_age_seconds",
               absl::ToDoubleSeconds(
                   std::min(this->state.config_age(), absl::Hours(1))));
@@ -248,8 +260,8 @@
 }
 
 void node_process::log_store_calls(absl::Time now) {
-  if (now - this->summed_up < summary_period) return;
-  this->summed_up = now;
+  if (now - this->store_calls_logged < store_calls_period) return;
+  this->store_calls_logged = now;
   std::vector<log_field> fields;
   for (const auto& [verb, count] : this->state.metrics.store_calls_by_verb()) {
     fields.push_back({verb, absl::StrCat(count)});
@@ -280,7 +292,7 @@
 void node_process::stop(const std::string& why) {
   if (this->state.stopping()) return;
   this->state.stopping_since = this->state.now();
-  this->duty.stop();
+  this->lease.stop();
   this->log.belief("stopping",
                    {{"why", why},
                     {"sessions", absl::StrCat(this->state.sessions.size())},
