Never give two groups of one lease number the same name

Cause: the controller counted epochs anew in each term. A lease that lapsed at its holder and was renewed before anybody else took it keeps its number, so that the resumed term gave the name and epoch of a standing group again. Ruled out: a second holder, a late order. The count now goes on while the number stays. The test failed first.

--- a/include/spokesail/group-controller.h
+++ b/include/spokesail/group-controller.h
@@ -278,8 +278,11 @@
   group_controller_options options;
   /// Fencing number of the lease; 0 while this node does not hold it.
   int64_t fence = 0;
-  /// Groups planned in this term.
+  /// Groups planned under `epochs_fence`. A lease that lapses and is renewed
+  /// before anybody else takes it keeps its number, so that the count goes on:
+  /// two groups of one name and epoch cannot be told apart.
   int64_t epochs = 0;
+  int64_t epochs_fence = 0;
   std::map<std::string, server_track> tracks;
   /// Groups of this term by name, until they are dissolved.
   std::map<std::string, group_plan> plans;
--- a/src/group-controller.cc
+++ b/src/group-controller.cc
@@ -59,12 +59,13 @@
 
 void group_controller::start_term(int64_t fence_number) {
   this->stop_term();
+  if (fence_number != this->epochs_fence) this->epochs = 0;
+  this->epochs_fence = fence_number;
   this->fence = fence_number;
 }
 
 void group_controller::stop_term() {
   this->fence = 0;
-  this->epochs = 0;
   this->tracks.clear();
   this->plans.clear();
   this->released.clear();
--- a/test/group-controller-test.cc
+++ b/test/group-controller-test.cc
@@ -206,6 +206,38 @@
   EXPECT_TRUE(run.fleet.breaches().empty());
 }
 
+/// Groups that the servers of a domain, or all others, name.
+std::set<std::string> group_names(const fleet_run& run,
+                                  const std::string& domain, bool in_domain) {
+  std::set<std::string> out;
+  for (const auto& [id, server] : run.fleet.directory().servers()) {
+    const server_entry& entry = server.entry;
+    if ((entry.domain == domain) != in_domain) continue;
+    if (entry.membership.group.empty()) continue;
+    out.insert(entry.membership.group);
+  }
+  return out;
+}
+
+TEST(group_controller, a_term_that_is_resumed_gives_no_groups_name_again) {
+  fleet_run run = standing_fleet(1);
+  // The lease could not be renewed for a while, and nobody else took it.
+  run.controller.stop_term();
+  run.controller.start_term(run.fence);
+  run.loads_count = false;
+  const std::string added = "added";
+  for (int i = 0; i < 8; ++i) run.fleet.add(added, run.now);
+  const std::set<std::string> earlier = group_names(run, added, false);
+  std::set<std::string> fresh;
+  const absl::Time until = run.now + absl::Seconds(10);
+  while (run.now < until) {
+    run.step();
+    fresh.merge(group_names(run, added, true));
+  }
+  EXPECT_FALSE(fresh.empty());
+  for (const auto& name : fresh) EXPECT_EQ(earlier.count(name), 0U) << name;
+}
+
 TEST(group_controller, stages_hosts_for_the_model_that_lacks_groups) {
   fleet_run run = standing_fleet(6);
   const std::set<std::string> struck = {"d0", "d1", "d2"};
