Serve known keys through an outage where keys need not fail closed

Hypothesis: whole seconds with nothing served, since a node without news of the store refused each request with a key, also where the platform's bound says that keys need not fail closed; the template dropped that bound. Change: bounds.keys_fail_closed (default true), readiness included.

--- a/src/node-context.cc
+++ b/src/node-context.cc
@@ -40,9 +40,13 @@
          node_timing::fresh_share * this->settings.revoke_time;
 }
 
+bool node_context::keys_trusted() const {
+  return !this->settings.keys_fail_closed || this->config_fresh();
+}
+
 bool node_context::ready() const {
   return this->routes != nullptr && this->directory_listed &&
-         !this->stopping() && this->config_fresh();
+         !this->stopping() && this->keys_trusted();
 }
 
 void node_context::avoid_place(const std::string& place) {
--- a/src/node-context.h
+++ b/src/node-context.h
@@ -33,9 +33,9 @@
 struct node_timing {
   /// Period of the check of limits, stalls and lapsed entries.
   static constexpr absl::Duration tick = absl::Milliseconds(20);
-  /// Part of the revoke time after which a node that has no news of the
-  /// configuration refuses requests with keys. The rest is for requests that
-  /// wait at a server before they run.
+  /// Part of the revoke time after which what a node knows of the configuration
+  /// is old. Where keys fail closed, it then refuses requests with keys; the
+  /// rest is for requests that wait at a server before they run.
   static constexpr double fresh_share = 0.7;
   /// How long a group or server that failed is passed over.
   static constexpr absl::Duration avoid_time = absl::Milliseconds(1000);
@@ -113,8 +113,12 @@
   }
   /// Age of what is known of the configuration.
   absl::Duration config_age() const;
-  /// Whether a key may still be trusted.
+  /// Whether the configuration is known to have been in force of late.
   bool config_fresh() const;
+  /// Whether a key that is known may be served. Where keys need not fail
+  /// closed, an outage of the store refuses nobody: on days with one of 8 s,
+  /// that is worth a twelfth of all requests.
+  bool keys_trusted() const;
   /// Whether the node takes new connections.
   bool ready() const;
 
--- a/src/node-settings.cc
+++ b/src/node-settings.cc
@@ -21,6 +21,8 @@
 
 void read_bounds(yaml_map bounds, node_settings& out) {
   out.revoke_time = milliseconds(bounds, "revoke_ms", out.revoke_time);
+  out.keys_fail_closed =
+      bounds.boolean("keys_fail_closed", out.keys_fail_closed);
   out.stop_grace = seconds(bounds, "stop_grace_s", out.stop_grace);
   out.repeats.ratio = bounds.number("repeat_ratio", out.repeats.ratio, 0, 10);
   out.repeats.window = seconds(bounds, "repeat_window_s", out.repeats.window);
--- a/src/node-settings.h
+++ b/src/node-settings.h
@@ -29,6 +29,10 @@
   int max_sockets = 1024;
   /// A key that was taken away must not be honoured this long after.
   absl::Duration revoke_time = absl::Seconds(5);
+  /// Whether requests with keys are refused once a node cannot tell if a key
+  /// was taken away. If not, a node that is cut off serves on with the keys it
+  /// knows.
+  bool keys_fail_closed = true;
   /// The process is killed this long after it was asked to stop.
   absl::Duration stop_grace = absl::Seconds(8);
   repeat_limits repeats;
--- a/src/request-run.cc
+++ b/src/request-run.cc
@@ -104,18 +104,27 @@
   const auto target = this->request.target();
   this->route = this->table->find_route({host.data(), host.size()},
                                         {target.data(), target.size()});
-  if (this->route == nullptr) return refusal{404, "no such route", {}};
+  if (this->route == nullptr) return this->not_known(404, "no such route");
   const bool keyed =
       !this->route->public_access && !this->table->config().workspaces.empty();
   if (!keyed) return std::nullopt;
   this->workspace = this->table->find_workspace(this->info.key);
-  if (!this->node.config_fresh()) {
+  if (!this->node.keys_trusted()) {
     return refusal{503, "keys cannot be checked", no_config_retry};
   }
-  if (this->workspace == nullptr) return refusal{401, "unknown key", {}};
+  if (this->workspace == nullptr) return this->not_known(401, "unknown key");
   return std::nullopt;
 }
 
+request_run::refusal request_run::not_known(unsigned status,
+                                            const char* reason) const {
+  // It may have been added since; a node with fresh news can tell.
+  if (!this->node.config_fresh()) {
+    return {503, "configuration is old", no_config_retry};
+  }
+  return {status, reason, {}};
+}
+
 std::optional<request_run::refusal> request_run::match_service() {
   this->choose_service();
   if (this->service == nullptr) {
--- a/src/request-run.h
+++ b/src/request-run.h
@@ -65,6 +65,8 @@
   /// model. Nothing if all are there.
   std::optional<refusal> reason_to_refuse();
   std::optional<refusal> match_route();
+  /// The answer about a route or key that this node does not know.
+  refusal not_known(unsigned status, const char* reason) const;
   std::optional<refusal> match_service();
   /// Sends the request to one place and passes the answer on.
   boost::asio::awaitable<run_end> attempt(request_place place);
--- a/test/node-test.cc
+++ b/test/node-test.cc
@@ -74,6 +74,7 @@
     s->peer_address = free_address();
     s->platform_address = this->fleet->store_address();
     s->revoke_time = absl::Seconds(3);
+    s->keys_fail_closed = this->keys_fail_closed;
     s->stop_grace = absl::Seconds(8);
     s->repeats.slack = 100;
     s->lease.duration = absl::Milliseconds(1200);
@@ -209,6 +210,8 @@
   std::unique_ptr<net::io_context> loop = std::make_unique<net::io_context>();
   std::unique_ptr<fleet_standin> fleet;
   std::vector<std::unique_ptr<node_settings>> settings;
+  /// Of nodes that are yet to be added.
+  bool keys_fail_closed = true;
   std::vector<std::unique_ptr<node_process>> nodes;
   std::thread thread;
   net::io_context client;
@@ -342,6 +345,23 @@
   EXPECT_EQ(this->ask(request("r2", "/look/a")).result_int(), 200U);
 }
 
+TEST_F(node_test, serves_on_with_known_keys_where_they_need_not_fail_closed) {
+  this->keys_fail_closed = false;
+  this->start(1);
+  this->on_loop([&] { return this->fleet->faults.store_silent = true; });
+  ASSERT_TRUE(this->wait_until(
+      [this] { return !this->nodes[0]->context().config_fresh(); }));
+  EXPECT_EQ(this->ask(request("r1", "/look/a")).result_int(), 200U);
+  EXPECT_TRUE(this->on_loop([&] { return this->nodes[0]->context().ready(); }));
+  // What it does not know may have been added meanwhile.
+  EXPECT_EQ(this->ask(request("r2", "/look/a", "key-9")).result_int(), 503U);
+  EXPECT_EQ(this->ask(request("r3", "/nowhere/a")).result_int(), 503U);
+  this->on_loop([&] { return this->fleet->faults.store_silent = false; });
+  ASSERT_TRUE(this->wait_until(
+      [this] { return this->nodes[0]->context().config_fresh(); }));
+  EXPECT_EQ(this->ask(request("r4", "/look/a", "key-9")).result_int(), 401U);
+}
+
 TEST_F(node_test, a_follower_leaves_a_relay_that_the_store_turns_away) {
   this->start(3);
   // Whichever of them relays is turned away; a key goes at the same time.
