Repeat safe calls of plain services after a failure

Hypothesis: only streams were sent again after a 5xx; a safe call of a plain service kept the first failure although route and budget allow another send.

--- a/src/node-settings.cc
+++ b/src/node-settings.cc
@@ -33,6 +33,12 @@
   bounds.finish();
 }
 
+void read_policy(yaml_map map, node_policy& out) {
+  out.repeat_failed_calls =
+      map.boolean("repeat_failed_calls", out.repeat_failed_calls);
+  map.finish();
+}
+
 }  // namespace
 
 boost::leaf::result<node_settings> read_node_settings(const std::string& file) {
@@ -58,6 +64,7 @@
   out.max_sockets = static_cast<int>(
       root.integer("max_sockets", out.max_sockets, 64, 1 << 20));
   read_bounds(root.map("bounds"), out);
+  read_policy(root.map("policy"), out.policy);
   root.finish();
   if (!error.faults.empty()) return boost::leaf::new_error(std::move(error));
   return out;
--- a/src/node-settings.h
+++ b/src/node-settings.h
@@ -8,6 +8,7 @@
 
 #include "spokesail/group-controller.h"
 #include "spokesail/lease.h"
+#include "spokesail/node-policy.h"
 #include "spokesail/repeat-budget.h"
 #include "spokesail/settings.h"
 
@@ -36,6 +37,7 @@
   /// The process is killed this long after it was asked to stop.
   absl::Duration stop_grace = absl::Seconds(8);
   repeat_limits repeats;
+  node_policy policy;
   group_controller_options groups;
   lease_timing lease;
 };
--- a/src/request-answer.cc
+++ b/src/request-answer.cc
@@ -45,8 +45,10 @@
 }
 
 bool request_run::repeat_instead(unsigned status) {
-  return status >= first_server_error && this->service->engine &&
-         this->may_repeat(run_end::broken);
+  if (status < first_server_error) return false;
+  const bool wanted = this->service->engine.has_value() ||
+                      this->node.settings.policy.repeat_failed_calls;
+  return wanted && this->may_repeat(run_end::broken);
 }
 
 net::awaitable<run_end> request_run::pass_whole(exchange& ex,
--- a/src/request-run.cc
+++ b/src/request-run.cc
@@ -304,8 +304,9 @@
   for (;;) {
     const auto place = co_await this->find_place();
     if (this->sends == 0) {
+      this->waited_for_place = this->node.now() - this->arrived;
       this->node.metrics.observe_queue(
-          absl::ToDoubleSeconds(this->node.now() - this->arrived));
+          absl::ToDoubleSeconds(this->waited_for_place));
     }
     if (this->session.gone || !place) break;
     if (this->sends > 0) this->count_repeat();
@@ -385,7 +386,12 @@
        {"status", absl::StrCat(status)},
        {"why", reason},
        {"route", this->route == nullptr ? "" : this->route->name},
+       {"goal_ms", this->route == nullptr ? "" : millis(this->route->goal)},
+       {"pause_goal_ms", this->route == nullptr || !this->route->streaming
+                             ? ""
+                             : millis(this->route->pause_goal)},
        {"model", this->info.model},
+       {"wait_ms", millis(this->waited_for_place)},
        {"place", this->chosen.place},
        {"near", this->chosen.near ? "1" : "0"},
        {"place_running", absl::StrCat(this->chosen.running)},
--- a/src/request-run.h
+++ b/src/request-run.h
@@ -181,6 +181,8 @@
   absl::Time first_event_at = absl::InfiniteFuture();
   absl::Time last_event_at = absl::InfiniteFuture();
   absl::Duration longest_pause = absl::ZeroDuration();
+  /// From its arrival until it had a place, or none.
+  absl::Duration waited_for_place = absl::ZeroDuration();
 };
 
 }  // namespace spokesail
--- a/standin/fleet-standin.cc
+++ b/standin/fleet-standin.cc
@@ -228,7 +228,10 @@
     this->record.bodies[id] = in.body();
     this->record.workspaces[id] = text_of(in, "X-Tenant");
     if (this->faults.lose_plain_answers) co_return false;
-    out = answer_of(200, absl::StrCat("path ", std::string(in.target())));
+    const bool fails = this->faults.fail_plain_calls > 0;
+    if (fails) this->faults.fail_plain_calls--;
+    out = answer_of(fails ? 500 : 200,
+                    absl::StrCat("path ", std::string(in.target())));
     out.set("X-Response-Stamp", "stamp-" + h.id);
   }
   const bool crossed = this->faults.cross_plain_answers && h.plain;
--- a/standin/fleet-standin.h
+++ b/standin/fleet-standin.h
@@ -31,6 +31,8 @@
   bool lose_plain_answers = false;
   /// Plain servers turn calls away unrun.
   bool shed_plain = false;
+  /// So many plain calls, from the next one on, run and fail.
+  int fail_plain_calls = 0;
   /// Plain answers bear another request's id.
   bool cross_plain_answers = false;
   /// Streams are reset after this many events; 0 for none.
--- a/test/node-test.cc
+++ b/test/node-test.cc
@@ -75,6 +75,7 @@
     s->platform_address = this->fleet->store_address();
     s->revoke_time = absl::Seconds(3);
     s->keys_fail_closed = this->keys_fail_closed;
+    s->policy = this->policy;
     s->stop_grace = absl::Seconds(8);
     s->repeats.slack = 100;
     s->lease.duration = absl::Milliseconds(1200);
@@ -212,6 +213,7 @@
   std::vector<std::unique_ptr<node_settings>> settings;
   /// Of nodes that are yet to be added.
   bool keys_fail_closed = true;
+  node_policy policy;
   std::vector<std::unique_ptr<node_process>> nodes;
   std::thread thread;
   net::io_context client;
@@ -296,6 +298,24 @@
   EXPECT_EQ(this->runs("r1"), 0);
 }
 
+TEST_F(node_test, repeats_a_failed_call_only_if_it_may_be_repeated) {
+  this->start(1);
+  this->on_loop([&] { return this->fleet->faults.fail_plain_calls = 1; });
+  EXPECT_EQ(this->ask(request("r1", "/look/minutes")).result_int(), 200U);
+  EXPECT_EQ(this->runs("r1"), 2);
+  this->on_loop([&] { return this->fleet->faults.fail_plain_calls = 1; });
+  EXPECT_EQ(this->ask(request("r2", "/file/minutes")).result_int(), 500U);
+  EXPECT_EQ(this->runs("r2"), 1);
+}
+
+TEST_F(node_test, passes_a_failure_on_where_failed_calls_are_not_repeated) {
+  this->policy.repeat_failed_calls = false;
+  this->start(1);
+  this->on_loop([&] { return this->fleet->faults.fail_plain_calls = 1; });
+  EXPECT_EQ(this->ask(request("r1", "/look/minutes")).result_int(), 500U);
+  EXPECT_EQ(this->runs("r1"), 1);
+}
+
 TEST_F(node_test, never_passes_on_the_answer_to_another_request) {
   this->start(1);
   this->on_loop([&] { return this->fleet->faults.cross_plain_answers = true; });
