--- a/src/main.cc
+++ b/src/main.cc
@@ -14,12 +14,14 @@
 #include <iostream>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <set>
 
 #include "apply.h"
 #include "detail/http.h"
 #include "explain.h"
 #include "fleet-adapter.h"
+#include "losses.h"
 #include "node.h"
 #include "spokesail/config-reader.h"
 #include "spokesail/daemon.h"
@@ -97,16 +99,36 @@
       [] { return exit_failed; });
 }
 
-int run_explain(const std::vector<std::string>& args) {
-  if (args.size() < 2) return usage_error("explain needs an id and log files");
+/// Reads the log files named from argument `first` on; nothing if one cannot
+/// be read, which is then said.
+std::optional<std::vector<log_record>> read_logs(
+    const std::vector<std::string>& args, size_t first) {
   std::vector<log_record> records;
-  for (size_t i = 1; i < args.size(); ++i) {
+  for (size_t i = first; i < args.size(); ++i) {
     std::ifstream file(args[i]);
-    if (!file) return usage_error("cannot read " + args[i]);
+    if (!file) {
+      usage_error("cannot read " + args[i]);
+      return std::nullopt;
+    }
     std::string line;
     while (std::getline(file, line)) records.push_back(parse_log_line(line));
   }
-  const explanation told = explain_request(args[0], std::move(records));
+  return records;
+}
+
+int run_losses(const std::vector<std::string>& args) {
+  if (args.empty()) return usage_error("losses needs log files");
+  const auto records = read_logs(args, 0);
+  if (!records) return exit_usage;
+  std::cout << loss_text(count_losses(*records));
+  return exit_ok;
+}
+
+int run_explain(const std::vector<std::string>& args) {
+  if (args.size() < 2) return usage_error("explain needs an id and log files");
+  auto records = read_logs(args, 1);
+  if (!records) return exit_usage;
+  const explanation told = explain_request(args[0], std::move(*records));
   if (told.cause.empty()) {
     std::cerr << "spokesail: no log line names " << args[0] << "\n";
     return exit_failed;
@@ -402,6 +424,11 @@
        "tell from nodes' log files why a request ended as it did",
        {},
        run_explain},
+      {"losses",
+       "losses FILE...",
+       "count requests that were not served in time, by cause, from logs",
+       {},
+       run_losses},
       {"node",
        "node [--settings FILE]",
        "run a node on the fleet's platform",
