--- /dev/null
+++ b/test/node-settings-test.cc
@@ -0,0 +1,70 @@
+// The settings of a node: what is read, what is checked, what holds if a key
+// is not there.
+#include "node-settings.h"
+
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <fstream>
+
+#include "spokesail/settings.h"
+
+namespace spokesail {
+namespace {
+
+namespace leaf = boost::leaf;
+
+const std::string least =
+    "node: n1\nhall: h1\nlisten:\n  callers: 127.0.0.1:1\n"
+    "  ready: 127.0.0.1:2\n  metrics: 127.0.0.1:3\n  peers: 127.0.0.1:4\n"
+    "platform: 127.0.0.1:5\n";
+
+/// Reads settings from a text. `faults` gets the keys that are at fault.
+node_settings read(const std::string& text, std::vector<std::string>& faults) {
+  const std::string file = testing::TempDir() + "node-settings-test.yaml";
+  std::ofstream(file) << text;
+  const auto out =
+      leaf::try_handle_all([&] { return read_node_settings(file); },
+                           [&](const yaml_error& error) {
+                             for (const auto& fault : error.faults)
+                               faults.push_back(fault.key);
+                             return node_settings{};
+                           },
+                           [] { return node_settings{}; });
+  std::remove(file.c_str());
+  return out;
+}
+
+TEST(node_settings, have_defaults_on_the_safe_side) {
+  std::vector<std::string> faults;
+  const node_settings settings = read(least, faults);
+  EXPECT_TRUE(faults.empty());
+  EXPECT_TRUE(settings.keys_fail_closed);
+  EXPECT_TRUE(settings.policy.repeat_failed_calls);
+  EXPECT_TRUE(settings.groups.spares_serve);
+}
+
+TEST(node_settings, take_the_platforms_bounds_and_the_operators_policy) {
+  std::vector<std::string> faults;
+  const node_settings settings =
+      read(least +
+               "bounds:\n  keys_fail_closed: false\n  repeat_slack: 7\n"
+               "policy:\n  repeat_failed_calls: false\n  spare_share: 0.3\n"
+               "  spares_serve: false\n",
+           faults);
+  EXPECT_TRUE(faults.empty());
+  EXPECT_FALSE(settings.keys_fail_closed);
+  EXPECT_EQ(settings.repeats.slack, 7);
+  EXPECT_FALSE(settings.policy.repeat_failed_calls);
+  EXPECT_FALSE(settings.groups.spares_serve);
+  EXPECT_EQ(settings.groups.spare_share, 0.3);
+}
+
+TEST(node_settings, refuse_what_nobody_reads_and_what_is_out_of_range) {
+  std::vector<std::string> faults;
+  read(least + "policy:\n  spare_share: 2\n  no_such_policy: 1\n", faults);
+  EXPECT_EQ(faults.size(), 2U);
+}
+
+}  // namespace
+}  // namespace spokesail
