--- a/src/losses.cc
+++ b/src/losses.cc
@@ -32,7 +32,7 @@
 
 /// Why a stream's first event was late.
 std::string first_event_cause(const log_record& r) {
-  const double goal = number(r, "goal_ms");
+  const double goal = number(r, "due_ms");
   if (number(r, "sends") > 1) return "first event late: sent again";
   if (number(r, "wait_ms") > long_wait_share * goal) {
     return "first event late: waited at the node";
@@ -43,12 +43,12 @@
 
 std::string answered_cause(const log_record& r) {
   if (r.value("status").substr(0, 1) == "5") return "failed by its server";
-  const double goal = number(r, "goal_ms");
-  if (r.value("pause_goal_ms").empty()) {
+  const double goal = number(r, "due_ms");
+  if (r.value("longest_gap_ms").empty()) {
     return number(r, "total_ms") > goal ? "answer late" : "";
   }
   if (number(r, "first_ms") > goal) return first_event_cause(r);
-  if (number(r, "pause_ms") <= number(r, "pause_goal_ms")) return "";
+  if (number(r, "pause_ms") <= number(r, "longest_gap_ms")) return "";
   return number(r, "sends") > 1 ? "pause too long: went on at another group"
                                 : "pause too long: in one group";
 }
--- a/src/request-run.cc
+++ b/src/request-run.cc
@@ -386,10 +386,10 @@
        {"status", absl::StrCat(status)},
        {"why", reason},
        {"route", this->route == nullptr ? "" : this->route->name},
-       {"goal_ms", this->route == nullptr ? "" : millis(this->route->goal)},
-       {"pause_goal_ms", this->route == nullptr || !this->route->streaming
-                             ? ""
-                             : millis(this->route->pause_goal)},
+       {"due_ms", this->route == nullptr ? "" : millis(this->route->goal)},
+       {"longest_gap_ms", this->route == nullptr || !this->route->streaming
+                              ? ""
+                              : millis(this->route->pause_goal)},
        {"model", this->info.model},
        {"wait_ms", millis(this->waited_for_place)},
        {"place", this->chosen.place},
--- a/test/losses-test.cc
+++ b/test/losses-test.cc
@@ -11,7 +11,7 @@
   return parse_log_line(
       "time=2026-10-16T19:20:" + time +
       ".500+00:00 node=n1 event=request_ended id=r1 outcome=answered "
-      "status=200 why=\"\" route=draft goal_ms=300 pause_goal_ms=200 " +
+      "status=200 why=\"\" route=draft due_ms=300 longest_gap_ms=200 " +
       fields);
 }
 
@@ -40,8 +40,8 @@
 
 TEST(loss_cause, tells_plain_calls_and_refusals) {
   const std::string head =
-      "time=T node=n1 event=request_ended id=r1 route=look goal_ms=100 "
-      "pause_goal_ms=\"\" ";
+      "time=T node=n1 event=request_ended id=r1 route=look due_ms=100 "
+      "longest_gap_ms=\"\" ";
   EXPECT_EQ(loss_cause(parse_log_line(
                 head + "outcome=answered status=200 total_ms=101")),
             "answer late");
