--- a/include/spokesail/group-controller.h
+++ b/include/spokesail/group-controller.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "spokesail/question-window.h"
 #include "spokesail/routing-config.h"
 #include "spokesail/server-directory.h"
 
@@ -82,6 +83,15 @@
   bool step_down = false;
 };
 
+/// Loads from the weight store that earlier holders of the lease began.
+struct earlier_loads {
+  /// Loads in the window before `as_of`, by the last holder's own word.
+  int count = 0;
+  /// When this node heard of them; infinite past if it never did.
+  absl::Time as_of = absl::InfinitePast();
+  bool operator==(const earlier_loads&) const = default;
+};
+
 /// The group controller of the holder of the lease. It compares what stands,
 /// by the servers' own words, with what should stand, and gives the next
 /// orders; it keeps nothing that a new holder could not read back.
@@ -95,8 +105,9 @@
   explicit group_controller(const group_controller_options& options)
       : options(options) {}
 
-  /// Begins to act under a lease's fencing number.
-  void start_term(int64_t fence);
+  /// Begins to act under a lease's fencing number. What the holder before it
+  /// loaded counts in this one's windows.
+  void start_term(int64_t fence, const earlier_loads& before = {});
 
   /// Stops acting and forgets.
   void stop_term();
@@ -123,6 +134,9 @@
   /// Servers that do not answer, by id.
   std::vector<std::string> silent_servers() const;
 
+  /// Loads of the current window, for the next holder.
+  int loads_begun(absl::Time now) const;
+
  private:
   /// What is known of one server beyond its entry in the directory.
   struct server_track {
@@ -138,8 +152,6 @@
     bool silent = false;
     /// Whether it was busy with an order when last asked.
     bool order_running = false;
-    /// Whether its report is on its way.
-    bool probing = false;
     /// When it is to be asked; infinite future if it need not be.
     absl::Time probe_at = absl::InfiniteFuture();
     /// The model that it was told to stage, and when that should be done.
@@ -290,6 +302,8 @@
 
   // The staging of weights: group-staging.cc.
 
+  /// Counts what holders before this one may have loaded.
+  void count_earlier_loads(const engine_profile& engine, absl::Time now);
   /// Loads from the weight store that may begin now.
   int loads_left(const engine_profile& engine, absl::Time now);
   /// Stages the hosts of `f` that lack the weights.
@@ -345,6 +359,10 @@
   std::map<std::string, absl::Time> incomplete;
   /// When loads from the weight store were ordered, within the load window.
   std::deque<absl::Time> loads;
+  /// What the holder before this one loaded, until it is counted in `loads`.
+  std::optional<earlier_loads> inherited;
+  /// Open questions for servers' reports.
+  question_window questions;
   /// Servers at the last count and since when there are so many, by service.
   struct settling {
     size_t servers = 0;
--- a/include/spokesail/load-table.h
+++ b/include/spokesail/load-table.h
@@ -19,7 +19,9 @@
   bool operator==(const place_load&) const = default;
 };
 
-/// Sums own and peers' requests. A peer's word counts for a bounded time.
+/// Sums own and peers' requests. A peer's word counts for a bounded time. The
+/// sums are kept as words come and go, so that a look-up costs the same
+/// however many peers there are.
 class load_table {
  public:
   /// A peer that says nothing for this long is taken to have nothing in
@@ -33,26 +35,45 @@
   /// Takes a request as ended.
   void end(const std::string& place);
 
-  /// Replaces what a peer has in flight.
+  /// Replaces what a peer has in flight. `far` tells that it is in another
+  /// data hall, or speaks for one.
   void take_peer(const std::string& peer, std::vector<place_load> loads,
-                 absl::Time now);
+                 absl::Time now, bool far = false);
+
+  /// Forgets a peer's word.
+  void drop_peer(const std::string& peer);
 
   /// All requests at a place, as far as this node knows.
-  place_load total(const std::string& place, absl::Time now) const;
+  place_load total(const std::string& place, absl::Time now);
 
   /// This node's own, for its peers.
   std::vector<place_load> own() const;
   /// Requests of this node at one place.
   int own_running(const std::string& place) const;
+  /// What this data hall, or all others, have in flight by place.
+  std::vector<place_load> hall_sum(bool far, absl::Time now);
 
  private:
-  /// A peer's requests by place, and when it told of them.
+  /// A peer's requests, and when it told of them.
   struct peer_load {
-    absl::flat_hash_map<std::string, place_load> places;
+    std::vector<place_load> places;
     absl::Time at;
+    bool far = false;
   };
-  absl::flat_hash_map<std::string, place_load> mine;
+  using sums = absl::flat_hash_map<std::string, place_load>;
+
+  /// Adds a peer's requests to the sums, or takes them out again.
+  void count(const peer_load& peer, int sign);
+  /// Takes out words that are too old.
+  void expire(absl::Time now);
+
+  sums mine;
+  /// Peers' requests, of this data hall and of the others.
+  sums near_sums;
+  sums far_sums;
   absl::flat_hash_map<std::string, peer_load> peers;
+  /// No word becomes too old before.
+  absl::Time oldest = absl::InfiniteFuture();
 };
 
 }  // namespace spokesail
--- /dev/null
+++ b/include/spokesail/question-window.h
@@ -0,0 +1,58 @@
+// Bounds the questions that a node has open at once, by what is answered.
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <set>
+#include <string>
+
+namespace spokesail {
+
+/// How many questions may be open.
+struct window_limits {
+  /// At the start of a term: one round of answers takes a few milliseconds of
+  /// processor time, which a node on an eighth of a core has within a tenth of
+  /// a second. Chosen so that 900 servers are asked within a second.
+  double first = 32;
+  /// One server in a hall of ten is asked at a time however bad it goes.
+  double least = 8;
+  /// A node that answers in time everywhere needs no more.
+  double most = 256;
+  /// After a loss the window stays for this long, since questions that were
+  /// sent before it tell nothing new.
+  absl::Duration settle_time = absl::Milliseconds(300);
+  bool operator==(const window_limits&) const = default;
+};
+
+/// A window over open questions. It grows by one for each window of answers,
+/// and by one for each answer until the first loss; a question without an
+/// answer halves it. A node that asks more than it can read takes its own
+/// slowness for the silence of others: with all of 931 questions at once a
+/// holder on an eighth of a core finds up to half of its servers silent.
+class question_window {
+ public:
+  explicit question_window(const window_limits& limits = {})
+      : limits(limits), size(limits.first) {}
+
+  /// Whether another question may be sent now.
+  bool open() const {
+    return static_cast<double>(this->asked.size()) < this->size;
+  }
+  /// Whether a question to `server` is open.
+  bool asks(const std::string& server) const {
+    return this->asked.count(server) != 0;
+  }
+  void sent(const std::string& server) { this->asked.insert(server); }
+  /// Takes the end of a question; false if none was open.
+  bool ended(const std::string& server, bool answered, absl::Time now);
+  double limit() const { return this->size; }
+
+ private:
+  window_limits limits;
+  double size;
+  bool lost_any = false;
+  absl::Time shrunk_at = absl::InfinitePast();
+  std::set<std::string> asked;
+};
+
+}  // namespace spokesail
--- a/include/spokesail/relay-choice.h
+++ b/include/spokesail/relay-choice.h
@@ -7,12 +7,20 @@
 
 namespace spokesail {
 
+/// A node that could pass news on.
+struct relay_candidate {
+  std::string name;
+  /// Its part of a processor core.
+  float cores = 1;
+  bool operator==(const relay_candidate&) const = default;
+};
+
 /// What a node knows of those that could tell it of changes.
 struct relay_view {
-  std::string self;
+  relay_candidate self;
   /// Live peers in the node's own data hall.
-  std::vector<std::string> hall_peers;
-  /// The live holder of the controller's lease, which watches the store in any
+  std::vector<relay_candidate> hall_peers;
+  /// The holder of the controller's lease, which watches the store in any
   /// case; empty if none is known.
   std::string holder;
   /// Whether the holder is in the node's own data hall.
@@ -26,20 +34,33 @@
 struct relay_choice {
   /// The node to ask; the node itself if it has to watch the store.
   std::string upstream;
-  /// Whether others of the hall may ask this node. Such nodes look for a store
+  /// Whether the node is one of the hall's first. Such nodes look for a store
   /// that is away without delay, and the others slowly.
   bool candidate = false;
   bool operator==(const relay_choice&) const = default;
 };
 
-/// So many nodes of a hall may be asked by the others: enough that one stays
+/// So many nodes of a hall stand ready to be its first: enough that one stays
 /// when the store turns away a third of the nodes, few enough that an outage
 /// is not probed by all.
 inline constexpr size_t most_relays = 3;
 
-/// The first usable node of the hall asks the holder; the others ask the
-/// first. Near the holder all ask the holder. Without either a node watches
-/// the store itself.
+/// So many nodes ask one relay. Sixty nodes of a hall so stand in two levels
+/// below the first, and a relay on an eighth of a core answers 45 questions a
+/// second; one that answers sixty nodes is late for all of them.
+inline constexpr size_t relay_fan_out = 8;
+
+/// The order in which nodes of a hall pass news on: those with more of a core
+/// first, and by a hash among equals, so that all that see the same nodes
+/// agree.
+std::vector<std::string> relay_order(std::vector<relay_candidate> nodes);
+
+/// The nodes of a hall form a tree in `relay_order`: its first asks the holder
+/// of the lease, and each other one asks its parent. The holder is the first
+/// of its own hall. A node whose parent is passed over asks the nearest
+/// ancestor that is not, then the first node before it that is not, then the
+/// holder. If nobody is left, it watches the store itself; of nodes that see
+/// the same, that is one of a hall at most, whatever has failed.
 relay_choice choose_relay(const relay_view& view);
 
 }  // namespace spokesail
--- /dev/null
+++ b/src/far-gossip.h
@@ -0,0 +1,69 @@
+// What data halls tell each other of their requests in flight and their nodes.
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "peer-link.h"
+
+namespace spokesail {
+
+/// Tells other data halls what is in flight in this one. While those halls hold
+/// few nodes, each node tells each of them for itself. In larger fleets that
+/// would make news seconds old, so that the first node of each hall sums its
+/// hall up for the first nodes of the others, and they pass it down with the
+/// news of the store. A node of 300 then sends 30 messages a second fewer than
+/// one for each node of the other halls every second, and hears of all halls
+/// twice a second.
+class far_gossip {
+ public:
+  far_gossip(node_context& node, peer_link& link) : node(node), link(link) {}
+
+  /// Tells the other halls what is due; `own` is this node's own word.
+  void tell(const gossip& own, absl::Time now);
+
+  /// Takes the word of a node of another hall.
+  void take(const std::string& peer, const gossip& said, absl::Time now);
+
+  /// Takes what a relay passed on of the other halls.
+  void take_relayed(const std::vector<place_load>& places, int nodes,
+                    absl::Time now);
+
+  /// Nodes of other halls that live, as far as this node knows.
+  int nodes(absl::Time now) const;
+
+  /// Nodes that could take the lease over, in order.
+  std::vector<std::string> lease_candidates(absl::Time now) const;
+
+ private:
+  /// What another hall last said of itself.
+  struct hall_word {
+    int nodes = 0;
+    std::vector<std::string> firsts;
+    absl::Time at = absl::InfinitePast();
+  };
+  /// Whether each node tells each node of the other halls.
+  bool meshed() const;
+  absl::Duration mesh_period() const;
+  /// This hall's word, from what this node knows of it.
+  gossip sum_up(const gossip& own, absl::Time now) const;
+  /// Whether another hall spoke to this node lately.
+  bool told_directly(absl::Time now) const;
+  /// The nodes of another hall that are told of this one.
+  std::vector<std::string> firsts_of(const std::string& hall,
+                                     const std::vector<relay_candidate>& known,
+                                     absl::Time now) const;
+
+  node_context& node;
+  peer_link& link;
+  absl::Time next = absl::InfinitePast();
+  gossip last_said;
+  absl::Time last_sent = absl::InfinitePast();
+  std::map<std::string, hall_word> halls;
+  int relayed_nodes = 0;
+};
+
+}  // namespace spokesail
--- a/src/group-controller.cc
+++ b/src/group-controller.cc
@@ -61,8 +61,10 @@
 
 }  // namespace
 
-void group_controller::start_term(int64_t fence_number) {
+void group_controller::start_term(int64_t fence_number,
+                                  const earlier_loads& before) {
   this->stop_term();
+  this->inherited = before;
   if (fence_number != this->epochs_fence) this->epochs = 0;
   this->epochs_fence = fence_number;
   this->fence = fence_number;
@@ -76,6 +78,8 @@
   this->dissolving.clear();
   this->incomplete.clear();
   this->loads.clear();
+  this->inherited.reset();
+  this->questions = question_window();
   this->settlings.clear();
   this->summarized.clear();
 }
@@ -125,10 +129,11 @@
 void group_controller::on_report(const std::string& server,
                                  const std::optional<server_report>& report,
                                  absl::Time now) {
+  // An answer to a question of an earlier term is as good as any.
+  this->questions.ended(server, report.has_value(), now);
   const auto found = this->tracks.find(server);
   if (found == this->tracks.end()) return;
   server_track& track = found->second;
-  track.probing = false;
   if (!report) {
     track.silent = true;
     track.probe_at = now + this->options.retry_probe;
@@ -177,14 +182,20 @@
 }
 
 void group_controller::probe_silent(group_actions& out, absl::Time now) {
-  for (auto& [id, track] : this->tracks) {
-    const bool due = now >= track.probe_at;
-    const bool unknown = !track.orders_taken && !track.pending &&
-                         track.probe_at == absl::InfiniteFuture();
-    if (track.probing || (!due && !unknown)) continue;
-    track.probing = true;
-    out.reports.push_back(id);
-  }
+  const auto ask_where = [&](const auto& wanted) {
+    for (auto& [id, track] : this->tracks) {
+      if (!this->questions.open()) return;
+      if (this->questions.asks(id) || !wanted(track)) continue;
+      this->questions.sent(id);
+      out.reports.push_back(id);
+    }
+  };
+  // Whoever is in doubt comes before those that were never asked.
+  ask_where([&](const server_track& t) { return now >= t.probe_at; });
+  ask_where([&](const server_track& t) {
+    return !t.orders_taken && !t.pending &&
+           t.probe_at == absl::InfiniteFuture();
+  });
 }
 
 group_controller::service_state group_controller::read_service(
--- a/src/group-duty.cc
+++ b/src/group-duty.cc
@@ -23,13 +23,31 @@
 constexpr absl::Duration order_limit = absl::Milliseconds(500);
 constexpr absl::Duration report_limit = absl::Milliseconds(150);
 
+/// A loop that was late reads answers late, so that a question waits longer by
+/// this many times its worst delay of late: once for the sending and once for
+/// the reading.
+constexpr double delay_allowance = 2;
+
+/// A holder's word was said this long before it was heard at most: two levels
+/// of relays pass it on every 0.18 s.
+constexpr absl::Duration word_age = absl::Milliseconds(500);
+
 }  // namespace
 
 group_duty::group_duty(node_context& state, lease_keeper& lease)
     : node(state), keeper(lease), controller(state.settings.groups) {}
 
-std::vector<std::string> group_duty::silent() const {
-  return this->controller.silent_servers();
+holder_word group_duty::word() const {
+  holder_word out;
+  out.silent = this->controller.silent_servers();
+  out.loads_begun = this->controller.loads_begun(this->node.now());
+  return out;
+}
+
+earlier_loads group_duty::heard_loads() const {
+  if (!this->node.holder_said) return {};
+  return {this->node.holder_said->loads_begun,
+          this->node.holder_heard - word_age};
 }
 
 void group_duty::suspect(const std::string& server) {
@@ -41,7 +59,7 @@
   if (held == this->term_active) return;
   this->term_active = held;
   if (held) {
-    this->controller.start_term(this->keeper.fence());
+    this->controller.start_term(this->keeper.fence(), this->heard_loads());
   } else {
     this->node.log.belief("term_ended",
                           {{"fence", absl::StrCat(this->keeper.fence())}},
@@ -83,8 +101,10 @@
 net::awaitable<void> group_duty::ask_report(std::string server,
                                             std::string address) {
   const http_request request = this->node.adapter.write_report_request(server);
+  const absl::Duration limit =
+      report_limit + delay_allowance * this->node.loop_delay;
   const fetch_result result =
-      co_await this->node.fetcher.fetch(address, request, report_limit);
+      co_await this->node.fetcher.fetch(address, request, limit);
   std::optional<server_report> report;
   if (result.status == fetch_status::ok) {
     report = this->node.adapter.read_report(result.response);
--- a/src/group-duty.h
+++ b/src/group-duty.h
@@ -19,8 +19,8 @@
   /// Runs until the process ends.
   boost::asio::awaitable<void> run();
 
-  /// Servers that the controller found not to answer.
-  std::vector<std::string> silent() const;
+  /// What the holder says beside the lease itself.
+  holder_word word() const;
 
   /// Takes a suspicion.
   void suspect(const std::string& server);
@@ -28,6 +28,8 @@
  private:
   /// Has the controller begin or end with the lease.
   void take_term();
+  /// Loads of the holder before this one, as far as this node heard of them.
+  earlier_loads heard_loads() const;
   /// Carries out the controller's next decisions.
   void step();
   void log_summaries(const std::vector<model_summary>& models);
--- a/src/group-formation.cc
+++ b/src/group-formation.cc
@@ -34,7 +34,7 @@
   if (!this->usable(entry) || track.pending || !track.orders_taken) {
     return false;
   }
-  if (track.probing) return false;
+  if (this->questions.asks(entry.id)) return false;
   if (s.servers.at(entry.id).lapses_at != absl::InfinitePast()) return false;
   const group_membership& said = entry.membership;
   return said.phase == member_phase::none ||
--- a/src/group-staging.cc
+++ b/src/group-staging.cc
@@ -73,7 +73,35 @@
   }
 }
 
+int group_controller::loads_begun(absl::Time now) const {
+  const absl::Time since = now - this->options.load_window;
+  return static_cast<int>(
+      std::count_if(this->loads.begin(), this->loads.end(),
+                    [&](absl::Time at) { return at >= since; }));
+}
+
+void group_controller::count_earlier_loads(const engine_profile& engine,
+                                           absl::Time now) {
+  if (!this->inherited) return;
+  const earlier_loads before = *this->inherited;
+  this->inherited.reset();
+  // The very first holder follows nobody.
+  if (this->fence <= 1) return;
+  const absl::Duration unheard =
+      std::min(now - before.as_of, this->options.load_window);
+  if (unheard < absl::ZeroDuration()) return;
+  // Until it lost the lease, an earlier holder may have gone on at the full
+  // rate without this node's hearing of it.
+  const double most = engine.loads_per_s * this->options.load_excess;
+  const int since =
+      static_cast<int>(std::ceil(most * absl::ToDoubleSeconds(unheard)));
+  const bool recent = unheard < this->options.load_window;
+  const int count = since + (recent ? before.count : 0);
+  this->loads.insert(this->loads.begin(), static_cast<size_t>(count), now);
+}
+
 int group_controller::loads_left(const engine_profile& engine, absl::Time now) {
+  this->count_earlier_loads(engine, now);
   const absl::Time since = now - this->options.load_window;
   while (!this->loads.empty() && this->loads.front() < since) {
     this->loads.pop_front();
--- a/src/lease-keeper.cc
+++ b/src/lease-keeper.cc
@@ -5,8 +5,6 @@
 
 #include <algorithm>
 
-#include "spokesail/hash.h"
-
 namespace spokesail {
 namespace {
 
@@ -87,13 +85,13 @@
 }
 
 double lease_keeper::turn() {
-  const auto names = this->candidates();
-  const auto order = rendezvous("lease", names, most_turns);
-  const auto at =
-      std::find(order.begin(), order.end(), this->node.settings.node);
-  const double rank = at == order.end()
-                          ? most_turns * (1 + this->node.random.unit())
-                          : static_cast<double>(at - order.begin());
+  const auto order = this->candidates();
+  const auto last =
+      order.begin() +
+      std::min<ptrdiff_t>(most_turns, static_cast<ptrdiff_t>(order.size()));
+  const auto at = std::find(order.begin(), last, this->node.settings.node);
+  const double rank = at == last ? most_turns * (1 + this->node.random.unit())
+                                 : static_cast<double>(at - order.begin());
   return rank * turn_step / this->node.settings.lease.takeover_spread;
 }
 
--- a/src/lease-keeper.h
+++ b/src/lease-keeper.h
@@ -43,7 +43,8 @@
   /// Fence of the lease as last seen; this node's own while it holds it.
   int64_t fence() const { return this->lease.fence(); }
 
-  /// Live nodes by name, this one included; ranks candidates for the lease.
+  /// Names of the nodes that could hold the lease, in the order in which they
+  /// take it over.
   std::function<std::vector<std::string>()> candidates;
 
  private:
--- a/src/news-relay.cc
+++ b/src/news-relay.cc
@@ -20,8 +20,10 @@
 /// has heard of its peers.
 constexpr absl::Duration first_choice_time = absl::Milliseconds(400);
 
-/// A relay that left this many questions unanswered is passed over.
-constexpr int most_missed = 2;
+/// A relay that left this many questions unanswered is passed over. Two of
+/// them, 0.36 s, are often the delay of a relay that shares an eighth of a core
+/// with its callers.
+constexpr int most_missed = 3;
 constexpr absl::Duration silent_time = absl::Seconds(5);
 
 /// A relay whose own proof is older than this is itself cut off. The holder's
@@ -30,6 +32,14 @@
 /// them before it watches the store itself.
 constexpr absl::Duration oldest_proof = absl::Milliseconds(1300);
 
+/// A node without a relay that has proved itself watches the store once its
+/// own proof is this old: time for two relays to fail it one after the other.
+constexpr absl::Duration unproved_time = absl::Milliseconds(1200);
+
+/// A node whose loop was this late takes no missing answer for a relay's
+/// silence: it may not have read it yet.
+constexpr absl::Duration late_loop = absl::Milliseconds(90);
+
 /// A relay without fresh news is asked again after this long: the store may be
 /// away, and then it is the first to know of its return.
 constexpr absl::Duration outdated_time = absl::Milliseconds(1200);
@@ -37,23 +47,20 @@
 /// Who asked this long ago is not told any more.
 constexpr absl::Duration follower_time = absl::Seconds(2);
 
-/// Changes that one datagram holds. Who lacks more lists the servers.
+/// Changes that one datagram holds, about 20 KB.
 constexpr size_t most_changes = 200;
 
 }  // namespace
 
 relay_view news_relay::view() const {
   relay_view out;
-  out.self = this->node.settings.node;
+  out.self = {this->node.settings.node, this->node.settings.cores};
+  out.hall_peers = this->link.live_near();
   const std::string holder_name = this->holder();
-  if (holder_name == out.self) out.holder = holder_name;
-  for (const auto& [name, p] : this->link.live()) {
-    const bool near = p.hall == this->node.settings.hall;
-    if (near) out.hall_peers.push_back(name);
-    if (name != holder_name) continue;
-    out.holder = name;
-    out.holder_near = near;
-  }
+  const std::string holder_hall = this->link.hall_of(holder_name);
+  const bool own = holder_name == out.self.name;
+  if (own || !holder_hall.empty()) out.holder = holder_name;
+  out.holder_near = own || holder_hall == this->node.settings.hall;
   for (const auto& [name, until] : this->failed) {
     if (this->node.now() < until) out.passed_over.insert(name);
   }
@@ -66,7 +73,8 @@
   if (this->holder() == this->node.settings.node) return true;
   // A node that has just started has listed everything and waits for peers.
   if (this->relay.empty()) return false;
-  return this->relay == this->node.settings.node || !this->confirmed;
+  if (this->relay == this->node.settings.node) return true;
+  return !this->confirmed && this->node.config_age() > unproved_time;
 }
 
 bool news_relay::relied_on() const { return this->choose().candidate; }
@@ -78,29 +86,28 @@
                         this->node.now());
 }
 
-news news_relay::compose(int64_t from) const {
+void news_relay::tell(const std::string& peer, int64_t from,
+                      uint64_t question) {
   news out;
+  out.nonce = question;
   out.config_revision = this->node.config_revision;
   out.config_age =
       std::min(this->node.config_age(), absl::Hours(1)) + absl::Milliseconds(1);
   out.store_reachable = this->node.store_reachable;
-  out.from_revision = from;
-  out.to_revision = this->node.directory.revision();
-  out.servers = news_since(this->node.directory, from, this->node.now());
-  // Who is too far behind gets no servers, and has to list them.
-  if (out.servers.size() > most_changes) {
-    out.servers.clear();
-    out.from_revision = -1;
+  this->add_words(out);
+  auto changes = news_since(this->node.directory, from, this->node.now());
+  const int64_t to = this->node.directory.revision();
+  for (auto& part : split_news(std::move(changes), most_changes, from, to)) {
+    out.from_revision = part.from_revision;
+    out.to_revision = part.to_revision;
+    out.servers = std::move(part.servers);
+    this->link.send(peer, out);
   }
-  return out;
+  this->followers[peer] = {this->node.now(), to, this->node.config_revision};
 }
 
 void news_relay::answer(const std::string& peer, const news_request& request) {
-  news out = this->compose(request.servers_revision);
-  out.nonce = request.nonce;
-  this->followers[peer] = {this->node.now(), out.to_revision,
-                           out.config_revision};
-  this->link.send(peer, out);
+  this->tell(peer, request.servers_revision, request.nonce);
 }
 
 void news_relay::push() {
@@ -113,10 +120,9 @@
     const bool behind = f.servers_revision < servers_revision ||
                         f.config_revision < this->node.config_revision;
     if (!behind) continue;
-    const news out = this->compose(f.servers_revision);
-    f.servers_revision = out.to_revision;
-    f.config_revision = out.config_revision;
-    this->link.send(peer, out);
+    const absl::Time asked = f.asked;
+    this->tell(peer, f.servers_revision, 0);
+    f.asked = asked;
   }
 }
 
@@ -141,14 +147,11 @@
 
 void news_relay::take(const std::string& peer, const news& said) {
   const bool asked_for = said.nonce != 0;
+  this->on_words(said);
   if (asked_for && !this->take_answer(peer, said)) return;
   if (said.config_revision > this->node.config_revision) {
     this->on_config(said.config_revision);
   }
-  if (said.from_revision < 0) {
-    if (asked_for) this->node.directory_listed = false;
-    return;
-  }
   this->take_servers(peer, said);
 }
 
@@ -189,7 +192,8 @@
   co_await this->node.sleep(first_choice_time);
   for (;;) {
     co_await this->node.sleep(ask_period);
-    if (!this->answered && ++this->missed >= most_missed) {
+    const bool excused = this->node.loop_delay > late_loop;
+    if (!this->answered && !excused && ++this->missed >= most_missed) {
       this->fail(this->relay, silent_time, "does not answer");
     }
     this->ask();
--- a/src/news-relay.h
+++ b/src/news-relay.h
@@ -14,8 +14,8 @@
 namespace spokesail {
 
 /// The holder of the controller's lease watches the store and passes on what it
-/// learns: to the nodes of its own data hall and to one node of each other
-/// hall, which the rest of that hall asks (see relay-choice.h). The age of a
+/// learns, down a tree of each data hall's nodes (see relay-choice.h). The
+/// holder's own word goes the same way. The age of a
 /// relay's knowledge counts from when it was asked, so that a late answer is
 /// never taken for a fresh one. A node whose relay does not answer, or does not
 /// know better, asks the next, and in the end watches the store itself.
@@ -40,6 +40,10 @@
 
   /// Name of the node that holds the controller's lease; empty if unknown.
   std::function<std::string()> holder;
+  /// Adds what a relay passes on beside the news of the store.
+  std::function<void(news& out)> add_words;
+  /// Called with what a relay passed on.
+  std::function<void(const news& said)> on_words;
   /// Called when a relay knows a later configuration.
   std::function<void(int64_t revision)> on_config;
   /// Called when the servers have changed.
@@ -56,7 +60,8 @@
   /// Takes the changes of servers that `said` brings, if they follow on what
   /// this node knows.
   void take_servers(const std::string& peer, const news& said);
-  news compose(int64_t from) const;
+  /// Tells a peer all that it lacks, in answer to a question or unasked (0).
+  void tell(const std::string& peer, int64_t from, uint64_t question);
   /// Passes a relay over for a while.
   void fail(const std::string& peer, absl::Duration time, const char* why);
 
@@ -73,7 +78,7 @@
   std::map<std::string, absl::Time> failed;
   std::string relay;
   /// Whether the relay has told fresh news since it was chosen. Until then
-  /// this node goes on to watch the store itself.
+  /// this node watches the store itself once its own news are old.
   bool confirmed = false;
   uint64_t nonce = 0;
   absl::Time asked_at = absl::InfinitePast();
--- a/src/node-context.cc
+++ b/src/node-context.cc
@@ -1,6 +1,7 @@
 // The node's clock, and what follows from its state.
 #include "node-context.h"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <random>
 
@@ -31,6 +32,11 @@
   co_await timer.async_wait(detail::use_tuple);
 }
 
+void node_context::note_tick(absl::Duration delay) {
+  this->loop_delay =
+      std::max(delay, this->loop_delay * node_timing::delay_left);
+}
+
 absl::Duration node_context::config_age() const {
   return this->now() - this->config_proof;
 }
--- a/src/node-context.h
+++ b/src/node-context.h
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_set>
@@ -15,6 +16,7 @@
 #include "connection-pool.h"
 #include "http-fetch.h"
 #include "node-log.h"
+#include "node-message.h"
 #include "node-metrics.h"
 #include "node-settings.h"
 #include "spokesail/engine-model.h"
@@ -39,6 +41,10 @@
   static constexpr double fresh_share = 0.7;
   /// How long a group or server that failed is passed over.
   static constexpr absl::Duration avoid_time = absl::Milliseconds(1000);
+  /// The part of the loop's worst delay that is left after one tick. It is down
+  /// to a third after half a second, when answers to questions that were open
+  /// at the time have been read.
+  static constexpr double delay_left = 0.957;
   /// A node that was told to stop takes requests for this long: until its
   /// platform, which asks once a second and wants two misses, sends no more
   /// connections. One taken later may not end before the process does.
@@ -91,6 +97,12 @@
   std::map<std::string, absl::Time> suspects;
   /// Servers that the holder of the lease found not to answer.
   std::set<std::string> silent;
+  /// The last word of a holder of the lease, and when it was last heard.
+  std::optional<holder_word> holder_said;
+  absl::Time holder_heard = absl::InfinitePast();
+  /// How late the loop was at worst of late; what seems to be the silence of
+  /// others may be this node's own.
+  absl::Duration loop_delay = absl::ZeroDuration();
 
   /// Exchanges and sessions that run; each enters and removes itself.
   std::unordered_set<exchange*> exchanges;
@@ -103,6 +115,8 @@
   absl::Time now() const;
   /// Waits on the loop.
   boost::asio::awaitable<void> sleep(absl::Duration time);
+  /// Takes note of how late the loop was for a tick.
+  void note_tick(absl::Duration delay);
   /// Whether the process was told to stop.
   bool stopping() const {
     return this->stopping_since != absl::InfiniteFuture();
--- a/src/node-gossip.cc
+++ b/src/node-gossip.cc
@@ -1,14 +1,16 @@
 #include "node-gossip.h"
 
-#include <boost/asio/steady_timer.hpp>
-
-#include "detail/socket.h"
+#include <algorithm>
 
 namespace spokesail {
 namespace {
 
 namespace net = boost::asio;
 
+/// How often a node looks whether it has something to tell. A suspicion waits
+/// for this at most.
+constexpr absl::Duration look_period = absl::Milliseconds(50);
+
 /// Least time between two messages to one peer.
 constexpr absl::Duration least_period = absl::Milliseconds(100);
 
@@ -16,71 +18,123 @@
 /// receives at most about this many messages a second there.
 constexpr double hall_messages_per_s = 160;
 
-/// Nodes of other halls are told each so many periods, more when there are
-/// more of them: bytes between halls are dear, and most requests stay in one.
-constexpr double far_messages_per_s = 60;
-
 /// A node with nothing new to say still says it this often.
 constexpr absl::Duration longest_silence = absl::Milliseconds(500);
 
-/// Suspicions are passed on for this long.
+/// Suspicions are passed on for this long, and again after a while, since a
+/// datagram may be lost and the holder may change.
 constexpr absl::Duration suspect_time = absl::Milliseconds(1500);
+constexpr absl::Duration suspect_again = absl::Milliseconds(400);
 
 }  // namespace
 
-absl::Duration node_gossip::period(bool far) const {
-  int count = 0;
-  for (const auto& [name, p] : this->link.live()) {
-    if ((p.hall != this->node.settings.hall) == far) ++count;
-  }
-  const double rate = far ? far_messages_per_s : hall_messages_per_s;
-  return std::max(least_period, absl::Seconds(count / rate));
+absl::Duration node_gossip::near_period() const {
+  const int count = this->link.count_reachable(false);
+  return std::max(least_period, absl::Seconds(count / hall_messages_per_s));
 }
 
 void node_gossip::take(const std::string& peer, const gossip& said) {
+  const absl::Time now = this->node.now();
   if (said.requests_seen) this->node.requests_seen = true;
-  this->node.loads.take_peer(peer, said.places, this->node.now());
-  if (said.lease) {
-    this->node.silent = {said.silent.begin(), said.silent.end()};
-    this->on_lease(*said.lease);
+  if (said.holder) this->take_holder(*said.holder);
+  const bool near = this->link.hall_of(peer) == this->node.settings.hall;
+  if (near) {
+    this->node.loads.take_peer(peer, said.places, now);
+  } else {
+    this->far.take(peer, said, now);
   }
-  for (const auto& id : said.suspects) this->on_suspect(id);
 }
 
-gossip node_gossip::compose(absl::Time now) {
+void node_gossip::take_relayed(const news& said) {
+  if (said.requests_seen) this->node.requests_seen = true;
+  if (said.holder) this->take_holder(*said.holder);
+  // Only answers tell of the other halls.
+  if (said.nonce == 0) return;
+  this->far.take_relayed(said.far_places, said.far_nodes, this->node.now());
+}
+
+void node_gossip::take_holder(const holder_word& said) {
+  const auto& known = this->node.holder_said;
+  if (known && !(said == *known) && !said.after(*known)) return;
+  this->node.holder_heard = this->node.now();
+  if (known && said == *known) return;
+  this->node.holder_said = said;
+  this->node.silent = {said.silent.begin(), said.silent.end()};
+  this->on_lease(said.lease);
+}
+
+std::optional<holder_word> node_gossip::holder_said() const {
+  const auto own = this->own_word();
+  return own ? own : this->node.holder_said;
+}
+
+void node_gossip::add_to(news& out) const {
+  const absl::Time now = this->node.now();
+  out.holder = this->holder_said();
+  out.requests_seen = this->node.requests_seen;
+  if (out.nonce == 0) return;
+  out.far_places = this->node.loads.hall_sum(true, now);
+  out.far_nodes = this->far.nodes(now);
+}
+
+gossip node_gossip::compose() const {
   gossip out;
   out.places = this->node.loads.own();
-  std::erase_if(this->node.suspects, [&](const auto& item) {
-    return now - item.second >= suspect_time;
-  });
-  for (const auto& [id, at] : this->node.suspects) out.suspects.push_back(id);
-  out.lease = this->lease();
-  if (out.lease) out.silent = this->silent();
+  out.holder = this->own_word();
   out.requests_seen = this->node.requests_seen;
   return out;
 }
 
-void node_gossip::tell(bool far, absl::Time now) {
-  last_word& last = far ? this->far_word : this->hall_word;
-  if (now < last.next) return;
-  const gossip said = this->compose(now);
-  last.next = now + this->period(far);
-  if (far) this->node.far_news_period = this->period(far);
-  if (said == last.said && now - last.at < longest_silence) return;
-  last.at = now;
-  last.said = said;
-  this->link.send_all(said, far);
+void node_gossip::tell_near(const gossip& said, absl::Time now) {
+  if (now < this->near_next) return;
+  this->near_next = now + this->near_period();
+  const bool same = said == this->near_said;
+  if (same && now - this->near_sent < longest_silence) return;
+  this->near_sent = now;
+  this->near_said = said;
+  this->link.send_all(said, false);
+}
+
+void node_gossip::tell_suspects(absl::Time now) {
+  auto& suspects = this->node.suspects;
+  std::erase_if(suspects, [&](const auto& item) {
+    return now - item.second >= suspect_time;
+  });
+  const bool is_new = std::any_of(
+      suspects.begin(), suspects.end(),
+      [&](const auto& item) { return item.second >= this->suspects_sent; });
+  if (suspects.empty()) return;
+  if (!is_new && now - this->suspects_sent < suspect_again) return;
+  const std::string to = this->holder();
+  if (to.empty()) return;
+  this->suspects_sent = now;
+  suspicion said;
+  for (const auto& [id, at] : suspects) said.servers.push_back(id);
+  if (to != this->node.settings.node) {
+    this->link.send(to, said);
+    return;
+  }
+  for (const auto& id : said.servers) this->on_suspect(id);
+}
+
+void node_gossip::count_nodes(absl::Time now) {
+  const auto near = static_cast<int>(this->link.live_near().size());
+  this->node.live_nodes = 1 + near + this->far.nodes(now);
 }
 
 net::awaitable<void> node_gossip::run() {
+  absl::Time counted = absl::InfinitePast();
   for (;;) {
     const absl::Time now = this->node.now();
-    this->tell(false, now);
-    this->tell(true, now);
-    const absl::Time next = std::min(this->hall_word.next, this->far_word.next);
-    net::steady_timer timer(this->node.loop);
-    timer.expires_after(absl::ToChronoNanoseconds(next - this->node.now()));
-    co_await timer.async_wait(detail::use_tuple);
+    const gossip said = this->compose();
+    this->tell_near(said, now);
+    this->far.tell(said, now);
+    this->tell_suspects(now);
+    if (now - counted >= longest_silence) {
+      counted = now;
+      this->count_nodes(now);
+    }
+    co_await this->node.sleep(look_period);
   }
 }
 
--- a/src/node-gossip.h
+++ b/src/node-gossip.h
@@ -1,5 +1,5 @@
-// What each node tells all others: requests in flight, servers that fell
-// silent, who holds the lease.
+// What each node tells others: requests in flight, servers that fell silent,
+// and the word of the lease's holder.
 #pragma once
 
 #include <absl/time/time.h>
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "far-gossip.h"
 #include "peer-link.h"
 
 namespace spokesail {
@@ -17,37 +18,59 @@
 /// Sends this node's gossip and takes that of the others.
 class node_gossip {
  public:
-  node_gossip(node_context& node, peer_link& link) : node(node), link(link) {}
+  node_gossip(node_context& node, peer_link& link)
+      : node(node), link(link), far(node, link) {}
 
   /// Sends what has changed, at a bounded rate, until the process ends.
   boost::asio::awaitable<void> run();
 
   void take(const std::string& peer, const gossip& said);
 
+  /// Takes what a relay passed on.
+  void take_relayed(const news& said);
+
+  /// Takes the holder's word, unless a later one is known.
+  void take_holder(const holder_word& said);
+
+  /// The holder's word: this node's own while it holds the lease, or the last
+  /// that it heard.
+  std::optional<holder_word> holder_said() const;
+
+  /// Fills in what a relay passes on beside the news of the store.
+  void add_to(news& out) const;
+
+  /// Nodes that could take the lease over, in order.
+  std::vector<std::string> lease_candidates() const {
+    return this->far.lease_candidates(this->node.now());
+  }
+
   /// What this node says as the holder of the lease; nothing if it is not.
-  std::function<std::optional<lease_word>()> lease;
-  /// The holder's word on servers that do not answer.
-  std::function<std::vector<std::string>()> silent;
+  std::function<std::optional<holder_word>()> own_word;
+  /// Name of the node that holds the lease; empty if unknown.
+  std::function<std::string()> holder;
   /// Called with the lease of a peer that holds it.
   std::function<void(const lease_word&)> on_lease;
-  /// Called with a server that a peer suspects.
+  /// Called with a server that this node or a peer suspects.
   std::function<void(const std::string&)> on_suspect;
 
  private:
-  /// The last message to one half of the nodes.
-  struct last_word {
-    gossip said;
-    absl::Time at = absl::InfinitePast();
-    absl::Time next = absl::InfinitePast();
-  };
-  absl::Duration period(bool far) const;
-  void tell(bool far, absl::Time now);
-  gossip compose(absl::Time now);
+  /// Time between two messages to the nodes of this hall.
+  absl::Duration near_period() const;
+  void tell_near(const gossip& said, absl::Time now);
+  /// Tells the holder of servers that this node suspects.
+  void tell_suspects(absl::Time now);
+  gossip compose() const;
+  void count_nodes(absl::Time now);
 
   node_context& node;
   peer_link& link;
-  last_word hall_word;
-  last_word far_word;
+  far_gossip far;
+  /// The last message to this hall.
+  gossip near_said;
+  absl::Time near_sent = absl::InfinitePast();
+  absl::Time near_next = absl::InfinitePast();
+  /// When suspicions were last passed on.
+  absl::Time suspects_sent = absl::InfinitePast();
 };
 
 }  // namespace spokesail
--- a/src/node-message.capnp
+++ b/src/node-message.capnp
@@ -10,19 +10,30 @@
   unreadTokens @2 :Float32;
 }
 
-# Sent to all peers at a bounded rate.
+# What the holder of the controller's lease says.
+struct HolderWord {
+  leaseVersion @0 :Int64;
+  leaseRecord @1 :Text;
+  # Grows with each word of a holder under one version of the lease.
+  sequence @2 :UInt64;
+  # Servers that the holder found not to answer.
+  silent @3 :List(Text);
+  # Loads of weights that it began within its window.
+  loadsBegun @4 :UInt32;
+}
+
+# Sent to peers at a bounded rate.
 struct Gossip {
-  # What the sender has in flight.
+  # What the sender, or its whole data hall, has in flight.
   places @0 :List(Place);
-  # Servers that the sender thinks do not answer.
-  suspects @1 :List(Text);
-  # The lease of the group controller, if the sender holds it.
-  leaseVersion @2 :Int64;
-  leaseRecord @3 :Text;
+  # Set by the holder of the lease.
+  holder @1 :HolderWord;
   # Whether the sender has had requests.
-  requestsSeen @4 :Bool;
-  # Servers that the holder of the lease found not to answer.
-  silent @5 :List(Text);
+  requestsSeen @2 :Bool;
+  # Set if the places are those of the sender's whole data hall: the nodes that
+  # live there, and the first of them.
+  hallNodes @3 :UInt32;
+  hallFirsts @4 :List(Text);
 }
 
 # Asks a relay for what has changed in the store.
@@ -63,6 +74,17 @@
   toRevision @4 :Int64;
   servers @5 :List(ServerNews);
   storeReachable @6 :Bool;
+  # The word of the lease's holder, as the sender last heard it.
+  holder @7 :HolderWord;
+  # What other halls have in flight, and the nodes that live there.
+  farPlaces @8 :List(Place);
+  farNodes @9 :UInt32;
+  requestsSeen @10 :Bool;
+}
+
+# Tells the holder of the lease of servers that do not answer.
+struct Suspicion {
+  servers @0 :List(Text);
 }
 
 struct NodeMessage {
@@ -76,5 +98,8 @@
     gossip @4 :Gossip;
     newsRequest @5 :NewsRequest;
     news @6 :News;
+    suspicion @7 :Suspicion;
   }
+  # The sender's part of a processor core.
+  cores @8 :Float32;
 }
--- a/src/node-message.cc
+++ b/src/node-message.cc
@@ -26,34 +26,57 @@
   return out;
 }
 
-void write_gossip(rpc::Gossip::Builder out, const gossip& g) {
-  auto places = out.initPlaces(g.places.size());
-  for (size_t i = 0; i < g.places.size(); ++i) {
-    places[i].setName(g.places[i].place);
-    places[i].setRunning(g.places[i].running);
-    places[i].setUnreadTokens(static_cast<float>(g.places[i].unread_tokens));
+template <typename List>
+void write_places(List out, const std::vector<place_load>& places) {
+  for (size_t i = 0; i < places.size(); ++i) {
+    out[i].setName(places[i].place);
+    out[i].setRunning(places[i].running);
+    out[i].setUnreadTokens(static_cast<float>(places[i].unread_tokens));
+  }
+}
+
+template <typename List>
+std::vector<place_load> read_places(List list) {
+  std::vector<place_load> out;
+  for (const auto place : list) {
+    out.push_back({place.getName().cStr(), static_cast<int>(place.getRunning()),
+                   place.getUnreadTokens()});
   }
-  write_texts(out.initSuspects(g.suspects.size()), g.suspects);
-  write_texts(out.initSilent(g.silent.size()), g.silent);
+  return out;
+}
+
+void write_holder(rpc::HolderWord::Builder out, const holder_word& h) {
+  out.setLeaseVersion(h.lease.version);
+  out.setLeaseRecord(h.lease.record);
+  out.setSequence(h.sequence);
+  write_texts(out.initSilent(h.silent.size()), h.silent);
+  out.setLoadsBegun(h.loads_begun);
+}
+
+holder_word read_holder(rpc::HolderWord::Reader in) {
+  holder_word out;
+  out.lease = {in.getLeaseVersion(), in.getLeaseRecord().cStr()};
+  out.sequence = in.getSequence();
+  out.silent = read_texts(in.getSilent());
+  out.loads_begun = static_cast<int>(in.getLoadsBegun());
+  return out;
+}
+
+void write_gossip(rpc::Gossip::Builder out, const gossip& g) {
+  write_places(out.initPlaces(g.places.size()), g.places);
+  if (g.holder) write_holder(out.initHolder(), *g.holder);
   out.setRequestsSeen(g.requests_seen);
-  if (!g.lease) return;
-  out.setLeaseVersion(g.lease->version);
-  out.setLeaseRecord(g.lease->record);
+  out.setHallNodes(g.hall_nodes);
+  write_texts(out.initHallFirsts(g.hall_firsts.size()), g.hall_firsts);
 }
 
 gossip read_gossip(rpc::Gossip::Reader in) {
   gossip out;
-  for (const auto place : in.getPlaces()) {
-    out.places.push_back({place.getName().cStr(),
-                          static_cast<int>(place.getRunning()),
-                          place.getUnreadTokens()});
-  }
-  out.suspects = read_texts(in.getSuspects());
-  out.silent = read_texts(in.getSilent());
+  out.places = read_places(in.getPlaces());
+  if (in.hasHolder()) out.holder = read_holder(in.getHolder());
   out.requests_seen = in.getRequestsSeen();
-  if (in.getLeaseVersion() > 0) {
-    out.lease = lease_word{in.getLeaseVersion(), in.getLeaseRecord().cStr()};
-  }
+  out.hall_nodes = static_cast<int>(in.getHallNodes());
+  out.hall_firsts = read_texts(in.getHallFirsts());
   return out;
 }
 
@@ -115,6 +138,10 @@
   for (size_t i = 0; i < n.servers.size(); ++i) {
     write_server(servers[i], n.servers[i]);
   }
+  if (n.holder) write_holder(out.initHolder(), *n.holder);
+  write_places(out.initFarPlaces(n.far_places.size()), n.far_places);
+  out.setFarNodes(n.far_nodes);
+  out.setRequestsSeen(n.requests_seen);
 }
 
 news read_news(rpc::News::Reader in) {
@@ -128,6 +155,10 @@
   for (const auto server : in.getServers()) {
     out.servers.push_back(read_server(server));
   }
+  if (in.hasHolder()) out.holder = read_holder(in.getHolder());
+  out.far_places = read_places(in.getFarPlaces());
+  out.far_nodes = static_cast<int>(in.getFarNodes());
+  out.requests_seen = in.getRequestsSeen();
   return out;
 }
 
@@ -140,14 +171,18 @@
   root.setHall(message.hall);
   root.setBoot(message.boot);
   root.setSequence(message.sequence);
+  root.setCores(message.cores);
   if (const auto* g = std::get_if<gossip>(&message.content)) {
     write_gossip(root.initGossip(), *g);
   } else if (const auto* r = std::get_if<news_request>(&message.content)) {
     auto request = root.initNewsRequest();
     request.setNonce(r->nonce);
     request.setServersRevision(r->servers_revision);
+  } else if (const auto* n = std::get_if<news>(&message.content)) {
+    write_news(root.initNews(), *n);
   } else {
-    write_news(root.initNews(), std::get<news>(message.content));
+    const auto& servers = std::get<suspicion>(message.content).servers;
+    write_texts(root.initSuspicion().initServers(servers.size()), servers);
   }
   kj::VectorOutputStream out;
   capnp::writePackedMessage(out, builder);
@@ -170,6 +205,7 @@
     message.hall = root.getHall().cStr();
     message.boot = root.getBoot();
     message.sequence = root.getSequence();
+    message.cores = root.getCores();
     if (root.isGossip()) {
       message.content = read_gossip(root.getGossip());
     } else if (root.isNewsRequest()) {
@@ -178,6 +214,8 @@
           news_request{request.getNonce(), request.getServersRevision()};
     } else if (root.isNews()) {
       message.content = read_news(root.getNews());
+    } else if (root.isSuspicion()) {
+      message.content = suspicion{read_texts(root.getSuspicion().getServers())};
     } else {
       return;
     }
--- a/src/node-message.h
+++ b/src/node-message.h
@@ -21,15 +21,38 @@
   bool operator==(const lease_word&) const = default;
 };
 
-/// Sent to all peers at a bounded rate.
+/// What the holder of the lease says. Nodes pass it on to each other.
+struct holder_word {
+  lease_word lease;
+  /// Grows with each word under one version of the lease.
+  uint64_t sequence = 0;
+  /// Servers that do not answer.
+  std::vector<std::string> silent;
+  /// Loads of weights that it began within its window.
+  int loads_begun = 0;
+  bool operator==(const holder_word&) const = default;
+
+  /// Whether this was said after `other`.
+  bool after(const holder_word& other) const {
+    if (this->lease.version != other.lease.version) {
+      return this->lease.version > other.lease.version;
+    }
+    return this->sequence > other.sequence;
+  }
+};
+
+/// Sent to peers at a bounded rate.
 struct gossip {
+  /// What the sender has in flight, or its whole data hall.
   std::vector<place_load> places;
-  std::vector<std::string> suspects;
   /// Set by the holder of the lease.
-  std::optional<lease_word> lease;
+  std::optional<holder_word> holder;
   bool requests_seen = false;
-  /// Servers that do not answer, by the word of the holder of the lease.
-  std::vector<std::string> silent;
+  /// Nodes that live in the sender's data hall, if it speaks for all of them;
+  /// 0 if it speaks for itself.
+  int hall_nodes = 0;
+  /// The first of those nodes, who are told by other halls.
+  std::vector<std::string> hall_firsts;
   bool operator==(const gossip&) const = default;
 };
 
@@ -62,9 +85,24 @@
   int64_t from_revision = 0;
   int64_t to_revision = 0;
   std::vector<server_news> servers;
+  /// The holder's word, as the sender last heard it.
+  std::optional<holder_word> holder;
+  /// What other halls have in flight, and the nodes that live there.
+  std::vector<place_load> far_places;
+  int far_nodes = 0;
+  bool requests_seen = false;
   bool operator==(const news&) const = default;
 };
 
+/// Tells the holder of the lease of servers that do not answer.
+struct suspicion {
+  std::vector<std::string> servers;
+  bool operator==(const suspicion&) const = default;
+};
+
+/// What a datagram holds.
+using message_content = std::variant<gossip, news_request, news, suspicion>;
+
 /// One datagram.
 struct node_message {
   std::string node;
@@ -73,7 +111,9 @@
   uint64_t boot = 0;
   /// Grows with each message of a start.
   uint64_t sequence = 0;
-  std::variant<gossip, news_request, news> content;
+  /// The sender's part of a processor core.
+  float cores = 1;
+  message_content content;
   bool operator==(const node_message&) const = default;
 };
 
--- a/src/node-process.cc
+++ b/src/node-process.cc
@@ -65,10 +65,15 @@
          this->open(this->metrics, this->settings.metrics_address);
 }
 
-std::vector<std::string> node_process::live_nodes() const {
-  std::vector<std::string> names = {this->settings.node};
-  for (const auto& [name, p] : this->link.live()) names.push_back(name);
-  return names;
+std::optional<holder_word> node_process::own_word() {
+  const auto lease_said = this->lease.word();
+  if (!lease_said) return std::nullopt;
+  holder_word next = this->duty.word();
+  next.lease = *lease_said;
+  next.sequence = this->last_word.sequence;
+  if (!(next == this->last_word)) ++next.sequence;
+  this->last_word = next;
+  return next;
 }
 
 void node_process::connect_messages() {
@@ -81,12 +86,15 @@
   this->link.on_news = [this](const std::string& peer, const auto& said) {
     this->relay.take(peer, said);
   };
+  this->link.on_suspicion = [this](const suspicion& said) {
+    for (const auto& id : said.servers) this->duty.suspect(id);
+  };
 }
 
 void node_process::connect_duty() {
-  this->lease.candidates = [this] { return this->live_nodes(); };
-  this->gossip.lease = [this] { return this->lease.word(); };
-  this->gossip.silent = [this] { return this->duty.silent(); };
+  this->lease.candidates = [this] { return this->gossip.lease_candidates(); };
+  this->gossip.own_word = [this] { return this->own_word(); };
+  this->gossip.holder = [this] { return this->lease.holder(); };
   this->gossip.on_lease = [this](const lease_word& word) {
     this->lease.observe(word);
   };
@@ -100,6 +108,10 @@
 
 void node_process::connect_store() {
   this->relay.holder = [this] { return this->lease.holder(); };
+  this->relay.add_words = [this](news& out) { this->gossip.add_to(out); };
+  this->relay.on_words = [this](const news& said) {
+    this->gossip.take_relayed(said);
+  };
   this->relay.on_config = [this](int64_t revision) {
     this->sync.read_config(revision);
   };
@@ -229,9 +241,12 @@
 
 net::awaitable<void> node_process::tick() {
   absl::Time kept_house = absl::InfinitePast();
+  absl::Time last = this->state.now();
   for (;;) {
     co_await this->state.sleep(node_timing::tick);
     const absl::Time now = this->state.now();
+    this->state.note_tick(now - last - node_timing::tick);
+    last = now;
     this->stalls.check(now);
     if (now - kept_house >= housekeeping) {
       kept_house = now;
--- a/src/node-process.h
+++ b/src/node-process.h
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -51,8 +52,8 @@
   bool watches_store() const { return this->relay.watches_store(); }
 
  private:
-  /// Names of the nodes that live, this one included.
-  std::vector<std::string> live_nodes() const;
+  /// What this node says as the holder of the lease; nothing if it is not.
+  std::optional<holder_word> own_word();
   /// Hands messages of peers to the parts that they are for.
   void connect_messages();
   /// Tells the parts that form groups of the others.
@@ -102,6 +103,8 @@
   bool was_ready = false;
   /// When the calls to the store were last logged.
   absl::Time store_calls_logged = absl::InfinitePast();
+  /// The last word as the holder of the lease.
+  holder_word last_word;
 };
 
 }  // namespace spokesail
--- a/src/node-settings.cc
+++ b/src/node-settings.cc
@@ -65,6 +65,8 @@
   out.peer_address = listen.address("peers", true);
   listen.finish();
   out.platform_address = root.address("platform", true);
+  // Narrowed as in messages, so that equal nodes compare equal.
+  out.cores = static_cast<float>(root.number("cores", out.cores, 0.001, 1024));
   out.max_sockets = static_cast<int>(
       root.integer("max_sockets", out.max_sockets, 64, 1 << 20));
   read_bounds(root.map("bounds"), out);
--- a/src/node-settings.h
+++ b/src/node-settings.h
@@ -26,6 +26,9 @@
   /// Where other nodes send their datagrams.
   std::string peer_address;
   std::string platform_address;
+  /// The node's part of a processor core; nodes with more of it pass news on
+  /// and form groups.
+  float cores = 1;
   /// Descriptors that sockets may take.
   int max_sockets = 1024;
   /// A key that was taken away must not be honoured this long after.
--- a/src/peer-link.cc
+++ b/src/peer-link.cc
@@ -2,6 +2,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 
@@ -49,22 +50,62 @@
   return p.endpoint.port() != 0 && this->node.now() - last <= forget_time;
 }
 
-std::map<std::string, peer_node> peer_link::live() const {
-  std::map<std::string, peer_node> out;
+bool peer_link::alive(const peer_node& p) const {
+  return this->node.now() - p.heard < live_time;
+}
+
+bool peer_link::near(const peer_node& p) const {
+  return p.hall == this->node.settings.hall;
+}
+
+std::vector<relay_candidate> peer_link::live_near() const {
+  std::vector<relay_candidate> out;
+  for (const auto& [name, p] : this->peers) {
+    if (this->near(p) && this->alive(p)) out.push_back({name, p.cores});
+  }
+  return out;
+}
+
+std::vector<std::string> peer_link::hall_order() const {
+  std::vector<relay_candidate> nodes = this->live_near();
+  nodes.push_back({this->node.settings.node, this->node.settings.cores});
+  return relay_order(std::move(nodes));
+}
+
+std::map<std::string, std::vector<relay_candidate>> peer_link::far_halls()
+    const {
+  std::map<std::string, std::vector<relay_candidate>> out;
   for (const auto& [name, p] : this->peers) {
-    if (this->node.now() - p.heard < live_time) out[name] = p;
+    if (this->near(p) || !this->reachable(p)) continue;
+    out[p.hall].push_back({name, p.cores});
   }
   return out;
 }
 
-void peer_link::count_live() {
-  this->node.live_nodes = 1 + static_cast<int>(this->live().size());
+int peer_link::count_reachable(bool other_halls) const {
+  return static_cast<int>(
+      std::count_if(this->peers.begin(), this->peers.end(), [&](const auto& p) {
+        return this->near(p.second) != other_halls && this->reachable(p.second);
+      }));
+}
+
+int peer_link::count_live_far() const {
+  return static_cast<int>(
+      std::count_if(this->peers.begin(), this->peers.end(), [&](const auto& p) {
+        return !this->near(p.second) && this->alive(p.second);
+      }));
+}
+
+std::string peer_link::hall_of(const std::string& name) const {
+  const auto found = this->peers.find(name);
+  return found == this->peers.end() ? "" : found->second.hall;
 }
 
 net::awaitable<bool> peer_link::enroll() {
   const std::string name = this->node.settings.node;
   const json spec = {{"address", this->node.settings.peer_address},
                      {"hall", this->node.settings.hall},
+                     {"cores", this->node.settings.cores},
                      {"boot", absl::StrCat(this->boot)}};
   const platform_call call{
       call_kind::write, {node_kind, name}, this->own_revision, spec.dump()};
@@ -92,6 +133,7 @@
     peer_node& p = this->peers[o.key.name];
     p.endpoint = udp::endpoint(at.address(), at.port());
     p.hall = body.value("hall", "");
+    p.cores = body.value("cores", 1.0F);
     p.listed = this->node.now();
   }
 }
@@ -101,7 +143,6 @@
   for (int lists = 0;; ++lists) {
     if (!enrolled) enrolled = co_await this->enroll();
     co_await this->list_peers(lists >= first_lists);
-    this->count_live();
     const bool early = lists < first_lists || !enrolled;
     net::steady_timer timer(this->node.loop);
     const absl::Duration wait = (early ? first_list_period : list_period) *
@@ -121,22 +162,25 @@
   // A node that is not on the list yet is answered where it speaks from.
   if (p.listed == absl::InfinitePast()) p.endpoint = from;
   p.hall = message.hall;
+  p.cores = message.cores;
   p.boot = message.boot;
   p.sequence = message.sequence;
   p.heard = now;
   if (back) {
-    this->count_live();
-    this->node.log.belief(
-        "peer_heard",
-        {{"peer", message.node}, {"live", absl::StrCat(this->node.live_nodes)}},
-        now);
+    this->node.log.belief("peer_heard", {{"peer", message.node}}, now);
   }
+  this->hand_over(message);
+}
+
+void peer_link::hand_over(const node_message& message) {
   if (const auto* g = std::get_if<gossip>(&message.content)) {
     this->on_gossip(message.node, *g);
   } else if (const auto* r = std::get_if<news_request>(&message.content)) {
     this->on_request(message.node, *r);
+  } else if (const auto* n = std::get_if<news>(&message.content)) {
+    this->on_news(message.node, *n);
   } else {
-    this->on_news(message.node, std::get<news>(message.content));
+    this->on_suspicion(std::get<suspicion>(message.content));
   }
 }
 
@@ -169,24 +213,24 @@
   this->node.metrics.count_peer_bytes("out", static_cast<double>(bytes.size()));
 }
 
-void peer_link::send(const std::string& peer,
-                     std::variant<gossip, news_request, news> content) {
+node_message peer_link::compose(message_content content) {
+  return {
+      this->node.settings.node, this->node.settings.hall,  this->boot,
+      ++this->sequence,         this->node.settings.cores, std::move(content)};
+}
+
+void peer_link::send(const std::string& peer, message_content content) {
   const auto found = this->peers.find(peer);
   if (found == this->peers.end() || !this->reachable(found->second)) return;
-  const node_message message{this->node.settings.node, this->node.settings.hall,
-                             this->boot, ++this->sequence, std::move(content)};
-  this->send_to(found->second, encode(message));
+  this->send_to(found->second, encode(this->compose(std::move(content))));
 }
 
 void peer_link::send_all(const gossip& content, bool other_halls) {
-  const node_message message{this->node.settings.node, this->node.settings.hall,
-                             this->boot, ++this->sequence, content};
-  const std::string bytes = encode(message);
+  const std::string bytes = encode(this->compose(content));
   for (const auto& [name, p] : this->peers) {
-    const bool other = p.hall != this->node.settings.hall;
-    if (other == other_halls && this->reachable(p)) this->send_to(p, bytes);
+    if (this->near(p) == other_halls || !this->reachable(p)) continue;
+    this->send_to(p, bytes);
   }
-  this->count_live();
 }
 
 }  // namespace spokesail
--- a/src/peer-link.h
+++ b/src/peer-link.h
@@ -8,9 +8,11 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "node-context.h"
 #include "node-message.h"
+#include "spokesail/relay-choice.h"
 
 namespace spokesail {
 
@@ -18,6 +20,8 @@
 struct peer_node {
   boost::asio::ip::udp::endpoint endpoint;
   std::string hall;
+  /// Its part of a processor core.
+  float cores = 1;
   uint64_t boot = 0;
   uint64_t sequence = 0;
   absl::Time heard = absl::InfinitePast();
@@ -36,26 +40,40 @@
   /// Receives until the process ends.
   boost::asio::awaitable<void> receive();
 
-  void send(const std::string& peer,
-            std::variant<gossip, news_request, news> content);
+  void send(const std::string& peer, message_content content);
   /// Sends to all peers of this data hall, or of all others.
   void send_all(const gossip& content, bool other_halls);
 
-  /// Peers that were heard of lately, by name.
-  std::map<std::string, peer_node> live() const;
+  /// Peers of this data hall that were heard of lately.
+  std::vector<relay_candidate> live_near() const;
+  /// This data hall's living nodes, this one included, as news passes down.
+  std::vector<std::string> hall_order() const;
+  /// Nodes of other halls that may be spoken to, by hall.
+  std::map<std::string, std::vector<relay_candidate>> far_halls() const;
+  /// Peers of this data hall, or of all others, that may be spoken to.
+  int count_reachable(bool other_halls) const;
+  /// Peers of other halls that were heard of lately.
+  int count_live_far() const;
+  /// The data hall of a node; empty if it is not known.
+  std::string hall_of(const std::string& name) const;
   size_t size() const { return this->peers.size(); }
 
   std::function<void(const std::string& peer, const gossip&)> on_gossip;
   std::function<void(const std::string& peer, const news_request&)> on_request;
   std::function<void(const std::string& peer, const news&)> on_news;
+  std::function<void(const suspicion&)> on_suspicion;
 
  private:
   boost::asio::awaitable<bool> enroll();
   boost::asio::awaitable<void> list_peers(bool stale);
   void take(const node_message& message,
             const boost::asio::ip::udp::endpoint& from);
-  void count_live();
   bool reachable(const peer_node& p) const;
+  bool alive(const peer_node& p) const;
+  bool near(const peer_node& p) const;
+  /// Hands a message to the part of the node that it is for.
+  void hand_over(const node_message& message);
+  node_message compose(message_content content);
   void send_to(const peer_node& p, const std::string& bytes);
 
   node_context& node;
--- a/src/server-news.cc
+++ b/src/server-news.cc
@@ -29,6 +29,31 @@
   return out;
 }
 
+std::vector<news_part> split_news(std::vector<server_news> news, size_t most,
+                                  int64_t from, int64_t to) {
+  const auto revision_of = [](const server_news& item) {
+    return item.server.revision;
+  };
+  std::sort(news.begin(), news.end(), [&](const auto& a, const auto& b) {
+    return revision_of(a) < revision_of(b);
+  });
+  std::vector<news_part> out(1);
+  out.front().from_revision = from;
+  for (auto& item : news) {
+    news_part& last = out.back();
+    // Changes of one revision stay together.
+    const bool full = last.servers.size() >= most &&
+                      revision_of(item) != revision_of(last.servers.back());
+    if (full) {
+      last.to_revision = std::max(from, revision_of(item) - 1);
+      out.push_back({last.to_revision, 0, {}});
+    }
+    out.back().servers.push_back(std::move(item));
+  }
+  out.back().to_revision = to;
+  return out;
+}
+
 bool apply_news(server_directory& directory,
                 const std::vector<server_news>& servers, absl::Time now) {
   bool changed = false;
--- a/test/group-controller-test.cc
+++ b/test/group-controller-test.cc
@@ -309,6 +309,39 @@
   EXPECT_TRUE(run.fleet.breaches().empty());
 }
 
+/// A fleet whose holders change while many hosts have weights to load.
+fleet_run fleet_without_weights(uint64_t seed) {
+  fleet_run run(seed);
+  run.loads_count = true;
+  run.run_for(absl::Milliseconds(400));
+  return run;
+}
+
+TEST(group_controller, holders_that_follow_each_other_keep_the_rate_of_loads) {
+  fleet_run run = fleet_without_weights(8);
+  const engine_profile engine = *engine_service().engine;
+  const group_controller_options options;
+  const absl::Time since = run.now;
+  for (int term = 0; term < 6; ++term) {
+    const earlier_loads before{run.controller.loads_begun(run.now), run.now};
+    run.controller.start_term(++run.fence, before);
+    run.run_for(absl::Milliseconds(700));
+  }
+  const double allowed = engine.loads_per_s * options.load_excess *
+                         absl::ToDoubleSeconds(options.load_window);
+  EXPECT_LE(run.most_loads(options.load_window, since), allowed);
+}
+
+TEST(group_controller, a_holder_that_heard_nothing_waits_the_window_out) {
+  fleet_run run = fleet_without_weights(9);
+  const size_t loads = run.fleet.loads.size();
+  run.begin_term();
+  run.run_for(absl::Seconds(4));
+  EXPECT_EQ(run.fleet.loads.size(), loads);
+  run.run_for(absl::Seconds(3));
+  EXPECT_GT(run.fleet.loads.size(), loads);
+}
+
 TEST(group_controller, gives_up_its_duty_when_most_servers_are_silent) {
   fleet_run run = standing_fleet(7);
   int count = 0;
--- a/test/node-message-test.cc
+++ b/test/node-message-test.cc
@@ -15,17 +15,21 @@
   return server;
 }
 
-node_message sample(std::variant<gossip, news_request, news> content) {
-  return {"node-1", "hall", 77, 3, std::move(content)};
+node_message sample(message_content content) {
+  return {"node-1", "hall", 77, 3, 0.25, std::move(content)};
+}
+
+holder_word sample_holder() {
+  return {{5, R"({"holder":"x"})"}, 8, {"s2", "s3"}, 4};
 }
 
 TEST(node_message, gossip_comes_back_as_it_was) {
   gossip g;
   g.places = {{"large.7", 3, 512}, {"p0", 1, 0}};
-  g.suspects = {"s1"};
-  g.lease = lease_word{5, R"({"holder":"x"})"};
+  g.holder = sample_holder();
   g.requests_seen = true;
-  g.silent = {"s2", "s3"};
+  g.hall_nodes = 60;
+  g.hall_firsts = {"node-1", "node-2"};
   const auto bytes = encode(sample(g));
   const auto back = decode_message(bytes.data(), bytes.size());
   ASSERT_TRUE(back);
@@ -42,6 +46,10 @@
   n.to_revision = 12;
   n.servers = {{sample_server(), false, absl::Milliseconds(30)},
                {sample_server(), true, absl::ZeroDuration()}};
+  n.holder = sample_holder();
+  n.far_places = {{"small.9", 12, 256}};
+  n.far_nodes = 240;
+  n.requests_seen = true;
   const auto bytes = encode(sample(n));
   const auto back = decode_message(bytes.data(), bytes.size());
   ASSERT_TRUE(back);
@@ -55,6 +63,24 @@
   EXPECT_EQ(*back, sample(news_request{3, 11}));
 }
 
+TEST(node_message, a_suspicion_comes_back_as_it_was) {
+  const auto bytes = encode(sample(suspicion{{"s1", "s2"}}));
+  const auto back = decode_message(bytes.data(), bytes.size());
+  ASSERT_TRUE(back);
+  EXPECT_EQ(*back, sample(suspicion{{"s1", "s2"}}));
+}
+
+TEST(node_message, a_holders_later_word_is_known_by_version_and_sequence) {
+  holder_word first = sample_holder();
+  holder_word later = first;
+  later.sequence++;
+  EXPECT_TRUE(later.after(first));
+  EXPECT_FALSE(first.after(first));
+  first.lease.version++;
+  first.sequence = 0;
+  EXPECT_TRUE(first.after(later));
+}
+
 RC_GTEST_PROP(node_message, no_bytes_do_harm,
               (const std::vector<uint8_t>& bytes)) {
   decode_message(reinterpret_cast<const char*>(bytes.data()), bytes.size());
--- /dev/null
+++ b/test/question-window-test.cc
@@ -0,0 +1,150 @@
+// A holder of the lease that has far more servers to ask than it can read
+// answers from at once.
+#include "spokesail/question-window.h"
+
+#include <absl/strings/str_cat.h>
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <deque>
+
+#include "spokesail/group-controller.h"
+
+namespace spokesail {
+namespace {
+
+const absl::Time start = absl::FromUnixSeconds(100);
+
+TEST(question_window, grows_with_answers_and_shrinks_once_for_a_loss) {
+  question_window window;
+  const double first = window.limit();
+  for (int i = 0; i < 4; ++i) {
+    const std::string id = absl::StrCat("s", i);
+    window.sent(id);
+    EXPECT_TRUE(window.ended(id, true, start));
+  }
+  EXPECT_EQ(window.limit(), first + 4);
+  window.sent("a");
+  window.sent("b");
+  window.ended("a", false, start);
+  window.ended("b", false, start);
+  EXPECT_EQ(window.limit(), (first + 4) / 2);
+}
+
+TEST(question_window, stays_within_its_bounds) {
+  const window_limits limits;
+  question_window window(limits);
+  absl::Time now = start;
+  for (int i = 0; i < 100; ++i) {
+    window.sent("s");
+    now += absl::Seconds(1);
+    window.ended("s", false, now);
+  }
+  EXPECT_EQ(window.limit(), limits.least);
+  for (int i = 0; i < 100000; ++i) {
+    window.sent("s");
+    window.ended("s", true, now);
+  }
+  EXPECT_EQ(window.limit(), limits.most);
+}
+
+TEST(question_window, knows_which_questions_are_open) {
+  question_window window;
+  window.sent("s");
+  EXPECT_TRUE(window.asks("s"));
+  EXPECT_TRUE(window.ended("s", true, start));
+  EXPECT_FALSE(window.asks("s"));
+  EXPECT_FALSE(window.ended("s", true, start));
+}
+
+/// Five halls of five domains of 37 hosts each.
+constexpr int halls = 5;
+constexpr int domains = 25;
+constexpr int hosts_of_domain = 37;
+
+server_directory large_directory() {
+  server_directory out;
+  int64_t revision = 0;
+  for (int d = 0; d < domains; ++d) {
+    for (int h = 0; h < hosts_of_domain; ++h) {
+      listed_server server;
+      server.entry.id = absl::StrCat("s", d, ".", h);
+      server.entry.service = "lm";
+      server.entry.hall = absl::StrCat("hall", d % halls);
+      server.entry.domain = absl::StrCat("d", d);
+      server.revision = ++revision;
+      out.update(server);
+    }
+  }
+  out.caught_up(revision);
+  return out;
+}
+
+/// A node that reads answers one after the other.
+class slow_reader {
+ public:
+  explicit slow_reader(absl::Duration read_time) : read_time(read_time) {}
+
+  void ask(const std::string& id, absl::Time now) {
+    this->open.push_back({id, now});
+  }
+
+  /// Reads what fits until `now`; what waited too long counts as unanswered.
+  void read(group_controller& controller, absl::Time now) {
+    this->free_at = std::max(this->free_at, now - step);
+    while (!this->open.empty()) {
+      const question q = this->open.front();
+      const absl::Time done = std::max(this->free_at, q.sent) + this->read_time;
+      const bool late = done - q.sent > limit;
+      if (!late && done > now) return;
+      if (late && q.sent + limit > now) return;
+      this->open.pop_front();
+      if (!late) this->free_at = done;
+      std::optional<server_report> report;
+      if (!late) report.emplace();
+      controller.on_report(q.id, report, now);
+    }
+  }
+
+  static constexpr absl::Duration step = absl::Milliseconds(40);
+
+ private:
+  static constexpr absl::Duration limit = absl::Milliseconds(150);
+  struct question {
+    std::string id;
+    absl::Time sent;
+  };
+  absl::Duration read_time;
+  absl::Time free_at = absl::InfinitePast();
+  std::deque<question> open;
+};
+
+/// The pattern of a takeover: 925 servers whose state the new holder has to
+/// learn, on a node that takes 1.5 ms for each answer.
+TEST(question_window, a_slow_holder_takes_no_server_for_silent) {
+  group_controller controller{group_controller_options{}};
+  controller.start_term(2);
+  const server_directory directory = large_directory();
+  backend_service service;
+  service.name = "lm";
+  service.engine.emplace();
+  routing_config config;
+  config.services = {service};
+  slow_reader reader(absl::Microseconds(1500));
+  absl::Time now = start;
+  absl::Time last_question = start;
+  for (int i = 0; i < 100; ++i) {
+    now += slow_reader::step;
+    reader.read(controller, now);
+    const auto actions = controller.step(directory, config, true, now);
+    EXPECT_FALSE(actions.step_down);
+    if (!actions.reports.empty()) last_question = now;
+    for (const auto& id : actions.reports) reader.ask(id, now);
+  }
+  EXPECT_TRUE(controller.silent_servers().empty());
+  // 925 answers of 1.5 ms take 1.4 s; asking in rounds of a step adds to it.
+  EXPECT_LT(last_question - start, absl::Seconds(2));
+}
+
+}  // namespace
+}  // namespace spokesail
--- a/test/relay-choice-test.cc
+++ b/test/relay-choice-test.cc
@@ -1,7 +1,9 @@
 // From whom nodes hear of changes.
 #include "spokesail/relay-choice.h"
 
+#include <absl/strings/str_cat.h>
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 #include <map>
 
@@ -13,15 +15,17 @@
 const std::vector<std::string> hall = {"a1", "a2", "a3", "a4", "a5", "a6"};
 
 std::vector<std::string> order() {
-  return rendezvous("relay", hall, hall.size());
+  std::vector<relay_candidate> nodes;
+  for (const auto& name : hall) nodes.push_back({name, 1});
+  return relay_order(nodes);
 }
 
 /// What `self`, a node of the hall, sees.
 relay_view view_of(const std::string& self) {
   relay_view view;
-  view.self = self;
+  view.self = {self, 1};
   for (const auto& name : hall) {
-    if (name != self) view.hall_peers.push_back(name);
+    if (name != self) view.hall_peers.push_back({name, 1});
   }
   return view;
 }
@@ -56,8 +60,11 @@
   EXPECT_EQ(choose_relay(view).upstream, order()[1]);
   view.passed_over.insert(order()[1]);
   EXPECT_EQ(choose_relay(view).upstream, order()[2]);
-  view.passed_over.insert(order()[2]);
-  EXPECT_EQ(choose_relay(view).upstream, view.self);
+  for (size_t next = 2; next < 5; ++next) {
+    EXPECT_EQ(choose_relay(view).upstream, order()[next]);
+    view.passed_over.insert(order()[next]);
+  }
+  EXPECT_EQ(choose_relay(view).upstream, view.self.name);
   view.holder = "b1";
   EXPECT_EQ(choose_relay(view).upstream, "b1");
 }
@@ -93,5 +100,84 @@
   }
 }
 
+/// A hall of `size` nodes, a twentieth of which have four times the others'
+/// share of a core.
+std::vector<relay_candidate> hall_of(int size) {
+  constexpr int one_in = 20;
+  std::vector<relay_candidate> out;
+  for (int i = 0; i < size; ++i) {
+    out.push_back({absl::StrCat("n", i), i % one_in == 0 ? 0.5F : 0.125F});
+  }
+  return out;
+}
+
+/// Whom each node asks when all have passed over the same nodes.
+std::map<std::string, std::string> asked_by_all(
+    const std::vector<relay_candidate>& nodes, const std::string& holder,
+    const std::set<std::string>& passed_over) {
+  std::map<std::string, std::string> out;
+  for (const auto& self : nodes) {
+    relay_view view;
+    view.self = self;
+    view.holder = holder;
+    view.passed_over = passed_over;
+    for (const auto& peer : nodes) {
+      if (!(peer == self)) view.hall_peers.push_back(peer);
+    }
+    out[self.name] = choose_relay(view).upstream;
+  }
+  return out;
+}
+
+/// The load of a large hall: a node that all others ask is late for all.
+TEST(relay_choice, no_relay_of_a_large_hall_answers_more_than_its_children) {
+  for (const int size : {3, 12, 60, 200}) {
+    std::map<std::string, int> children;
+    for (const auto& [name, upstream] :
+         asked_by_all(hall_of(size), "holder", {})) {
+      children[upstream]++;
+    }
+    for (const auto& [name, count] : children) {
+      EXPECT_LE(count, static_cast<int>(relay_fan_out)) << name;
+    }
+    EXPECT_EQ(children["holder"], 1);
+  }
+}
+
+TEST(relay_choice, news_reach_sixty_nodes_in_three_steps) {
+  const auto asks = asked_by_all(hall_of(60), "holder", {});
+  for (const auto& [name, upstream] : asks) {
+    int steps = 0;
+    for (std::string at = name; at != "holder"; at = asks.at(at)) ++steps;
+    EXPECT_LE(steps, 3) << name;
+  }
+}
+
+TEST(relay_choice, nodes_with_more_of_a_core_pass_news_on) {
+  const auto nodes = hall_of(60);
+  std::map<std::string, float> cores;
+  for (const auto& node : nodes) cores[node.name] = node.cores;
+  const auto first = relay_order(nodes);
+  for (size_t i = 0; i < most_relays; ++i) EXPECT_EQ(cores[first[i]], 0.5F);
+}
+
+RC_GTEST_PROP(relay_choice, one_node_of_a_hall_watches_whatever_has_failed,
+              ()) {
+  const int size = *rc::gen::element(2, 9, 60, 120);
+  const auto nodes = hall_of(size);
+  std::set<std::string> failed;
+  const int lost = *rc::gen::inRange(0, size + 1);
+  for (int i = 0; i < lost; ++i) {
+    failed.insert(nodes[*rc::gen::inRange<size_t>(0, nodes.size())].name);
+  }
+  int watching = 0;
+  for (const auto& [name, upstream] : asked_by_all(nodes, "", failed)) {
+    // A node that the others have passed over asks or watches by itself.
+    if (upstream == name && failed.count(name) == 0) ++watching;
+    RC_ASSERT(upstream == name || failed.count(upstream) == 0);
+  }
+  RC_ASSERT(watching <= 1);
+}
+
 }  // namespace
 }  // namespace spokesail
--- a/test/request-policy-test.cc
+++ b/test/request-policy-test.cc
@@ -107,6 +107,28 @@
             0);
 }
 
+TEST(load_table, a_later_word_of_a_peer_replaces_the_earlier) {
+  load_table loads;
+  loads.take_peer("n2", {{"g", 3, 10}, {"h", 1, 5}}, start);
+  loads.take_peer("n2", {{"g", 1, 0}}, start);
+  EXPECT_EQ(loads.total("g", start), (place_load{"g", 1, 0}));
+  EXPECT_EQ(loads.total("h", start), (place_load{"h", 0, 0}));
+  loads.drop_peer("n2");
+  EXPECT_EQ(loads.total("g", start).running, 0);
+}
+
+TEST(load_table, sums_its_hall_and_the_others_apart) {
+  load_table loads;
+  loads.begin("g", 7);
+  loads.take_peer("n2", {{"g", 3, 10}}, start);
+  loads.take_peer("/east", {{"g", 4, 0}, {"h", 2, 1}}, start, true);
+  const std::vector<place_load> near = {{"g", 4, 17}};
+  const std::vector<place_load> far = {{"g", 4, 0}, {"h", 2, 1}};
+  EXPECT_EQ(loads.hall_sum(false, start), near);
+  EXPECT_EQ(loads.hall_sum(true, start), far);
+  EXPECT_EQ(loads.total("g", start).running, 8);
+}
+
 TEST(repeat_budget, all_nodes_together_keep_the_limit) {
   const repeat_limits limits{0.2, absl::Seconds(10), 90};
   constexpr int nodes = 9;
--- a/test/server-directory-test.cc
+++ b/test/server-directory-test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include "server-news.h"
+
 namespace spokesail {
 namespace {
 
@@ -131,5 +133,46 @@
   EXPECT_EQ(group_model("nodot"), "");
 }
 
+/// A node that has just started lacks all servers, more than fit a datagram.
+TEST(server_news, parts_bring_a_large_directory_over_in_order) {
+  constexpr int servers = 931;
+  constexpr size_t most = 200;
+  server_directory from;
+  for (int i = 1; i <= servers; ++i) {
+    from.update(server(std::to_string(i), i));
+  }
+  from.caught_up(servers + 5);
+  const auto parts =
+      split_news(news_since(from, 0, start), most, 0, from.revision());
+  server_directory to;
+  for (const auto& part : parts) {
+    EXPECT_EQ(part.from_revision, to.revision());
+    EXPECT_LE(part.servers.size(), most);
+    apply_news(to, part.servers, start);
+    to.caught_up(part.to_revision);
+  }
+  EXPECT_EQ(to.servers(), from.servers());
+  EXPECT_EQ(to.revision(), from.revision());
+}
+
+TEST(server_news, without_changes_there_is_one_empty_part) {
+  const std::vector<news_part> expected = {{7, 9, {}}};
+  EXPECT_EQ(split_news({}, 200, 7, 9), expected);
+}
+
+TEST(server_news, servers_that_lapse_never_hide_later_changes) {
+  server_directory from;
+  for (int i = 1; i <= 9; ++i) from.update(server(std::to_string(i), i));
+  for (int i = 1; i <= 7; ++i) {
+    from.remove(std::to_string(i), i, start + absl::Seconds(2));
+  }
+  const auto parts = split_news(news_since(from, 7, start), 3, 7, 9);
+  EXPECT_EQ(parts.front().from_revision, 7);
+  EXPECT_EQ(parts.back().to_revision, 9);
+  size_t told = 0;
+  for (const auto& part : parts) told += part.servers.size();
+  EXPECT_EQ(told, 9U);
+}
+
 }  // namespace
 }  // namespace spokesail
