Keep spares warm, let candidates take the lease first, tell a hall of losses

Change: idle hosts join a group of their own that never opens, and leave it, so that the next join takes 0.2 s; policy.warm_spares switches it. Orders without a result are bounded by the same window as questions. Candidates for the lease read it in turn at the start, other nodes late. A node that finds a loss tells its hall, whose nodes ask that one server.

Test changed: the one of a spare's change of weights switches warming off, which is a further order there.

--- a/include/spokesail/group-controller.h
+++ b/include/spokesail/group-controller.h
@@ -38,6 +38,12 @@
   /// days that lose a host every three seconds this buys 0.035 of all worth
   /// (late answers 0.11 to 0.08 of the requests, refusals 0.02 to 0.01).
   bool spares_serve = true;
+  /// Whether hosts kept for repairs take the weights that they hold into their
+  /// engines, by joining a group that never opens and leaving it. A host whose
+  /// last group was of the same model joins within 0.2 s, where it needs one to
+  /// two seconds from the weights on the host, so that a group that lost a
+  /// member serves again that much sooner.
+  bool warm_spares = true;
   /// Window in which loads from the weight store are counted, and the excess
   /// over the store's rate that it tolerates.
   absl::Duration load_window = absl::Seconds(5);
@@ -172,6 +178,11 @@
     std::vector<std::string> members;
     absl::Time give_up_at;
   };
+  /// A group that one host joins to take weights into its engine.
+  struct warmup {
+    std::string server;
+    absl::Time give_up_at;
+  };
   /// Hosts of one domain that could form a group.
   struct formation {
     const model_profile* model = nullptr;
@@ -282,6 +293,8 @@
   /// Plans the groups that are wanted, or stages their hosts first.
   void form_groups(service_state& s, bool loads_count, absl::Time now,
                    group_actions& out);
+  /// The epoch of the next group of this term.
+  int64_t next_epoch();
   /// Plans one group.
   void form_group(service_state& s, const model_profile& model,
                   const std::vector<std::string>& members, absl::Time now,
@@ -304,6 +317,24 @@
   /// Has free hosts serve in further groups of a model whose weights they hold.
   void form_spare_groups(service_state& s, absl::Time now, group_actions& out);
 
+  // Hosts that take weights into their engines: group-warming.cc.
+
+  /// Hosts that warm up, by fabric domain.
+  std::map<std::string, size_t> warming_by_domain(const service_state& s) const;
+  /// Whether a free host holds weights that its engine has not run.
+  bool may_warm(const service_state& s, const std::string& id,
+                absl::Time now) const;
+  /// Has one host join a group of its own.
+  void warm_host(const service_state& s, const std::string& id,
+                 const std::vector<std::string>& domain_hosts, absl::Time now,
+                 group_actions& out);
+  /// Has free hosts take the weights that they hold into their engines.
+  void warm_spares(const service_state& s, bool loads_count, absl::Time now,
+                   group_actions& out);
+  /// Has a host that is warm leave its group.
+  void end_warmup(const service_state& s, const group_view& group,
+                  group_actions& out);
+
   // The staging of weights: group-staging.cc.
 
   /// Counts what holders before this one may have loaded.
@@ -355,6 +386,8 @@
   std::map<std::string, server_track> tracks;
   /// Groups of this term by name, until they are dissolved.
   std::map<std::string, group_plan> plans;
+  /// Groups that one host joins to take weights into its engine.
+  std::map<std::string, warmup> warmups;
   /// Groups whose head surely serves no more.
   std::set<std::string> released;
   /// Groups on their way out, and since when.
@@ -365,8 +398,9 @@
   std::deque<absl::Time> loads;
   /// What the holder before this one loaded, until it is counted in `loads`.
   std::optional<earlier_loads> inherited;
-  /// Open questions for servers' reports.
+  /// Open questions for servers' reports, and orders without a result.
   question_window questions;
+  question_window open_orders;
   /// Servers at the last count and since when there are so many, by service.
   struct settling {
     size_t servers = 0;
--- a/src/group-controller.cc
+++ b/src/group-controller.cc
@@ -74,12 +74,14 @@
   this->fence = 0;
   this->tracks.clear();
   this->plans.clear();
+  this->warmups.clear();
   this->released.clear();
   this->dissolving.clear();
   this->incomplete.clear();
   this->loads.clear();
   this->inherited.reset();
   this->questions = question_window();
+  this->open_orders = question_window();
   this->settlings.clear();
   this->summarized.clear();
 }
@@ -93,6 +95,8 @@
 
 void group_controller::on_order(const group_order& order, order_result result,
                                 absl::Time now) {
+  const bool answered = result != order_result::unknown;
+  this->open_orders.ended(order.server, answered, now);
   const auto found = this->tracks.find(order.server);
   if (found == this->tracks.end()) return;
   server_track& track = found->second;
@@ -223,6 +227,8 @@
                             group_actions& out) {
   server_track& track = this->tracks[entry.id];
   if (track.pending || !track.orders_taken) return false;
+  if (!this->open_orders.open()) return false;
+  this->open_orders.sent(entry.id);
   order.server = entry.id;
   order.address = entry.address;
   order.expected_orders = *track.orders_taken;
@@ -289,6 +295,10 @@
   std::set<std::string> standing;
   for (const auto& group : s.groups) {
     standing.insert(group.name);
+    if (this->warmups.count(group.name) != 0) {
+      this->end_warmup(s, group, out);
+      continue;
+    }
     this->judge_group(s, group, now, out);
   }
   for (const auto& [name, plan] : this->plans) {
@@ -309,6 +319,7 @@
   if (loads_count || this->all_filled(s)) {
     this->stage_spares(s, loads_count, now, out);
   }
+  this->warm_spares(s, loads_count, now, out);
   this->clear_memberships(s, out);
   this->summarize(s, now, out);
 }
--- a/src/group-formation.cc
+++ b/src/group-formation.cc
@@ -190,10 +190,14 @@
   }
 }
 
+int64_t group_controller::next_epoch() {
+  return this->fence * epochs_per_term + ++this->epochs;
+}
+
 void group_controller::form_group(service_state& s, const model_profile& model,
                                   const std::vector<std::string>& members,
                                   absl::Time now, group_actions& out) {
-  const int64_t epoch = this->fence * epochs_per_term + ++this->epochs;
+  const int64_t epoch = this->next_epoch();
   absl::Duration slowest = absl::ZeroDuration();
   for (const auto& id : members) {
     const absl::Duration time = this->join_time(s, id, model, now);
--- a/src/group-spares.cc
+++ b/src/group-spares.cc
@@ -20,6 +20,7 @@
   for (const auto& group : s.groups) {
     if (group.model != model.name) continue;
     if (this->dissolving.count(group.name) != 0) continue;
+    if (this->warmups.count(group.name) != 0) continue;
     const auto others = std::count_if(
         group.members.begin(), group.members.end(), [&](const auto& id) {
           return s.knows(id) && !staged_on(s.entry(id), model);
--- a/src/group-staging.cc
+++ b/src/group-staging.cc
@@ -155,7 +155,8 @@
       count_serving_spare(entry, track.staging_until > now, track.staging,
                           weights);
     } else if (said.phase != member_phase::none &&
-               this->released.count(said.group) == 0) {
+               this->released.count(said.group) == 0 &&
+               this->warmups.count(said.group) == 0) {
       weights.members[group_model(said.group)]++;
     } else if (const auto plan = planned.find(id); plan != planned.end()) {
       weights.members[std::string(plan->second)]++;
--- /dev/null
+++ b/src/group-warming.cc
@@ -0,0 +1,89 @@
+// Has free hosts take the weights that they hold into their engines.
+#include "group-state.h"
+
+namespace spokesail {
+namespace {
+
+/// Hosts of one domain that warm up at once while there are requests: one that
+/// does is of no use to a repair for as long as its model takes to load from
+/// the host, one to two seconds.
+constexpr size_t most_warming = 2;
+
+/// What a host may take beyond the time its load from the host needs.
+constexpr absl::Duration warm_slack = absl::Seconds(2);
+
+}  // namespace
+
+std::map<std::string, size_t> group_controller::warming_by_domain(
+    const service_state& s) const {
+  std::map<std::string, size_t> out;
+  for (const auto& [name, warmup] : this->warmups) {
+    if (s.knows(warmup.server)) out[s.entry(warmup.server).domain]++;
+  }
+  return out;
+}
+
+bool group_controller::may_warm(const service_state& s, const std::string& id,
+                                absl::Time now) const {
+  const server_entry& entry = s.entry(id);
+  const server_track& track = s.track(id);
+  const bool idle = entry.membership.phase == member_phase::none &&
+                    !track.order_running && now >= track.staging_until;
+  return idle && !entry.staged.empty() &&
+         track.last_model != entry.staged.front();
+}
+
+void group_controller::warm_host(const service_state& s, const std::string& id,
+                                 const std::vector<std::string>& domain_hosts,
+                                 absl::Time now, group_actions& out) {
+  const server_entry& entry = s.entry(id);
+  const model_profile* model = find_model(*s.engine, entry.staged.front());
+  if (model == nullptr) return;
+  const auto size = static_cast<size_t>(model->group_size);
+  if (domain_hosts.size() < size) return;
+  const int64_t epoch = this->next_epoch();
+  group_order join = order_about(group_order_kind::join,
+                                 group_name(model->name, epoch), epoch);
+  join.model = model->name;
+  join.members = {id};
+  for (const auto& other : domain_hosts) {
+    if (join.members.size() == size) break;
+    if (other != id) join.members.push_back(other);
+  }
+  const std::string name = join.group;
+  if (!this->send(entry, std::move(join), out)) return;
+  this->warmups[name] = {id, now + model->staged_load + warm_slack};
+  out.notes.push_back({"host_warming", id, model->name});
+}
+
+void group_controller::warm_spares(const service_state& s, bool loads_count,
+                                   absl::Time now, group_actions& out) {
+  std::erase_if(this->warmups, [&](const auto& item) {
+    return item.second.give_up_at <= now || !s.knows(item.second.server);
+  });
+  if (!this->options.warm_spares) return;
+  auto warming = this->warming_by_domain(s);
+  std::map<std::string, std::vector<std::string>> hosts;
+  for (const auto& [id, server] : s.servers) {
+    hosts[server.entry.domain].push_back(id);
+  }
+  for (const auto& [domain, free] : this->free_hosts(s)) {
+    for (const auto& id : free) {
+      if (loads_count && warming[domain] >= most_warming) break;
+      if (!this->may_warm(s, id, now)) continue;
+      this->warm_host(s, id, hosts[domain], now, out);
+      warming[domain]++;
+    }
+  }
+}
+
+void group_controller::end_warmup(const service_state& s,
+                                  const group_view& group, group_actions& out) {
+  if (group.head_phase != member_phase::ready) return;
+  const server_entry& host = s.entry(group.head());
+  const group_order leave =
+      order_about(group_order_kind::leave, group.name, group.epoch);
+  if (this->send(host, leave, out)) this->tracks[host.id].leads = group.name;
+}
+
+}  // namespace spokesail
--- a/src/lease-keeper.cc
+++ b/src/lease-keeper.cc
@@ -17,10 +17,13 @@
 /// out.
 constexpr absl::Duration look_period = absl::Milliseconds(100);
 
-/// A node that has not heard of the lease from a peer by then reads it; drawn
-/// between these, so that few nodes read it when all start at once.
+/// A node that has not heard of the lease from a peer by then reads it: the
+/// candidates in turn, so that one of them takes it and tells the others before
+/// they ask, and any other node late, by chance.
 constexpr absl::Duration earliest_read = absl::Milliseconds(250);
-constexpr absl::Duration latest_read = absl::Milliseconds(2000);
+constexpr absl::Duration read_step = absl::Milliseconds(120);
+constexpr absl::Duration late_read = absl::Milliseconds(2500);
+constexpr absl::Duration late_read_spread = absl::Milliseconds(2000);
 
 /// Candidates take a lease that ran out over in turn, this long one after the
 /// other: a store's answer and a message to the peers fit in between.
@@ -46,6 +49,7 @@
     : node(state),
       self(absl::StrCat(state.settings.node, "/", state.random.engine())),
       lease(lease_name, this->self, state.settings.lease),
+      late_share(state.random.unit()),
       pauses(first_pause, longest_pause) {}
 
 bool lease_keeper::holds() const {
@@ -84,15 +88,21 @@
   this->lease.abandon();
 }
 
-double lease_keeper::turn() {
+std::optional<int> lease_keeper::rank() const {
   const auto order = this->candidates();
   const auto last =
       order.begin() +
       std::min<ptrdiff_t>(most_turns, static_cast<ptrdiff_t>(order.size()));
   const auto at = std::find(order.begin(), last, this->node.settings.node);
-  const double rank = at == last ? most_turns * (1 + this->node.random.unit())
-                                 : static_cast<double>(at - order.begin());
-  return rank * turn_step / this->node.settings.lease.takeover_spread;
+  if (at == last) return std::nullopt;
+  return static_cast<int>(at - order.begin());
+}
+
+double lease_keeper::turn() {
+  const auto known = this->rank();
+  const double turns =
+      known ? *known : most_turns * (1 + this->node.random.unit());
+  return turns * turn_step / this->node.settings.lease.takeover_spread;
 }
 
 bool lease_keeper::may_ask() const {
@@ -106,11 +116,12 @@
 
 bool lease_keeper::may_read() {
   const absl::Time now = this->node.now();
-  if (this->first_read == absl::InfiniteFuture()) {
-    this->first_read = now + earliest_read +
-                       (latest_read - earliest_read) * this->node.random.unit();
-  }
-  return now >= this->first_read;
+  if (this->first_look == absl::InfinitePast()) this->first_look = now;
+  const auto known = this->rank();
+  const absl::Duration wait =
+      known ? earliest_read + *known * read_step
+            : late_read + this->late_share * late_read_spread;
+  return now - this->first_look >= wait;
 }
 
 void lease_keeper::pause_calls() {
@@ -149,7 +160,7 @@
   }
   this->known = true;
   if (answer.status == call_status::not_found) {
-    this->lease.observe_absent(this->node.now(), this->node.random.unit());
+    this->lease.observe_absent(this->node.now(), this->turn());
   } else {
     this->lease.observe(answer.found, this->node.now(), this->turn());
   }
--- a/src/lease-keeper.h
+++ b/src/lease-keeper.h
@@ -54,6 +54,8 @@
   bool may_ask() const;
   /// Whether the lease is to be read now, as no peer has told of it.
   bool may_read();
+  /// This node's place among the first candidates; nothing if it is none.
+  std::optional<int> rank() const;
   /// This node's part of the wait before candidates take a lease over.
   double turn();
   /// Reads the lease from the store. False if the store does not answer.
@@ -71,8 +73,10 @@
   bool giving_up = false;
   /// Until when this node leaves the lease to others.
   absl::Time stood_down_until = absl::InfinitePast();
-  /// When the lease is first read, if no peer has told of it by then.
-  absl::Time first_read = absl::InfiniteFuture();
+  /// When this node first could have read the lease.
+  absl::Time first_look = absl::InfinitePast();
+  /// Drawn once, 0 to 1: how late a node that is no candidate reads it.
+  double late_share;
   /// Until when the store is not called for the lease, after a failed call.
   absl::Time quiet_until = absl::InfinitePast();
   backoff pauses;
--- a/src/node-message.capnp
+++ b/src/node-message.capnp
@@ -84,9 +84,12 @@
   allServers @11 :Bool;
 }
 
-# Tells the holder of the lease of servers that do not answer.
+# Tells the holder of the lease, or the nodes of the hall, of servers that do
+# not answer.
 struct Suspicion {
   servers @0 :List(Text);
+  # The group that lost the servers; empty if it is not known.
+  group @1 :Text;
 }
 
 struct NodeMessage {
--- a/src/node-message.cc
+++ b/src/node-message.cc
@@ -183,8 +183,10 @@
   } else if (const auto* n = std::get_if<news>(&message.content)) {
     write_news(root.initNews(), *n);
   } else {
-    const auto& servers = std::get<suspicion>(message.content).servers;
-    write_texts(root.initSuspicion().initServers(servers.size()), servers);
+    const auto& said = std::get<suspicion>(message.content);
+    auto out = root.initSuspicion();
+    out.setGroup(said.group);
+    write_texts(out.initServers(said.servers.size()), said.servers);
   }
   kj::VectorOutputStream out;
   capnp::writePackedMessage(out, builder);
@@ -217,7 +219,9 @@
     } else if (root.isNews()) {
       message.content = read_news(root.getNews());
     } else if (root.isSuspicion()) {
-      message.content = suspicion{read_texts(root.getSuspicion().getServers())};
+      const auto said = root.getSuspicion();
+      message.content =
+          suspicion{read_texts(said.getServers()), said.getGroup().cStr()};
     } else {
       return;
     }
--- a/src/node-message.h
+++ b/src/node-message.h
@@ -96,9 +96,12 @@
   bool operator==(const news&) const = default;
 };
 
-/// Tells the holder of the lease of servers that do not answer.
+/// Tells the holder of the lease, or the nodes of the hall, of servers that do
+/// not answer.
 struct suspicion {
   std::vector<std::string> servers;
+  /// The group that lost the servers; empty if it is not known.
+  std::string group;
   bool operator==(const suspicion&) const = default;
 };
 
--- a/src/node-process.cc
+++ b/src/node-process.cc
@@ -90,6 +90,7 @@
   };
   this->link.on_suspicion = [this](const suspicion& said) {
     for (const auto& id : said.servers) this->duty.suspect(id);
+    this->stalls.hear(said);
   };
 }
 
@@ -103,6 +104,9 @@
   this->gossip.on_suspect = [this](const std::string& id) {
     this->duty.suspect(id);
   };
+  this->stalls.on_loss = [this](const suspicion& said) {
+    this->link.send_all(said, false);
+  };
   this->stalls.on_suspect = [this](const std::string& id) {
     this->duty.suspect(id);
   };
--- a/src/peer-link.cc
+++ b/src/peer-link.cc
@@ -236,7 +236,7 @@
   this->send_to(found->second, encode(this->compose(std::move(content))));
 }
 
-void peer_link::send_all(const gossip& content, bool other_halls) {
+void peer_link::send_all(const message_content& content, bool other_halls) {
   const std::string bytes = encode(this->compose(content));
   for (const auto& [name, p] : this->peers) {
     if (this->near(p) == other_halls || !this->reachable(p)) continue;
--- a/src/peer-link.h
+++ b/src/peer-link.h
@@ -42,7 +42,7 @@
 
   void send(const std::string& peer, message_content content);
   /// Sends to all peers of this data hall, or of all others.
-  void send_all(const gossip& content, bool other_halls);
+  void send_all(const message_content& content, bool other_halls);
 
   /// Peers of this data hall that were heard of lately.
   std::vector<relay_candidate> live_near() const;
--- a/src/stall-watch.cc
+++ b/src/stall-watch.cc
@@ -110,12 +110,14 @@
   last_asked = now;
   const request_place place = *sight.place;
   for (const auto& id : place.members) {
-    net::co_spawn(this->node.loop, this->ask_member(group, id), net::detached);
+    net::co_spawn(this->node.loop, this->ask_member(group, id, true),
+                  net::detached);
   }
 }
 
 net::awaitable<void> stall_watch::ask_member(std::string group,
-                                             std::string server) {
+                                             std::string server,
+                                             bool tell_peers) {
   const server_entry* entry = this->node.directory.find(server);
   if (entry == nullptr) {
     this->give_up(group, "a member is gone");
@@ -131,9 +133,31 @@
   }
   this->node.suspect_server(server);
   if (this->on_suspect) this->on_suspect(server);
+  if (tell_peers && this->on_loss) this->on_loss({{server}, group});
   this->give_up(group, absl::StrCat(server, " does not answer"));
 }
 
+bool stall_watch::uses(const std::string& group) const {
+  return std::any_of(this->node.exchanges.begin(), this->node.exchanges.end(),
+                     [&](const exchange* ex) {
+                       return ex->place.group == group &&
+                              ex->aborted == abort_cause::none;
+                     });
+}
+
+void stall_watch::hear(const suspicion& said) {
+  if (said.group.empty() || !this->uses(said.group)) return;
+  const absl::Time now = this->node.now();
+  absl::Time& last_asked =
+      this->asked.try_emplace(said.group, absl::InfinitePast()).first->second;
+  if (now - last_asked < ask_again) return;
+  last_asked = now;
+  for (const auto& id : said.servers) {
+    net::co_spawn(this->node.loop, this->ask_member(said.group, id, false),
+                  net::detached);
+  }
+}
+
 void stall_watch::give_up(const std::string& group, const std::string& why) {
   const absl::Time now = this->node.now();
   int streams = 0;
--- a/src/stall-watch.h
+++ b/src/stall-watch.h
@@ -23,8 +23,15 @@
   /// Looks at all exchanges. To be called at every tick.
   void check(absl::Time now);
 
+  /// Takes a peer's word that a group lost servers: those are asked at once if
+  /// this node has streams there, where it would else notice the silence up to
+  /// half a second later and ask all members.
+  void hear(const suspicion& said);
+
   /// Called with a server that does not answer.
   std::function<void(const std::string&)> on_suspect;
+  /// Called with a loss that this node found by itself.
+  std::function<void(const suspicion&)> on_loss;
 
  private:
   /// What this node sees of one group's streams.
@@ -36,6 +43,8 @@
     /// Whether a stream that has begun, or should have, is silent.
     bool waited_for = false;
   };
+  /// Whether this node has an exchange with a group.
+  bool uses(const std::string& group) const;
   /// Breaks off exchanges whose time is up.
   void end_overdue(absl::Time now);
   /// What this node sees of all groups with exchanges, by name.
@@ -45,9 +54,10 @@
                    absl::Time now);
   /// The longest silence of a group's streams that is no fault.
   absl::Duration explained_silence(const request_place& place) const;
-  /// Asks one member for its report; gives the group up if none comes.
-  boost::asio::awaitable<void> ask_member(std::string group,
-                                          std::string server);
+  /// Asks one member for its report; gives the group up if none comes, and
+  /// tells the peers if none did.
+  boost::asio::awaitable<void> ask_member(std::string group, std::string server,
+                                          bool tell_peers);
   /// Breaks off all exchanges with a group and passes it over for a while.
   void give_up(const std::string& group, const std::string& why);
 
--- a/standin/fleet-emulator.cc
+++ b/standin/fleet-emulator.cc
@@ -219,7 +219,7 @@
   const bool has =
       std::find(staged.begin(), staged.end(), order.model) != staged.end();
   absl::Duration time = model->staged_load;
-  if (s.last_model == order.model && has) {
+  if (s.last_model == order.model) {
     time = this->timing.rejoin;
   } else if (!has) {
     if (s.loading != order.model) this->begin_load(s, order.model, now);
--- a/standin/fleet-standin.h
+++ b/standin/fleet-standin.h
@@ -51,6 +51,8 @@
   std::map<std::string, std::string> workspaces;
   /// Watches and lists that the store has answered.
   int store_reads = 0;
+  /// Lists of the servers among them.
+  int server_lists = 0;
   /// Times that a lease was written without a holder.
   int lease_given_up = 0;
 };
--- a/standin/fleet-store.cc
+++ b/standin/fleet-store.cc
@@ -98,6 +98,7 @@
     const std::string& kind, const std::string& query) {
   const int64_t since = number_in(query, "watch");
   if (since < 0) {
+    if (kind == "servers") this->record.server_lists++;
     json items = json::array();
     for (const auto& [name, o] : this->kinds[kind]) {
       if (!o.gone) items.push_back(this->object_json(name, o));
--- a/test/group-controller-test.cc
+++ b/test/group-controller-test.cc
@@ -221,6 +221,30 @@
   EXPECT_TRUE(run.fleet.breaches().empty());
 }
 
+/// The load of a hall that loses hosts: each loss is made good by a spare.
+TEST(group_controller, repairs_within_a_second_with_a_spare_that_is_warm) {
+  fleet_run run = standing_fleet(2, idle_spares());
+  run.run_for(absl::Seconds(6));
+  const std::string lost = member_of(run, "large", 2);
+  run.fleet.kill(lost, run.now);
+  run.notice(lost);
+  run.run_for(absl::Milliseconds(1100));
+  EXPECT_EQ(run.fleet.serving("large"), 6);
+  EXPECT_TRUE(run.fleet.breaches().empty());
+}
+
+TEST(group_controller, hosts_that_warm_up_join_no_group_that_serves) {
+  fleet_run run = standing_fleet(3, idle_spares());
+  run.run_for(absl::Seconds(10));
+  // Each host has left the group that it joined to warm up.
+  for (const auto& [id, server] : run.fleet.directory().servers()) {
+    const group_membership& said = server.entry.membership;
+    if (said.phase == member_phase::none) continue;
+    EXPECT_TRUE(run.fleet.group_in_place(id)) << id;
+  }
+  EXPECT_TRUE(run.fleet.breaches().empty());
+}
+
 TEST(group_controller, frees_the_members_of_a_head_that_is_cut_off) {
   fleet_run run = standing_fleet(3, idle_spares());
   const std::string head = member_of(run, "large", 0);
@@ -464,7 +488,9 @@
   const server_directory directory = domain_with_spares();
   routing_config config;
   config.services = {engine_service()};
-  group_controller controller{idle_spares()};
+  group_controller_options options = idle_spares();
+  options.warm_spares = false;
+  group_controller controller{options};
   controller.start_term(1);
   std::vector<group_order> stages;
   absl::Time now = absl::FromUnixSeconds(1000);
--- a/test/node-message-test.cc
+++ b/test/node-message-test.cc
@@ -65,10 +65,10 @@
 }
 
 TEST(node_message, a_suspicion_comes_back_as_it_was) {
-  const auto bytes = encode(sample(suspicion{{"s1", "s2"}}));
+  const auto bytes = encode(sample(suspicion{{"s1", "s2"}, "large.7"}));
   const auto back = decode_message(bytes.data(), bytes.size());
   ASSERT_TRUE(back);
-  EXPECT_EQ(*back, sample(suspicion{{"s1", "s2"}}));
+  EXPECT_EQ(*back, sample(suspicion{{"s1", "s2"}, "large.7"}));
 }
 
 TEST(node_message, a_holders_later_word_is_known_by_version_and_sequence) {
--- a/test/node-settings-test.cc
+++ b/test/node-settings-test.cc
@@ -50,13 +50,14 @@
       read(least +
                "bounds:\n  keys_fail_closed: false\n  repeat_slack: 7\n"
                "policy:\n  repeat_failed_calls: false\n  spare_share: 0.3\n"
-               "  spares_serve: false\n",
+               "  spares_serve: false\n  warm_spares: false\n",
            faults);
   EXPECT_TRUE(faults.empty());
   EXPECT_FALSE(settings.keys_fail_closed);
   EXPECT_EQ(settings.repeats.slack, 7);
   EXPECT_FALSE(settings.policy.repeat_failed_calls);
   EXPECT_FALSE(settings.groups.spares_serve);
+  EXPECT_FALSE(settings.groups.warm_spares);
   EXPECT_EQ(settings.groups.spare_share, 0.3);
 }
 
--- a/test/node-test.cc
+++ b/test/node-test.cc
@@ -402,6 +402,44 @@
   }));
 }
 
+TEST_F(node_test, a_node_that_the_store_turns_away_takes_a_change_from_a_peer) {
+  this->start(3);
+  const auto follower =
+      std::find_if(this->nodes.begin(), this->nodes.end(), [this](auto& node) {
+        return this->on_loop([&] { return !node->holds_lease(); });
+      });
+  ASSERT_NE(follower, this->nodes.end());
+  node_context& state = (*follower)->context();
+  const auto at = static_cast<int>(follower - this->nodes.begin());
+  this->on_loop([&] {
+    this->fleet->faults.refused_nodes = {state.settings.node};
+    this->fleet->configure(this->fleet->sample_config({"key-1", "key-3"}));
+    return 0;
+  });
+  ASSERT_TRUE(this->wait_until([&] {
+    return state.routes->find_workspace("key-3") != nullptr && state.ready();
+  }));
+  EXPECT_EQ(this->ask(request("r1", "/look/a", "key-3"), at).result_int(),
+            200U);
+  EXPECT_EQ(this->ask(request("r2", "/look/a", "key-2"), at).result_int(),
+            401U);
+}
+
+TEST_F(node_test, a_node_that_starts_hears_of_the_servers_from_a_peer) {
+  this->start(2);
+  const int lists =
+      this->on_loop([this] { return this->fleet->record.server_lists; });
+  this->on_loop([this] {
+    this->add_node("node-2");
+    return 0;
+  });
+  node_context& state = this->nodes.back()->context();
+  ASSERT_TRUE(this->wait_until([&] { return state.ready(); }));
+  EXPECT_EQ(this->ask(request("r1", "/look/a"), 2).result_int(), 200U);
+  EXPECT_EQ(this->on_loop([this] { return this->fleet->record.server_lists; }),
+            lists);
+}
+
 TEST_F(node_test, few_nodes_watch_the_store) {
   this->start(3);
   EXPECT_TRUE(this->wait_until([this] {
