--- a/src/lease-keeper.cc
+++ b/src/lease-keeper.cc
@@ -3,7 +3,7 @@
 
 #include <absl/strings/str_cat.h>
 
-#include <algorithm>
+#include "spokesail/lease-turn.h"
 
 namespace spokesail {
 namespace {
@@ -17,20 +17,6 @@
 /// out.
 constexpr absl::Duration look_period = absl::Milliseconds(100);
 
-/// A node that has not heard of the lease from a peer by then reads it: the
-/// candidates in turn, so that one of them takes it and tells the others before
-/// they ask, and any other node late, by chance.
-constexpr absl::Duration earliest_read = absl::Milliseconds(250);
-constexpr absl::Duration read_step = absl::Milliseconds(120);
-constexpr absl::Duration late_read = absl::Milliseconds(2500);
-constexpr absl::Duration late_read_spread = absl::Milliseconds(2000);
-
-/// Candidates take a lease that ran out over in turn, this long one after the
-/// other: a store's answer and a message to the peers fit in between.
-constexpr absl::Duration turn_step = absl::Milliseconds(60);
-/// Candidates beyond this rank share the last turns by chance.
-constexpr int most_turns = 12;
-
 /// Who has had no news of the store for this long would hardly reach it.
 constexpr absl::Duration reach_time = absl::Milliseconds(1500);
 
@@ -89,20 +75,13 @@
 }
 
 std::optional<int> lease_keeper::rank() const {
-  const auto order = this->candidates();
-  const auto last =
-      order.begin() +
-      std::min<ptrdiff_t>(most_turns, static_cast<ptrdiff_t>(order.size()));
-  const auto at = std::find(order.begin(), last, this->node.settings.node);
-  if (at == last) return std::nullopt;
-  return static_cast<int>(at - order.begin());
+  return lease_rank(this->candidates(), this->node.settings.node);
 }
 
 double lease_keeper::turn() {
-  const auto known = this->rank();
-  const double turns =
-      known ? *known : most_turns * (1 + this->node.random.unit());
-  return turns * turn_step / this->node.settings.lease.takeover_spread;
+  const absl::Duration wait =
+      takeover_wait(this->rank(), this->node.random.unit());
+  return absl::FDivDuration(wait, this->node.settings.lease.takeover_spread);
 }
 
 bool lease_keeper::may_ask() const {
@@ -117,10 +96,7 @@
 bool lease_keeper::may_read() {
   const absl::Time now = this->node.now();
   if (this->first_look == absl::InfinitePast()) this->first_look = now;
-  const auto known = this->rank();
-  const absl::Duration wait =
-      known ? earliest_read + *known * read_step
-            : late_read + this->late_share * late_read_spread;
+  const absl::Duration wait = first_read_wait(this->rank(), this->late_share);
   return now - this->first_look >= wait;
 }
 
--- a/src/node-gossip.cc
+++ b/src/node-gossip.cc
@@ -9,7 +9,7 @@
 
 /// How often a node looks whether it has something to tell. A suspicion waits
 /// for this at most.
-constexpr absl::Duration look_period = absl::Milliseconds(50);
+constexpr absl::Duration look_period = absl::Milliseconds(25);
 
 /// Least time between two messages to one peer.
 constexpr absl::Duration least_period = absl::Milliseconds(100);
--- a/test/group-controller-test.cc
+++ b/test/group-controller-test.cc
@@ -65,6 +65,7 @@
     }
     const group_actions actions = this->controller.step(
         this->fleet.directory(), this->config, this->loads_count, this->now);
+    this->most_orders = std::max(this->most_orders, actions.orders.size());
     for (const auto& order : actions.orders) {
       const order_result result = this->fleet.give(order, this->now);
       const bool told = result != order_result::unknown;
@@ -121,6 +122,8 @@
   bool loads_count = false;
   int64_t fence = 0;
   std::deque<answer> answers;
+  /// Orders of the step that gave most of them.
+  size_t most_orders = 0;
   random_stream random;
 };
 
@@ -221,6 +224,20 @@
   EXPECT_TRUE(run.fleet.breaches().empty());
 }
 
+/// The load of the first holder of a large fleet, in which all hosts are to
+/// join groups at once.
+TEST(group_controller, orders_a_large_fleet_in_a_window) {
+  constexpr int domains = 25;
+  constexpr int hosts = 37;
+  fleet_run run(11, {}, domains, hosts);
+  run.step();
+  run.run_for(absl::Seconds(25));
+  EXPECT_LE(run.most_orders, static_cast<size_t>(window_limits{}.most));
+  EXPECT_GE(4 * run.fleet.serving("large") + 2 * run.fleet.serving("small"),
+            domains * (hosts - 6));
+  EXPECT_TRUE(run.fleet.breaches().empty());
+}
+
 /// The load of a hall that loses hosts: each loss is made good by a spare.
 TEST(group_controller, repairs_within_a_second_with_a_spare_that_is_warm) {
   fleet_run run = standing_fleet(2, idle_spares());
--- /dev/null
+++ b/test/lease-turn-test.cc
@@ -0,0 +1,47 @@
+// The start of a fleet: hundreds of nodes that know of no holder.
+#include "spokesail/lease-turn.h"
+
+#include <absl/strings/str_cat.h>
+#include <gtest/gtest.h>
+
+namespace spokesail {
+namespace {
+
+std::vector<std::string> candidates(int count) {
+  std::vector<std::string> out;
+  for (int i = 0; i < count; ++i) out.push_back(absl::StrCat("n", i));
+  return out;
+}
+
+TEST(lease_turn, only_the_first_candidates_have_a_rank) {
+  const auto order = candidates(295);
+  EXPECT_EQ(lease_rank(order, "n0"), 0);
+  EXPECT_EQ(lease_rank(order, "n11"), 11);
+  EXPECT_EQ(lease_rank(order, "n12"), std::nullopt);
+  EXPECT_EQ(lease_rank(order, "unknown"), std::nullopt);
+  EXPECT_EQ(lease_rank({}, "n0"), std::nullopt);
+}
+
+TEST(lease_turn, candidates_go_one_after_the_other_and_before_all_others) {
+  for (int rank = 1; rank < 12; ++rank) {
+    EXPECT_GT(takeover_wait(rank, 0), takeover_wait(rank - 1, 1));
+    EXPECT_GT(first_read_wait(rank, 0), first_read_wait(rank - 1, 1));
+  }
+  EXPECT_GT(takeover_wait(std::nullopt, 0), takeover_wait(11, 1));
+  EXPECT_GT(first_read_wait(std::nullopt, 0), first_read_wait(11, 1));
+}
+
+/// A holder's word reaches all nodes within three relayed steps of 180 ms.
+TEST(lease_turn, few_of_a_large_fleet_read_the_lease_when_all_start_at_once) {
+  const absl::Duration told = absl::Milliseconds(540);
+  const auto order = candidates(295);
+  int reads = 0;
+  for (const auto& name : order) {
+    const auto rank = lease_rank(order, name);
+    reads += first_read_wait(rank, 0.5) < first_read_wait(0, 0) + told;
+  }
+  EXPECT_LE(reads, 5);
+}
+
+}  // namespace
+}  // namespace spokesail
