--- a/src/config-share.cc
+++ b/src/config-share.cc
@@ -9,8 +9,10 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <memory>
 #include <utility>
 
+#include "detail/socket-deadline.h"
 #include "detail/socket.h"
 #include "listener.h"
 
@@ -49,16 +51,18 @@
       co_await this->node.sleep(accept_pause);
       continue;
     }
-    net::co_spawn(this->node.loop, this->answer(std::move(socket)),
-                  net::detached);
+    auto shared = std::make_shared<tcp::socket>(std::move(socket));
+    net::co_spawn(this->node.loop, this->answer(shared), net::detached);
   }
 }
 
-net::awaitable<void> config_share::answer(tcp::socket socket) {
+net::awaitable<void> config_share::answer(std::shared_ptr<tcp::socket> socket) {
+  // A connection that falls silent must not stay open for good.
+  const detail::socket_deadline deadline(socket, read_limit);
   boost::beast::flat_buffer buffer;
   http_request request;
   auto [error, size] =
-      co_await http::async_read(socket, buffer, request, use_tuple);
+      co_await http::async_read(*socket, buffer, request, use_tuple);
   if (error) co_return;
   http_response response(http::status::not_found, http_11);
   const auto held = this->node.config_object;
@@ -69,10 +73,13 @@
   }
   response.keep_alive(false);
   response.prepare_payload();
-  auto [failed, sent] = co_await http::async_write(socket, response, use_tuple);
-  // A peer that went away reads from another one.
-  static_cast<void>(failed);
-  static_cast<void>(sent);
+  auto [failed, sent] =
+      co_await http::async_write(*socket, response, use_tuple);
+  if (!failed) co_return;
+  this->node.log.belief(
+      "peer_not_told",
+      {{"kind", this->node.adapter.kinds().config}, {"why", failed.message()}},
+      this->node.now());
 }
 
 net::awaitable<object_listing> config_share::read_from(std::string address) {
--- a/src/config-share.h
+++ b/src/config-share.h
@@ -3,7 +3,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <cstdint>
+#include <memory>
 #include <string>
 
 #include "node-context.h"
@@ -31,7 +31,8 @@
   boost::asio::awaitable<object_listing> read_from(std::string address);
 
  private:
-  boost::asio::awaitable<void> answer(boost::asio::ip::tcp::socket socket);
+  boost::asio::awaitable<void> answer(
+      std::shared_ptr<boost::asio::ip::tcp::socket> socket);
 
   node_context& node;
   boost::asio::ip::tcp::acceptor acceptor{node.loop};
--- a/src/far-gossip.h
+++ b/src/far-gossip.h
@@ -12,12 +12,11 @@
 namespace spokesail {
 
 /// Tells other data halls what is in flight in this one. While those halls hold
-/// few nodes, each node tells each of them for itself. In larger fleets that
-/// would make news seconds old, so that the first node of each hall sums its
-/// hall up for the first nodes of the others, and they pass it down with the
-/// news of the store. A node of 300 then sends 30 messages a second fewer than
-/// one for each node of the other halls every second, and hears of all halls
-/// twice a second.
+/// few nodes, each node tells each of them for itself. Among 300 nodes that
+/// would make news four seconds old at 60 messages a second, so that the first
+/// node of each hall sums its hall up for the first nodes of the others, and
+/// they pass it down with the news of the store: it is half a second old then,
+/// for 60 messages a second from one node of a hall and none from the others.
 class far_gossip {
  public:
   far_gossip(node_context& node, peer_link& link) : node(node), link(link) {}
--- a/src/http-fetch.cc
+++ b/src/http-fetch.cc
@@ -3,7 +3,6 @@
 
 #include <absl/strings/numbers.h>
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
@@ -11,6 +10,7 @@
 #include <limits>
 
 #include "clock.h"
+#include "detail/socket-deadline.h"
 #include "detail/socket.h"
 
 namespace spokesail {
@@ -19,6 +19,7 @@
 namespace net = boost::asio;
 namespace http = boost::beast::http;
 using tcp = net::ip::tcp;
+using detail::socket_deadline;
 using detail::use_tuple;
 
 /// Largest answer that is read, in bytes: a page of the store's list and some.
@@ -27,22 +28,6 @@
 /// Kept connections to one address. Chosen: calls to one address are few.
 constexpr size_t most_kept = 4;
 
-/// Closes a socket when its time is up.
-class socket_deadline {
- public:
-  socket_deadline(const std::shared_ptr<tcp::socket>& socket,
-                  absl::Duration limit)
-      : timer(socket->get_executor()) {
-    this->timer.expires_after(absl::ToChronoNanoseconds(limit));
-    this->timer.async_wait([socket](boost::system::error_code error) {
-      if (!error) detail::close_quietly(*socket);
-    });
-  }
-
- private:
-  net::steady_timer timer;
-};
-
 }  // namespace
 
 tcp::endpoint parse_endpoint(const std::string& address,
--- a/test/node-settings-test.cc
+++ b/test/node-settings-test.cc
@@ -48,11 +48,15 @@
   std::vector<std::string> faults;
   const node_settings settings =
       read(least +
+               "cores: 0.125\n"
                "bounds:\n  keys_fail_closed: false\n  repeat_slack: 7\n"
+               "  config_ms: 4000\n"
                "policy:\n  repeat_failed_calls: false\n  spare_share: 0.3\n"
                "  spares_serve: false\n  warm_spares: false\n",
            faults);
   EXPECT_TRUE(faults.empty());
+  EXPECT_EQ(settings.cores, 0.125F);
+  EXPECT_EQ(settings.config_time, absl::Seconds(4));
   EXPECT_FALSE(settings.keys_fail_closed);
   EXPECT_EQ(settings.repeats.slack, 7);
   EXPECT_FALSE(settings.policy.repeat_failed_calls);
