Let smaller groups give way to a larger one, by rules to be compared

Cause: on the shifted site a model with groups of 12 falls to two or none while 24 hosts idle for it: only groups beyond the smaller model's share were ever ended for it, and their hosts had to hold its weights. Seen in virtual time as well (pairs of losses every three seconds in six domains of 27): 4.6 of six large groups serve on average, 3.1 and at times none with a release on top.

Ruled out: late orders and the ceiling of loads, neither of which the virtual fleet has.

Change: a module without network says who may give (`group-share`); hosts that a repair waits for are kept from other groups; members hold another model's weights besides while loads are quick. Groups also serve on while a member other than the head leaves (measured apart further on).

--- a/include/spokesail/group-controller.h
+++ b/include/spokesail/group-controller.h
@@ -13,6 +13,7 @@
 #include <string_view>
 #include <vector>
 
+#include "spokesail/group-share.h"
 #include "spokesail/question-window.h"
 #include "spokesail/routing-config.h"
 #include "spokesail/server-directory.h"
@@ -30,6 +31,8 @@
   absl::Duration form_slack = absl::Seconds(3);
   /// How long running streams may end when a member is about to leave.
   absl::Duration drain_wait = absl::Milliseconds(1500);
+  /// How long a group serves on with a member that has announced its stop.
+  absl::Duration leave_hold = absl::Milliseconds(2500);
   /// Part of a domain's hosts kept free for repairs, 0 to 1, rounded up.
   /// Measured on the reference deployments, which lose about one in five hosts
   /// within a day: a domain of eight keeps two, one of nineteen three.
@@ -44,6 +47,9 @@
   /// two seconds from the weights on the host, so that a group that lost a
   /// member serves again that much sooner.
   bool warm_spares = true;
+  /// How far groups of a smaller model give way to a larger one that lacks
+  /// some.
+  yield_rule yields = yield_rule::even;
   /// Window in which loads from the weight store are counted, and the excess
   /// over the store's rate that it tolerates.
   absl::Duration load_window = absl::Seconds(5);
@@ -123,6 +129,9 @@
   /// Takes how late this node's loop was at worst of late.
   void note_delay(absl::Duration delay) { this->own_delay = delay; }
 
+  /// Takes how many requests all groups of each model run.
+  void note_running(const std::map<std::string, int>& by_model);
+
   /// Whether it acts under a lease.
   bool active() const { return this->fence != 0; }
 
@@ -170,6 +179,8 @@
     absl::Time staging_until = absl::InfinitePast();
     /// The model that it was last told to join for.
     std::string last_model;
+    /// Since when it has been about to stop; infinite future if it is not.
+    absl::Time leaving_since = absl::InfiniteFuture();
     /// The group that it was told to leave as its head.
     std::string leads;
   };
@@ -193,6 +204,8 @@
     std::vector<std::string> members;
     /// Members that would have to load the weights from the weight store.
     int loads = 0;
+    /// Groups that stand and would be ended.
+    int ended = 0;
     /// Time that the slowest member takes to join.
     absl::Duration slowest = absl::ZeroDuration();
     /// Free hosts that stay in the domain.
@@ -245,7 +258,12 @@
                                                 absl::Time now);
   /// Which member a group has lost, or will lose, and how.
   std::optional<std::string> reason_member_lost(const service_state& s,
-                                                const group_view& group) const;
+                                                const group_view& group,
+                                                absl::Time now) const;
+  /// Whether a group that serves can do so on for now although a member is
+  /// about to stop.
+  bool serves_on(const service_state& s, const group_view& group,
+                 const std::string& leaving, absl::Time now) const;
   /// Takes the next step to end a group.
   void dissolve(const service_state& s, const group_view& group,
                 const std::string& reason, absl::Time now, group_actions& out);
@@ -283,6 +301,10 @@
   double fill_of(const service_state& s, const model_profile& model) const;
   /// Whether each model has the groups that are wanted.
   bool all_filled(const service_state& s) const;
+  /// Whether a model that lacks groups gets hosts before another one that does.
+  bool goes_before(const service_state& s, const model_profile& model,
+                   const model_profile& other, double fill,
+                   double other_fill) const;
   /// The model that a group is to be formed for next; null if none lacks one.
   const model_profile* next_model(const service_state& s,
                                   const std::set<std::string>& passed_over,
@@ -315,8 +337,28 @@
   /// Ends spare groups whose hosts can form a group of `model` without a load.
   /// Whether such hosts are there, or on their way.
   bool take_back_spares(service_state& s, const model_profile& model,
-                        const hosts_by_domain& free, absl::Time now,
+                        hosts_by_domain& free, absl::Time now,
                         group_actions& out);
+  /// The rule by which groups give way; none where spares do not serve.
+  yield_rule yields() const {
+    return this->options.spares_serve ? this->options.yields : yield_rule::none;
+  }
+  /// How a model stands, for the question of who gives way.
+  model_standing standing_of(const service_state& s,
+                             const model_profile& model) const;
+  /// Groups of smaller models that may be ended so that one of `model` can
+  /// form, and how many of them beyond the spare ones.
+  std::set<std::string> groups_to_end(const service_state& s,
+                                      const model_profile& model,
+                                      int& beyond_spares) const;
+  /// Hosts that could form a group of `model`: free ones, those of groups on
+  /// their way out, and those of `to_end`.
+  hosts_by_domain hosts_in_reach(const service_state& s,
+                                 const model_profile& model,
+                                 const hosts_by_domain& free,
+                                 const std::set<std::string>& to_end) const;
+  /// Whether a group that stands is not on its way out.
+  bool stays(const std::string& group) const;
   /// Has free hosts serve in further groups of a model whose weights they hold.
   void form_spare_groups(service_state& s, absl::Time now, group_actions& out);
 
@@ -355,6 +397,9 @@
   static void count_serving_spare(const server_entry& entry, bool loading,
                                   const std::string& model_loading,
                                   domain_weights& weights);
+  /// Counts a host in a group that is wanted.
+  void count_member(const server_entry& entry, const server_track& track,
+                    absl::Time now, domain_weights& weights) const;
   /// What the hosts of each domain hold. Adds free hosts with no weights to
   /// `bare`.
   std::map<std::string, domain_weights> weights_by_domain(
@@ -374,6 +419,10 @@
   /// has no models.
   static const model_profile* model_to_stage(const engine_profile& engine,
                                              domain_weights& weights);
+  /// Has hosts that serve one model hold another one's weights, while loads
+  /// are quick and free: they join again for their own model without them.
+  void stage_members(const service_state& s, domain_weights& weights,
+                     absl::Time now, group_actions& out);
   /// Has free hosts load the weights that repairs will most likely need.
   void stage_spares(const service_state& s, bool loads_count, absl::Time now,
                     group_actions& out);
@@ -411,6 +460,8 @@
     absl::Time since = absl::InfinitePast();
   };
   std::map<std::string, settling> settlings;
+  /// Requests that all groups of a model ran at most of late.
+  std::map<std::string, double> running;
   /// When the models were last summarized, by service.
   std::map<std::string, absl::Time> summarized;
 };
--- a/src/group-controller.cc
+++ b/src/group-controller.cc
@@ -83,6 +83,7 @@
   this->questions = question_window();
   this->open_orders = question_window();
   this->settlings.clear();
+  this->running.clear();
   this->summarized.clear();
 }
 
@@ -174,6 +175,9 @@
                           confirms(server.entry.membership, *track.assumed))) {
       track.assumed.reset();
     }
+    if (server.entry.draining) {
+      track.leaving_since = std::min(track.leaving_since, now);
+    }
     // A load may take far less than it does at most.
     const auto& staged = server.entry.staged;
     const bool loaded =
--- a/src/group-formation.cc
+++ b/src/group-formation.cc
@@ -76,7 +76,7 @@
   const auto planned = this->planned_models();
   hosts_by_domain by_domain;
   for (const auto& [id, server] : s.servers) {
-    if (planned.count(id) != 0) continue;
+    if (planned.count(id) != 0 || s.reserved.count(id) != 0) continue;
     if (!this->free_to_join(s, server.entry)) continue;
     by_domain[server.entry.domain].push_back(id);
   }
@@ -125,19 +125,43 @@
     f.members.assign(sorted.begin(),
                      sorted.begin() + static_cast<ptrdiff_t>(size));
     f.left = ids.size() - size;
+    std::set<std::string> ended;
     for (const auto& id : f.members) {
       const absl::Duration time = this->join_time(s, id, model, now);
       f.slowest = std::max(f.slowest, time);
       if (this->needs_load(s, id, model)) f.loads++;
+      const group_membership& said = s.entry(id).membership;
+      if (said.phase != member_phase::none && this->stays(said.group)) {
+        ended.insert(said.group);
+      }
     }
+    f.ended = static_cast<int>(ended.size());
     const auto order = [](const formation& x) {
-      return std::tuple(x.loads, x.slowest, -static_cast<int>(x.left));
+      return std::tuple(x.loads, x.ended, x.slowest,
+                        -static_cast<int>(x.left));
     };
     if (!best || order(f) < order(*best)) best = f;
   }
   return best;
 }
 
+bool group_controller::goes_before(const service_state& s,
+                                   const model_profile& model,
+                                   const model_profile& other, double fill,
+                                   double other_fill) const {
+  const model_standing one = this->standing_of(s, model);
+  const model_standing two = this->standing_of(s, other);
+  const yield_rule rule = this->yields();
+  // What one would give up again to the other is not given to it first.
+  if (model.group_size > other.group_size && may_yield(rule, two, one, 0)) {
+    return true;
+  }
+  if (model.group_size < other.group_size && may_yield(rule, one, two, 0)) {
+    return false;
+  }
+  return fill < other_fill;
+}
+
 const model_profile* group_controller::next_model(
     const service_state& s, const std::set<std::string>& passed_over,
     bool loads_count) const {
@@ -148,9 +172,10 @@
   for (const auto& model : s.engine->models) {
     const double fill = this->fill_of(s, model);
     if (fill >= 1 || passed_over.count(model.name) != 0) continue;
-    const bool larger = next != nullptr && model.group_size > next->group_size;
     const bool better =
-        next == nullptr || (loads_count ? fill < least : larger);
+        next == nullptr ||
+        (loads_count ? this->goes_before(s, model, *next, fill, least)
+                     : model.group_size > next->group_size);
     if (!better) continue;
     next = &model;
     least = fill;
--- a/src/group-repair.cc
+++ b/src/group-repair.cc
@@ -50,7 +50,7 @@
   const model_profile* model = find_model(*s.engine, group.model);
   if (model == nullptr) return "model is not configured";
   if (group.head_phase == member_phase::broken) return "head is broken";
-  if (auto lost = this->reason_member_lost(s, group)) return lost;
+  if (auto lost = this->reason_member_lost(s, group, now)) return lost;
   if (group.whole) {
     this->incomplete.erase(group.name);
     return std::nullopt;
@@ -67,7 +67,7 @@
 }
 
 std::optional<std::string> group_controller::reason_member_lost(
-    const service_state& s, const group_view& group) const {
+    const service_state& s, const group_view& group, absl::Time now) const {
   const auto plan = this->plans.find(group.name);
   const std::vector<std::string>& members =
       plan == this->plans.end() ? group.members : plan->second.members;
@@ -75,12 +75,24 @@
     if (id.empty()) continue;
     if (!s.knows(id)) return absl::StrCat(id, " is gone");
     const server_entry& entry = s.entry(id);
+    if (entry.draining && this->serves_on(s, group, id, now)) continue;
     if (entry.draining) return absl::StrCat(id, " is leaving");
     if (!this->usable(entry)) return absl::StrCat(id, " does not answer");
   }
   return std::nullopt;
 }
 
+bool group_controller::serves_on(const service_state& s,
+                                 const group_view& group,
+                                 const std::string& leaving,
+                                 absl::Time now) const {
+  if (group.head_phase != member_phase::open || leaving == group.head()) {
+    return false;
+  }
+  const server_track& track = s.track(leaving);
+  return !track.silent && now - track.leaving_since < this->options.leave_hold;
+}
+
 void group_controller::dissolve(const service_state& s, const group_view& group,
                                 const std::string& reason, absl::Time now,
                                 group_actions& out) {
--- a/src/group-spares.cc
+++ b/src/group-spares.cc
@@ -11,6 +11,13 @@
 #include "group-state.h"
 
 namespace spokesail {
+namespace {
+
+/// Part of the most requests of late that is left after one step of the
+/// controller: half after five seconds, about as long as a burst lasts.
+constexpr double running_left = 0.9945;
+
+}  // namespace
 
 std::vector<std::string> group_controller::most_useful_to_repairs(
     const service_state& s, const model_profile& model) const {
@@ -51,38 +58,116 @@
   return out;
 }
 
-bool group_controller::take_back_spares(service_state& s,
-                                        const model_profile& model,
-                                        const hosts_by_domain& free,
-                                        absl::Time now, group_actions& out) {
-  if (!this->options.spares_serve) return false;
-  // Hosts that are free, that soon are, and that could be.
-  hosts_by_domain reach = free;
-  std::map<std::string, const group_view*> spare_of;
-  for (const auto& group : s.groups) {
+void group_controller::note_running(const std::map<std::string, int>& by_model) {
+  for (auto& [model, most] : this->running) most *= running_left;
+  // A node that has heard of no request at all knows nothing yet.
+  const bool known = std::any_of(by_model.begin(), by_model.end(),
+                                 [](const auto& m) { return m.second > 0; });
+  if (!known) return;
+  for (const auto& [model, count] : by_model) {
+    double& most = this->running[model];
+    most = std::max(most, static_cast<double>(count));
+  }
+}
+
+model_standing group_controller::standing_of(const service_state& s,
+                                             const model_profile& model) const {
+  model_standing out;
+  const auto count = s.group_count.find(model.name);
+  if (count != s.group_count.end()) out.groups = count->second;
+  out.wanted = this->wanted_groups(s, model);
+  out.slots = s.engine->slots;
+  // Groups whose requests are not known are taken to be full.
+  const auto seen = this->running.find(model.name);
+  out.running = seen == this->running.end()
+                    ? static_cast<double>(out.groups) * out.slots
+                    : seen->second;
+  return out;
+}
+
+bool group_controller::stays(const std::string& group) const {
+  return this->released.count(group) == 0 && this->dissolving.count(group) == 0;
+}
+
+std::set<std::string> group_controller::groups_to_end(
+    const service_state& s, const model_profile& model,
+    int& beyond_spares) const {
+  std::set<std::string> out = s.spare_groups;
+  const model_standing taker = this->standing_of(s, model);
+  beyond_spares = 0;
+  for (const auto& other : s.engine->models) {
     // A larger group is worth more than the smaller one that it would repair.
-    if (std::cmp_greater(group.members.size(), model.group_size)) continue;
-    if (this->released.count(group.name) != 0) continue;
-    const bool spare = s.spare_groups.count(group.name) != 0;
-    if (!spare && this->dissolving.count(group.name) == 0) continue;
-    for (const auto& id : group.members) {
-      if (id.empty() || !s.knows(id) || !this->usable(s.entry(id))) continue;
-      reach[s.entry(id).domain].push_back(id);
-      if (spare) spare_of[id] = &group;
+    if (other.group_size >= model.group_size) continue;
+    const model_standing giver = this->standing_of(s, other);
+    const int needed = (model.group_size - 1) / other.group_size + 1;
+    int count = 0;
+    while (count < needed &&
+           may_yield(this->yields(), giver, taker, count + 1)) {
+      ++count;
     }
+    if (count == 0) continue;
+    beyond_spares += count;
+    const auto names = this->most_useful_to_repairs(s, other);
+    out.insert(names.begin(), names.end());
   }
+  return out;
+}
+
+group_controller::hosts_by_domain group_controller::hosts_in_reach(
+    const service_state& s, const model_profile& model,
+    const hosts_by_domain& free, const std::set<std::string>& to_end) const {
+  hosts_by_domain reach = free;
+  const auto add = [&](bool on_their_way_out) {
+    for (const auto& group : s.groups) {
+      if (std::cmp_greater(group.members.size(), model.group_size)) continue;
+      if (this->released.count(group.name) != 0) continue;
+      const bool out = this->dissolving.count(group.name) != 0;
+      if (out != on_their_way_out) continue;
+      if (!out && to_end.count(group.name) == 0) continue;
+      for (const auto& id : group.members) {
+        if (id.empty() || !s.knows(id) || !this->usable(s.entry(id))) continue;
+        reach[s.entry(id).domain].push_back(id);
+      }
+    }
+  };
+  // Those that are ended already come first, so that the same hosts are found
+  // in each step until they are free.
+  add(true);
+  add(false);
+  return reach;
+}
+
+bool group_controller::take_back_spares(service_state& s,
+                                        const model_profile& model,
+                                        hosts_by_domain& free, absl::Time now,
+                                        group_actions& out) {
+  if (!this->options.spares_serve) return false;
+  int beyond_spares = 0;
+  const auto to_end = this->groups_to_end(s, model, beyond_spares);
+  const auto reach = this->hosts_in_reach(s, model, free, to_end);
   const auto best = this->best_formation(s, model, reach, now);
   if (!best || best->loads > 0) return false;
+  std::set<std::string> ended;
   for (const auto& id : best->members) {
-    const auto found = spare_of.find(id);
-    if (found == spare_of.end()) continue;
-    const group_view& group = *found->second;
-    // Another of its hosts may have ended it just now.
-    if (s.spare_groups.erase(group.name) == 0) continue;
+    const std::string& group = s.entry(id).membership.group;
+    if (to_end.count(group) != 0 && this->stays(group)) ended.insert(group);
+  }
+  const auto serving = std::count_if(
+      ended.begin(), ended.end(),
+      [&](const auto& name) { return s.spare_groups.count(name) == 0; });
+  if (serving > beyond_spares) return false;
+  for (const auto& group : s.groups) {
+    if (ended.count(group.name) == 0) continue;
+    s.spare_groups.erase(group.name);
     s.group_count[group.model]--;
     this->dissolve(s, group, "its hosts repair a group of " + model.name, now,
                    out);
   }
+  auto& left = free[best->domain];
+  for (const auto& id : best->members) {
+    s.reserved.insert(id);
+    std::erase(left, id);
+  }
   return true;
 }
 
--- a/src/group-staging.cc
+++ b/src/group-staging.cc
@@ -35,6 +35,12 @@
   return least == engine.models.end() ? nullptr : &*least;
 }
 
+/// Whether a model's weights lie on a server's host.
+bool staged_by_name(const server_entry& entry, const std::string& model) {
+  return std::find(entry.staged.begin(), entry.staged.end(), model) !=
+         entry.staged.end();
+}
+
 /// How much a model needs one more spare in a domain.
 double need_of(double members, int spares) {
   const double covered = std::max(no_spares, 1.0 + spares);
@@ -55,6 +61,8 @@
   /// Those of them that serve as spares with these very weights, which they
   /// need not keep on the host to join again.
   std::set<std::string> rejoining;
+  /// Hosts in groups that are wanted, and the model whose weights they hold.
+  std::map<std::string, std::string> serving;
 };
 
 void group_controller::count_serving_spare(const server_entry& entry,
@@ -73,6 +81,16 @@
   }
 }
 
+void group_controller::count_member(const server_entry& entry,
+                                    const server_track& track, absl::Time now,
+                                    domain_weights& weights) const {
+  const std::string model = group_model(entry.membership.group);
+  weights.members[model]++;
+  if (now >= track.staging_until && staged_by_name(entry, model)) {
+    weights.serving[entry.id] = model;
+  }
+}
+
 int group_controller::loads_begun(absl::Time now) const {
   const absl::Time since = now - this->options.load_window;
   return static_cast<int>(
@@ -157,7 +175,7 @@
     } else if (said.phase != member_phase::none &&
                this->released.count(said.group) == 0 &&
                this->warmups.count(said.group) == 0) {
-      weights.members[group_model(said.group)]++;
+      this->count_member(entry, track, now, weights);
     } else if (const auto plan = planned.find(id); plan != planned.end()) {
       weights.members[std::string(plan->second)]++;
     } else if (now < track.staging_until) {
@@ -224,6 +242,24 @@
   if (!loads_count && !this->options.spares_serve) return;
   for (auto& [domain, weights] : domains) {
     this->restage_spare(s, weights, now, out);
+    if (!loads_count) this->stage_members(s, weights, now, out);
+  }
+}
+
+void group_controller::stage_members(const service_state& s,
+                                     domain_weights& weights, absl::Time now,
+                                     group_actions& out) {
+  if (this->yields() == yield_rule::none) return;
+  for (const auto& [id, held] : weights.serving) {
+    const model_profile* wanted = nullptr;
+    double most = -1;
+    for (const auto& model : s.engine->models) {
+      const double need = model_need(model, weights, 0);
+      if (model.name == held || need <= most) continue;
+      wanted = &model;
+      most = need;
+    }
+    if (wanted != nullptr) this->stage(s, id, *wanted, false, now, out);
   }
 }
 
--- a/src/group-state.h
+++ b/src/group-state.h
@@ -27,6 +27,8 @@
   std::map<std::string, int> group_count;
   /// Groups beyond those that are wanted.
   std::set<std::string> spare_groups;
+  /// Free hosts that a repair under way will need.
+  std::set<std::string> reserved;
 
   /// A server, and what the controller knows of it.
   struct known_server {
--- a/src/server-directory.cc
+++ b/src/server-directory.cc
@@ -26,7 +26,8 @@
   std::vector<member_phase> phases;
   /// Whether two servers claim one rank.
   bool disputed = false;
-  /// Whether a member is about to stop.
+  /// Whether the head is about to stop. Another member stays for as long as the
+  /// head has work.
   bool leaving = false;
 };
 
@@ -40,7 +41,7 @@
   if (!parts.view.members[rank].empty()) parts.disputed = true;
   parts.view.members[rank] = entry.id;
   parts.phases[rank] = said.phase;
-  if (entry.draining) parts.leaving = true;
+  if (entry.draining && rank == 0) parts.leaving = true;
   if (parts.view.domain.empty()) parts.view.domain = entry.domain;
 }
 
--- a/standin/fleet-emulator.cc
+++ b/standin/fleet-emulator.cc
@@ -127,7 +127,7 @@
                                 absl::Time now) {
   const model_profile* profile = find_model(*this->service.engine, model);
   s.loading = model;
-  s.load_done = now + profile->cold_load;
+  s.load_done = now + this->load_factor * profile->cold_load;
   s.entry.staged.clear();
   this->loads.push_back(now);
 }
--- a/standin/fleet-emulator.h
+++ b/standin/fleet-emulator.h
@@ -88,6 +88,8 @@
   const std::vector<std::string>& breaches() const { return this->broken; }
 
   order_faults faults;
+  /// Part of its time that a load from the weight store takes.
+  double load_factor = 1;
   /// Loads from the weight store that began, by time.
   std::vector<absl::Time> loads;
 
--- /dev/null
+++ b/test/fleet-run.h
@@ -0,0 +1,113 @@
+// A fleet of emulated engines under a group controller, in virtual time.
+#pragma once
+
+#include <absl/strings/str_cat.h>
+#include <absl/time/time.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <deque>
+#include <string>
+
+#include "fleet-emulator.h"
+#include "spokesail/group-controller.h"
+
+namespace spokesail::test {
+
+constexpr absl::Duration step_time = absl::Milliseconds(40);
+constexpr int domains_of_hall = 2;
+
+/// A fleet, a controller and the time.
+class fleet_run {
+ public:
+  fleet_run(const backend_service& service, uint64_t seed,
+            const group_controller_options& options, int domains, int hosts)
+      : fleet(service, {}, seed),
+        controller(options),
+        random{std::mt19937_64(seed)} {
+    this->config.services = {service};
+    for (int d = 0; d < domains; ++d) {
+      for (int h = 0; h < hosts; ++h) {
+        this->fleet.add(absl::StrCat("d", d), this->now, "10.0.0.1:80",
+                        absl::StrCat("h", d / domains_of_hall));
+      }
+    }
+    this->begin_term();
+  }
+
+  void begin_term() { this->controller.start_term(++this->fence); }
+
+  void step() {
+    this->now += step_time;
+    this->fleet.advance(this->now);
+    while (!this->answers.empty() && this->answers.front().at <= this->now) {
+      const answer a = this->answers.front();
+      this->answers.pop_front();
+      if (a.fence != this->fence) continue;
+      this->controller.on_order(a.order, a.result, this->now);
+    }
+    const group_actions actions = this->controller.step(
+        this->fleet.directory(), this->config, this->loads_count, this->now);
+    this->most_orders = std::max(this->most_orders, actions.orders.size());
+    for (const auto& order : actions.orders) {
+      const order_result result = this->fleet.give(order, this->now);
+      const bool told = result != order_result::unknown;
+      const absl::Duration wait =
+          told ? absl::Milliseconds(5) : absl::Milliseconds(500);
+      this->answers.push_back({order, result, this->now + wait, this->fence});
+      std::stable_sort(
+          this->answers.begin(), this->answers.end(),
+          [](const auto& a, const auto& b) { return a.at < b.at; });
+    }
+    for (const auto& id : actions.reports) {
+      this->controller.on_report(id, this->fleet.report(id), this->now);
+    }
+  }
+
+  void run_for(absl::Duration time) {
+    const absl::Time until = this->now + time;
+    while (this->now < until) this->step();
+  }
+
+  /// The traffic's part: callers notice members that are lost.
+  void notice(const std::string& id) {
+    this->controller.suspect(id, this->now);
+  }
+
+  std::string some_server() {
+    const auto all = this->fleet.living();
+    return all[this->random.below(all.size())];
+  }
+
+  /// Loads that began in the fullest window after `since`.
+  int most_loads(absl::Duration window, absl::Time since) const {
+    int most = 0;
+    for (const auto& from : this->fleet.loads) {
+      if (from < since) continue;
+      const auto in = std::count_if(
+          this->fleet.loads.begin(), this->fleet.loads.end(),
+          [&](const auto& at) { return at >= from && at < from + window; });
+      most = std::max(most, static_cast<int>(in));
+    }
+    return most;
+  }
+
+  struct answer {
+    group_order order;
+    order_result result;
+    absl::Time at;
+    int64_t fence = 0;
+  };
+  absl::Time now = absl::FromUnixSeconds(1000);
+  standin::fleet_emulator fleet;
+  group_controller controller;
+  routing_config config;
+  bool loads_count = false;
+  int64_t fence = 0;
+  std::deque<answer> answers;
+  /// Orders of the step that gave most of them.
+  size_t most_orders = 0;
+  random_stream random;
+};
+
+}  // namespace spokesail::test
--- /dev/null
+++ b/test/group-share-test.cc
@@ -0,0 +1,194 @@
+// Which model's groups get the hosts of a fleet that loses some all the time.
+#include <absl/strings/str_cat.h>
+#include <gtest/gtest.h>
+
+#include <iostream>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "fleet-run.h"
+
+namespace spokesail {
+namespace {
+
+using test::fleet_run;
+
+/// Three data halls of two fabric domains each. Groups of the larger model take
+/// nearly half of a domain, so that one fits into each and two never do.
+constexpr int domains = 6;
+constexpr int hosts_of_domain = 27;
+constexpr int halls = 3;
+
+backend_service service_of_two_sizes() {
+  engine_profile engine;
+  engine.slots = 48;
+  engine.stride = 5;
+  engine.step_ms = 6.45;
+  engine.read_tokens_per_ms = 56.1;
+  engine.read_chunk = 2048;
+  engine.loads_per_s = 14;
+  engine.loads_at_once = 20;
+  engine.open_time = absl::Milliseconds(300);
+  engine.models = {
+      {"large", 12, 0.5, 1, absl::Seconds(16), absl::Milliseconds(1600)},
+      {"small", 6, 0.5, 0.6, absl::Seconds(12), absl::Milliseconds(1100)}};
+  return {"lm", 100, engine};
+}
+
+/// Requests that run at once: a quarter of the places of six large groups, and
+/// half of those of eleven small ones.
+const std::map<std::string, int> running = {{"large", 60}, {"small", 286}};
+
+/// Groups of each model that served, on average over a time.
+struct mean_serving {
+  double large = 0;
+  double small = 0;
+};
+
+/// A fleet from its start, and what befalls it once there are requests.
+class churned_fleet {
+ public:
+  churned_fleet(uint64_t seed, const group_controller_options& options)
+      : run(service_of_two_sizes(), seed, options, domains, hosts_of_domain) {
+    // Loads are quick until there are requests.
+    this->run.fleet.load_factor = 0.1;
+    this->run.run_for(absl::Seconds(14));
+    this->run.fleet.load_factor = 1;
+    this->run.loads_count = true;
+    this->began = this->run.now;
+  }
+
+  double seconds() const {
+    return absl::ToDoubleSeconds(this->run.now - this->began);
+  }
+
+  /// Two members of one group are lost in a hall, and noticed by callers.
+  void lose_pair(int hall) {
+    std::map<std::string, std::vector<std::string>> groups;
+    for (const auto& [id, server] : this->run.fleet.directory().servers()) {
+      const server_entry& entry = server.entry;
+      if (entry.hall != absl::StrCat("h", hall)) continue;
+      if (entry.membership.phase == member_phase::none) continue;
+      if (this->lost.count(id) != 0) continue;
+      groups[entry.membership.group].push_back(id);
+    }
+    if (groups.empty()) return;
+    auto at = groups.begin();
+    std::advance(at, static_cast<ptrdiff_t>(
+                         this->run.random.below(groups.size())));
+    for (size_t i = 0; i < 2 && i < at->second.size(); ++i) {
+      this->lose(at->second[i]);
+    }
+  }
+
+  void lose(const std::string& id) {
+    this->lost.insert(id);
+    this->run.fleet.kill(id, this->run.now);
+    this->noticed.emplace(this->run.now + absl::Milliseconds(400), id);
+  }
+
+  void add_pair(int hall) {
+    for (int i = 0; i < 2; ++i) {
+      const int domain = test::domains_of_hall * hall +
+                         static_cast<int>(this->run.random.below(2));
+      this->run.fleet.add(absl::StrCat("d", domain), this->run.now,
+                          "10.0.0.1:80", absl::StrCat("h", hall));
+    }
+  }
+
+  /// Announces that some hosts leave, which they do four seconds later; others
+  /// come in their place.
+  void replace_some(int count) {
+    for (int i = 0; i < count; ++i) {
+      const std::string id = this->run.some_server();
+      const server_entry* entry = this->run.fleet.directory().find(id);
+      if (entry == nullptr || entry->draining) continue;
+      this->run.fleet.drain(id, this->run.now);
+      this->leaving.emplace(this->run.now + absl::Seconds(4), *entry);
+    }
+  }
+
+  /// Lets time pass and counts the groups that serve.
+  void run_until(double second) {
+    while (this->seconds() < second) {
+      this->run.controller.note_running(running);
+      this->run.step();
+      this->carry_on();
+      const double step = absl::ToDoubleSeconds(test::step_time);
+      this->sum.large += step * this->run.fleet.serving("large");
+      this->sum.small += step * this->run.fleet.serving("small");
+      this->least_large = std::min(this->least_large,
+                                   this->run.fleet.serving("large"));
+    }
+  }
+
+  mean_serving mean() const {
+    return {this->sum.large / this->seconds(),
+            this->sum.small / this->seconds()};
+  }
+
+  fleet_run run;
+  absl::Time began;
+  mean_serving sum;
+  int least_large = domains;
+
+ private:
+  /// What is due: callers notice losses, leaving hosts end.
+  void carry_on() {
+    while (!this->noticed.empty() &&
+           this->noticed.begin()->first <= this->run.now) {
+      this->run.notice(this->noticed.begin()->second);
+      this->noticed.erase(this->noticed.begin());
+    }
+    while (!this->leaving.empty() &&
+           this->leaving.begin()->first <= this->run.now) {
+      const server_entry gone = this->leaving.begin()->second;
+      this->run.fleet.kill(gone.id, this->run.now);
+      this->run.fleet.add(gone.domain, this->run.now, gone.address, gone.hall);
+      this->leaving.erase(this->leaving.begin());
+    }
+  }
+
+  std::set<std::string> lost;
+  std::multimap<absl::Time, std::string> noticed;
+  std::multimap<absl::Time, server_entry> leaving;
+};
+
+/// Pairs of joined hosts are lost every three seconds, hall by hall; from
+/// second 12 as many come, with nothing on them.
+void churn(churned_fleet& fleet, bool release) {
+  constexpr double period = 3;
+  constexpr int strikes = 11;
+  int replaced = 0;
+  for (int strike = 1; strike <= strikes; ++strike) {
+    const double until = period * strike;
+    while (fleet.seconds() < until) {
+      fleet.run_until(std::min(until, fleet.seconds() + 1));
+      if (release && fleet.seconds() > 20 && replaced < 57) {
+        fleet.replace_some(9);
+        replaced += 9;
+      }
+    }
+    fleet.lose_pair(strike % halls);
+    if (until >= 12) fleet.add_pair((strike + 1) % halls);
+  }
+  fleet.run_until(period * strikes + 4);
+}
+
+TEST(group_share, table) {
+  for (const bool release : {false, true}) {
+    for (uint64_t seed = 1; seed <= 6; ++seed) {
+      churned_fleet fleet(seed, {});
+      churn(fleet, release);
+      const mean_serving mean = fleet.mean();
+      std::cout << release << " " << seed << " large " << mean.large
+                << " least " << fleet.least_large << " small " << mean.small
+                << " loads " << fleet.run.fleet.loads.size() << " breaches "
+                << fleet.run.fleet.breaches().size() << "\n";
+    }
+  }
+}
+
+}  // namespace
+}  // namespace spokesail
