Find this node on a stale list before it enrols

Ruled out: watches and lists of the configuration, which a node needs to serve. Change: the entry says only where the node is; a node that finds its own entry on a stale list writes nothing, and whoever came since has found it there.

--- a/src/peer-link.cc
+++ b/src/peer-link.cc
@@ -3,7 +3,6 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
-#include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 
 #include "detail/socket.h"
@@ -22,10 +21,6 @@
 constexpr absl::Duration list_period = absl::Seconds(15);
 constexpr absl::Duration first_list_period = absl::Milliseconds(700);
 
-/// Lists at the start that are not stale. One is enough: of two nodes, the one
-/// that enrolled later finds the other on its list and speaks first.
-constexpr int first_lists = 1;
-
 /// A peer that has said nothing for this long is not counted as living.
 constexpr absl::Duration live_time = absl::Seconds(3);
 
@@ -35,6 +30,12 @@
 /// A datagram is not larger than this.
 constexpr size_t largest_message = 60000;
 
+/// Whether a node's entry in the store says what it should.
+bool same_entry(const std::string& body, const std::string& spec) {
+  const json found = json::parse(body, nullptr, false);
+  return found == json::parse(spec);
+}
+
 }  // namespace
 
 peer_link::peer_link(node_context& state)
@@ -108,58 +109,83 @@
   return found == this->peers.end() ? "" : found->second.hall;
 }
 
-net::awaitable<bool> peer_link::enroll() {
-  const std::string name = this->node.settings.node;
+std::string peer_link::own_entry() const {
   const json spec = {{"address", this->node.settings.peer_address},
                      {"hall", this->node.settings.hall},
-                     {"cores", this->node.settings.cores},
-                     {"boot", absl::StrCat(this->boot)}};
+                     {"cores", this->node.settings.cores}};
+  return spec.dump();
+}
+
+net::awaitable<bool> peer_link::enroll() {
+  const std::string name = this->node.settings.node;
+  const std::string spec = this->own_entry();
   const platform_call call{
-      call_kind::write, {node_kind, name}, this->own_revision, spec.dump()};
+      call_kind::write, {node_kind, name}, this->own_revision, spec};
   const platform_answer answer = co_await this->node.store.call(call);
   const bool ok = answer.status == call_status::ok;
   this->node.metrics.count_store_call("enroll", ok ? "ok" : "failed");
   if (answer.status == call_status::not_found) this->own_revision = 0;
   if (answer.status != call_status::conflict) co_return ok;
   this->own_revision = answer.found.version;
-  co_return json::parse(answer.found.body, nullptr, false) == spec;
+  co_return same_entry(answer.found.body, spec);
 }
 
-net::awaitable<void> peer_link::list_peers(bool stale) {
+net::awaitable<peer_link::list_result> peer_link::list_peers(bool stale) {
   const std::string kind = node_kind;
   const object_listing listing = co_await this->node.store.list(kind, stale);
-  this->node.metrics.count_store_call("list_nodes",
+  this->node.metrics.count_store_call(stale ? "list_nodes_copy" : "list_nodes",
                                       store_status_name(listing.status));
+  bool own_found = false;
   for (const auto& o : listing.objects) {
-    if (o.key.name == this->node.settings.node) continue;
-    const auto body = json::parse(o.body, nullptr, false);
-    if (!body.is_object()) continue;
-    boost::system::error_code error;
-    const auto at = parse_endpoint(body.value("address", ""), error);
-    if (error) continue;
-    peer_node& p = this->peers[o.key.name];
-    p.endpoint = udp::endpoint(at.address(), at.port());
-    p.hall = body.value("hall", "");
-    p.cores = body.value("cores", 1.0F);
-    p.listed = this->node.now();
-    // Who is listed when this node starts counts as living until it is silent
-    // for as long as any other, so that a relay is found at once.
-    if (!this->listed_once) p.heard = std::max(p.heard, p.listed);
+    if (o.key.name != this->node.settings.node) {
+      this->take_entry(o);
+      continue;
+    }
+    this->own_revision = o.version;
+    own_found = same_entry(o.body, this->own_entry());
   }
-  if (listing.status == store_status::ok) this->listed_once = true;
+  if (listing.status != store_status::ok) co_return list_result::failed;
+  co_return own_found ? list_result::holds_own : list_result::lacks_own;
+}
+
+void peer_link::take_entry(const object& o) {
+  const auto body = json::parse(o.body, nullptr, false);
+  if (!body.is_object()) return;
+  boost::system::error_code error;
+  const auto at = parse_endpoint(body.value("address", ""), error);
+  if (error) return;
+  peer_node& p = this->peers[o.key.name];
+  p.endpoint = udp::endpoint(at.address(), at.port());
+  p.hall = body.value("hall", "");
+  p.cores = body.value("cores", 1.0F);
+  p.listed = this->node.now();
+  // Who is listed when this node starts counts as living until it is silent
+  // for as long as any other, so that a relay is found at once.
+  if (!this->listed_once) p.heard = std::max(p.heard, p.listed);
+}
+
+net::awaitable<void> peer_link::pause(absl::Duration time) {
+  return this->node.sleep(time * (1 + 0.2 * this->node.random.unit()));
 }
 
 net::awaitable<void> peer_link::keep_peers() {
-  bool enrolled = false;
-  for (int lists = 0;; ++lists) {
-    if (!enrolled) enrolled = co_await this->enroll();
-    co_await this->list_peers(lists >= first_lists);
-    const bool early = lists < first_lists || !enrolled;
-    net::steady_timer timer(this->node.loop);
-    const absl::Duration wait = (early ? first_list_period : list_period) *
-                                (1 + 0.2 * this->node.random.unit());
-    timer.expires_after(absl::ToChronoNanoseconds(wait));
-    co_await timer.async_wait(detail::use_tuple);
+  // A node that starts again under its earlier address is on the list already,
+  // and any node that came since has found it there and speaks first: a copy
+  // that may be stale is enough, at a tenth of the price of a call, where
+  // enrolling and listing take two or three.
+  bool enrolled = co_await this->list_peers(true) == list_result::holds_own;
+  this->listed_once = enrolled;
+  for (int tries = 0; !enrolled; ++tries) {
+    enrolled = co_await this->enroll();
+    // Of two nodes, the one that enrolled later finds the other on a list that
+    // is not stale.
+    const list_result listed = co_await this->list_peers(tries > 0);
+    if (listed != list_result::failed) this->listed_once = true;
+    if (!enrolled) co_await this->pause(first_list_period);
+  }
+  for (;;) {
+    co_await this->pause(list_period);
+    co_await this->list_peers(true);
   }
 }
 
--- a/src/peer-link.h
+++ b/src/peer-link.h
@@ -68,8 +68,21 @@
   std::function<void(const suspicion&)> on_suspicion;
 
  private:
+  /// How a reading of the list of nodes ended.
+  enum class list_result {
+    failed,
+    /// This node's own entry is not on it, or says something else.
+    lacks_own,
+    holds_own
+  };
+  /// What this node's entry in the store says.
+  std::string own_entry() const;
   boost::asio::awaitable<bool> enroll();
-  boost::asio::awaitable<void> list_peers(bool stale);
+  boost::asio::awaitable<list_result> list_peers(bool stale);
+  /// Takes another node's entry.
+  void take_entry(const object& o);
+  /// Waits for about this long; nodes that started together drift apart.
+  boost::asio::awaitable<void> pause(absl::Duration time);
   void take(const node_message& message,
             const boost::asio::ip::udp::endpoint& from);
   bool reachable(const peer_node& p) const;
