Tell the hall of requests at the next look after they are sent

Cause: nodes of a hall of 30 tell each other of load each 0.19 s, so that several choose the group that each of them saw as the emptiest: late requests of the larger model had met three times the prompt tokens of those in time. Change: a node that has sent a request tells its hall at its next look, 25 ms later at most, within 600 such messages a second.

--- a/include/spokesail/load-table.h
+++ b/include/spokesail/load-table.h
@@ -46,6 +46,8 @@
   /// All requests at a place, as far as this node knows.
   place_load total(const std::string& place, absl::Time now);
 
+  /// Requests of this node that have begun.
+  uint64_t begun() const { return this->begun_count; }
   /// This node's own, for its peers.
   std::vector<place_load> own() const;
   /// Requests of this node at one place.
@@ -67,6 +69,7 @@
   /// Takes out words that are too old.
   void expire(absl::Time now);
 
+  uint64_t begun_count = 0;
   sums mine;
   /// Peers' requests, of this data hall and of the others.
   sums near_sums;
--- a/src/load-table.cc
+++ b/src/load-table.cc
@@ -7,6 +7,7 @@
 namespace spokesail {
 
 void load_table::begin(const std::string& place, double prompt_tokens) {
+  this->begun_count++;
   place_load& load = this->mine[place];
   load.place = place;
   load.running++;
--- a/src/node-gossip.cc
+++ b/src/node-gossip.cc
@@ -18,6 +18,12 @@
 /// receives at most about this many messages a second there.
 constexpr double hall_messages_per_s = 160;
 
+/// A node that has sent requests to groups or servers tells its hall at its next
+/// look, so that others do not choose the same place by older news; a node
+/// sends and receives at most about this many such messages a second, each of
+/// which takes some 15 us to read.
+constexpr double hall_sends_per_s = 600;
+
 /// A node with nothing new to say still says it this often.
 constexpr absl::Duration longest_silence = absl::Milliseconds(500);
 
@@ -85,8 +91,16 @@
   return out;
 }
 
+absl::Duration node_gossip::send_gap() const {
+  const int count = this->link.count_reachable(false);
+  return absl::Seconds(count / hall_sends_per_s);
+}
+
 void node_gossip::tell_near(const gossip& said, absl::Time now) {
-  if (now < this->near_next) return;
+  const bool sent = this->node.loads.begun() != this->near_begun;
+  const bool at_once = sent && now - this->near_sent >= this->send_gap();
+  if (now < this->near_next && !at_once) return;
+  this->near_begun = this->node.loads.begun();
   this->near_next = now + this->near_period();
   const bool same = said == this->near_said;
   if (same && now - this->near_sent < longest_silence) return;
--- a/src/node-gossip.h
+++ b/src/node-gossip.h
@@ -56,6 +56,8 @@
  private:
   /// Time between two messages to the nodes of this hall.
   absl::Duration near_period() const;
+  /// Least time between two messages that tell of requests just sent.
+  absl::Duration send_gap() const;
   void tell_near(const gossip& said, absl::Time now);
   /// Tells the holder of servers that this node suspects.
   void tell_suspects(absl::Time now);
@@ -69,6 +71,8 @@
   gossip near_said;
   absl::Time near_sent = absl::InfinitePast();
   absl::Time near_next = absl::InfinitePast();
+  /// Requests begun until the last message to this hall.
+  uint64_t near_begun = 0;
   /// When suspicions were last passed on.
   absl::Time suspects_sent = absl::InfinitePast();
 };
