Give way only to a model that has hardly any group left

Cause: the wider rules took small groups in calm moments that were missed in the bursts that followed; the smaller model's requests are worth four times those of the larger one in sum. Change: groups within the share are given only while the other model has at most 0.35 of its own, and the giver keeps 0.65. The rule by use is gone.

--- a/include/spokesail/group-controller.h
+++ b/include/spokesail/group-controller.h
@@ -52,7 +52,7 @@
   bool warm_spares = true;
   /// How far groups of a smaller model give way to a larger one that lacks
   /// some.
-  yield_rule yields = yield_rule::even;
+  yield_rule yields = yield_rule::scarce;
   /// Window in which loads from the weight store are counted, and the excess
   /// over the store's rate that it tolerates.
   absl::Duration load_window = absl::Seconds(5);
@@ -132,9 +132,6 @@
   /// Takes how late this node's loop was at worst of late.
   void note_delay(absl::Duration delay) { this->own_delay = delay; }
 
-  /// Takes how many requests all groups of each model run.
-  void note_running(const std::map<std::string, int>& by_model);
-
   /// Whether it acts under a lease.
   bool active() const { return this->fence != 0; }
 
@@ -464,8 +461,6 @@
     absl::Time since = absl::InfinitePast();
   };
   std::map<std::string, settling> settlings;
-  /// Requests that all groups of a model ran at most of late.
-  std::map<std::string, double> running;
   /// When the models were last summarized, by service.
   std::map<std::string, absl::Time> summarized;
 };
--- a/include/spokesail/group-share.h
+++ b/include/spokesail/group-share.h
@@ -9,10 +9,6 @@
   int groups = 0;
   /// Groups that its share of the hosts makes up.
   double wanted = 1;
-  /// Requests that one of its groups runs at once.
-  int slots = 0;
-  /// Requests in all its groups, as seen of late.
-  double running = 0;
   bool operator==(const model_standing&) const = default;
 };
 
@@ -20,18 +16,21 @@
 enum class yield_rule {
   /// Only groups beyond those that its share makes up.
   none,
-  /// As long as the model that gives stays as full as the one that takes.
-  even,
-  /// The same, or as long as its requests fill no more than `yield_fill` of
-  /// the places that it keeps.
-  unused
+  /// The same, or while the model that takes has hardly any group left.
+  scarce,
+  /// The same, or as long as the model that gives stays as full as the one that
+  /// takes.
+  even
 };
 
-/// A model whose remaining groups would be filled beyond this part of their
-/// places keeps its groups. A group's passes take a third longer at this fill
-/// than at half of it, by the figures of the engines that are served, and a
-/// burst of a third still finds room.
-constexpr double yield_fill = 0.75;
+/// A model with no more than this part of the groups that its share makes up
+/// has hardly any left: those that stand are full, and most of its requests are
+/// refused.
+constexpr double scarce_fill = 0.35;
+
+/// What a model keeps of its own groups when it gives some to such a model.
+/// Groups of the engines that are served run half of what they have room for.
+constexpr double kept_fill = 0.65;
 
 /// Whether `giver` may end `count` more of its groups so that `taker`, which
 /// has fewer than are wanted, gets one more.
--- a/src/group-controller.cc
+++ b/src/group-controller.cc
@@ -89,7 +89,6 @@
   this->questions = question_window();
   this->open_orders = question_window();
   this->settlings.clear();
-  this->running.clear();
   this->summarized.clear();
 }
 
--- a/src/group-duty.cc
+++ b/src/group-duty.cc
@@ -141,22 +141,8 @@
   }
 }
 
-void group_duty::note_running() {
-  std::map<std::string, int> by_model;
-  for (const auto& service : this->node.routes->config().services) {
-    if (!service.engine) continue;
-    for (const auto& group : this->node.groups(service.name)) {
-      const place_load load =
-          this->node.loads.total(group.name, this->node.now());
-      by_model[group.model] += load.running;
-    }
-  }
-  this->controller.note_running(by_model);
-}
-
 void group_duty::step() {
   if (!this->controller.active() || !this->node.routes) return;
-  this->note_running();
   this->controller.note_delay(this->node.loop_delay);
   const group_actions actions =
       this->controller.step(this->node.directory, this->node.routes->config(),
--- a/src/group-duty.h
+++ b/src/group-duty.h
@@ -30,8 +30,6 @@
   void take_term();
   /// Loads of the holder before this one, as far as this node heard of them.
   earlier_loads heard_loads() const;
-  /// Tells the controller how many requests each model's groups run.
-  void note_running();
   /// Carries out the controller's next decisions.
   void step();
   void log_summaries(const std::vector<model_summary>& models);
--- a/src/group-spares.cc
+++ b/src/group-spares.cc
@@ -11,14 +11,6 @@
 #include "group-state.h"
 
 namespace spokesail {
-namespace {
-
-/// Part of the most requests of late that is left after one step of the
-/// controller: half after five seconds, about as long as a burst lasts.
-constexpr double running_left = 0.9945;
-
-}  // namespace
-
 std::vector<std::string> group_controller::most_useful_to_repairs(
     const service_state& s, const model_profile& model) const {
   // Those whose hosts hold the weights of another model come first; of the
@@ -58,31 +50,12 @@
   return out;
 }
 
-void group_controller::note_running(
-    const std::map<std::string, int>& by_model) {
-  for (auto& [model, most] : this->running) most *= running_left;
-  // A node that has heard of no request at all knows nothing yet.
-  const bool known = std::any_of(by_model.begin(), by_model.end(),
-                                 [](const auto& m) { return m.second > 0; });
-  if (!known) return;
-  for (const auto& [model, count] : by_model) {
-    double& most = this->running[model];
-    most = std::max(most, static_cast<double>(count));
-  }
-}
-
 model_standing group_controller::standing_of(const service_state& s,
                                              const model_profile& model) const {
   model_standing out;
   const auto count = s.group_count.find(model.name);
   if (count != s.group_count.end()) out.groups = count->second;
   out.wanted = this->wanted_groups(s, model);
-  out.slots = s.engine->slots;
-  // Groups whose requests are not known are taken to be full.
-  const auto seen = this->running.find(model.name);
-  out.running = seen == this->running.end()
-                    ? static_cast<double>(out.groups) * out.slots
-                    : seen->second;
   return out;
 }
 
--- a/test/group-share-test.cc
+++ b/test/group-share-test.cc
@@ -36,10 +36,6 @@
   return {"lm", 100, engine};
 }
 
-/// Requests that run at once: a quarter of the places of six large groups, and
-/// half of those of eleven small ones.
-const std::map<std::string, int> running = {{"large", 60}, {"small", 286}};
-
 /// Groups of each model that served, on average over a time.
 struct mean_serving {
   double large = 0;
@@ -112,7 +108,6 @@
   /// Lets time pass and counts the groups that serve.
   void run_until(double second) {
     while (this->seconds() < second) {
-      this->run.controller.note_running(running);
       this->run.step();
       this->carry_on();
       const double step = absl::ToDoubleSeconds(test::step_time);
