--- a/src/node-context.cc
+++ b/src/node-context.cc
@@ -64,17 +64,6 @@
   return found != this->avoid.end() && this->now() < found->second;
 }
 
-void node_context::doubt_group(const std::string& group) {
-  const absl::Time now = this->now();
-  std::erase_if(this->doubts, [&](const auto& d) { return d.second <= now; });
-  this->doubts[group] = now + node_timing::doubt_time;
-}
-
-bool node_context::doubted(const std::string& group) const {
-  const auto found = this->doubts.find(group);
-  return found != this->doubts.end() && this->now() < found->second;
-}
-
 void node_context::suspect_server(const std::string& server) {
   this->suspects[server] = this->now();
 }
--- a/src/node-context.h
+++ b/src/node-context.h
@@ -41,9 +41,6 @@
   static constexpr double fresh_share = 0.7;
   /// How long a group or server that failed is passed over.
   static constexpr absl::Duration avoid_time = absl::Milliseconds(1000);
-  /// How long a group that may have stopped is doubted: until the holder of the
-  /// lease has asked its members and told of them, 0.4 to 0.6 s.
-  static constexpr absl::Duration doubt_time = absl::Milliseconds(600);
   /// The part of the loop's worst delay that is left after one tick. It is down
   /// to a third after half a second, when answers to questions that were open
   /// at the time have been read.
@@ -98,9 +95,6 @@
 
   /// Groups and servers that are passed over for a while.
   std::map<std::string, absl::Time> avoid;
-  /// Groups that are silent, or that a peer has given up, until when they are
-  /// chosen only if the others are much slower.
-  std::map<std::string, absl::Time> doubts;
   /// Servers that do not answer, by this node's traffic, and when it saw so.
   std::map<std::string, absl::Time> suspects;
   /// Servers that the holder of the lease found not to answer.
@@ -147,9 +141,6 @@
   /// Passes a group or server over for a while.
   void avoid_place(const std::string& place);
   bool avoided(const std::string& place) const;
-  /// Takes note that a group may have stopped.
-  void doubt_group(const std::string& group);
-  bool doubted(const std::string& group) const;
   /// Takes note that a server did not answer.
   void suspect_server(const std::string& server);
 
--- a/src/request-place.cc
+++ b/src/request-place.cc
@@ -14,11 +14,6 @@
 constexpr double other_hall_ms = 3;
 constexpr double stale_share = 0.06;
 
-/// What a group that may have stopped counts as, in ms: about the time that a
-/// sound one takes to a first event, so that one that is wrongly doubted still
-/// serves when the others are full.
-constexpr double doubt_ms = 150;
-
 /// Groups of other halls that one request weighs, drawn at random. Two are
 /// known to spread load nearly as well as all when news of it is fresh, and far
 /// better when it is old.
@@ -105,10 +100,8 @@
   for (const group_view* group : groups) {
     const place_load load = this->node.loads.total(group->name, now);
     const server_entry* head = this->node.directory.find(group->head());
-    const double distance = this->is_near(*head) ? 0 : this->far_cost_ms();
-    const double doubt = this->node.doubted(group->name) ? doubt_ms : 0;
-    out.push_back(
-        {group->name, load.running, load.unread_tokens, 1, distance + doubt});
+    out.push_back({group->name, load.running, load.unread_tokens, 1,
+                   this->is_near(*head) ? 0 : this->far_cost_ms()});
   }
   return out;
 }
--- a/src/stall-watch.cc
+++ b/src/stall-watch.cc
@@ -108,7 +108,6 @@
     return;
   }
   last_asked = now;
-  this->node.doubt_group(group);
   const request_place place = *sight.place;
   for (const auto& id : place.members) {
     net::co_spawn(this->node.loop, this->ask_member(group, id, true),
@@ -147,9 +146,7 @@
 }
 
 void stall_watch::hear(const suspicion& said) {
-  if (said.group.empty()) return;
-  this->node.doubt_group(said.group);
-  if (!this->uses(said.group)) return;
+  if (said.group.empty() || !this->uses(said.group)) return;
   const absl::Time now = this->node.now();
   absl::Time& last_asked =
       this->asked.try_emplace(said.group, absl::InfinitePast()).first->second;
