--- a/standin/fleet-standin.h
+++ b/standin/fleet-standin.h
@@ -53,6 +53,8 @@
   int store_reads = 0;
   /// Lists of the servers among them.
   int server_lists = 0;
+  /// Objects written, by kind.
+  std::map<std::string, int> writes;
   /// Times that a lease was written without a holder.
   int lease_given_up = 0;
 };
@@ -73,6 +75,10 @@
 
   /// Writes the configuration, as the operator does.
   void configure(const nlohmann::json& spec);
+  /// Writes a node's entry, as an earlier start of it did.
+  void enroll_node(const std::string& name, const nlohmann::json& spec) {
+    this->put("entry-nodes", name, spec);
+  }
   /// A configuration with a stream route, a repeatable and a plain one that
   /// may run once, for workspace `north` with the keys given.
   nlohmann::json sample_config(const std::vector<std::string>& keys) const;
--- a/standin/fleet-store.cc
+++ b/standin/fleet-store.cc
@@ -138,6 +138,7 @@
       found != objects.end() &&
       (create || meta.value("rev", int64_t{0}) != found->second.revision);
   const json spec = body.value("spec", json());
+  this->record.writes[kind]++;
   if (!stale) this->put(kind, target, spec);
   const bool given_up = kind == "lease" && spec.value("holder", "x").empty();
   if (!stale && given_up) this->record.lease_given_up++;
--- a/test/node-test.cc
+++ b/test/node-test.cc
@@ -89,6 +89,14 @@
     this->settings.push_back(std::move(s));
   }
 
+  /// Has the store remember the first node from an earlier start.
+  void enroll_first_node() {
+    const node_settings& s = *this->settings.front();
+    this->fleet->enroll_node(
+        s.node,
+        {{"address", s.peer_address}, {"hall", s.hall}, {"cores", s.cores}});
+  }
+
   void run() {
     this->thread = std::thread([this] { this->loop->run(); });
   }
@@ -575,6 +583,26 @@
   EXPECT_EQ(this->ask(nameless).result_int(), 400U);
 }
 
+/// The load of a moment at which many nodes start again: each write and each
+/// list that is not stale is a call of full price.
+TEST_F(node_test, a_node_that_is_on_the_list_already_does_not_enroll) {
+  this->add_node("node-0");
+  this->enroll_first_node();
+  this->run();
+  ASSERT_TRUE(
+      this->wait_until([this] { return this->nodes[0]->context().ready(); }));
+  EXPECT_EQ(this->on_loop(
+                [this] { return this->fleet->record.writes["entry-nodes"]; }),
+            0);
+}
+
+TEST_F(node_test, a_new_node_enrolls_once) {
+  this->start(1);
+  EXPECT_EQ(this->on_loop(
+                [this] { return this->fleet->record.writes["entry-nodes"]; }),
+            1);
+}
+
 TEST_F(node_test, ends_the_run_of_a_caller_that_left) {
   this->start(1);
   {
