--- a/include/spokesail/group-controller.h
+++ b/include/spokesail/group-controller.h
@@ -211,6 +211,12 @@
     /// Free hosts that stay in the domain.
     size_t left = 0;
   };
+  /// Groups that may be ended for a larger model.
+  struct endable_groups {
+    std::set<std::string> names;
+    /// How many of them that are not spare ones may be.
+    int beyond_spares = 0;
+  };
   /// Ids of hosts that may join a group, by fabric domain.
   using hosts_by_domain = std::map<std::string, std::vector<std::string>>;
   using models_by_server =
@@ -342,11 +348,9 @@
   /// How a model stands, for the question of who gives way.
   model_standing standing_of(const service_state& s,
                              const model_profile& model) const;
-  /// Groups of smaller models that may be ended so that one of `model` can
-  /// form, and how many of them beyond the spare ones.
-  std::set<std::string> groups_to_end(const service_state& s,
-                                      const model_profile& model,
-                                      int& beyond_spares) const;
+  /// Groups that may be ended so that one of `model` can form.
+  endable_groups groups_to_end(const service_state& s,
+                               const model_profile& model) const;
   /// Hosts that could form a group of `model`: free ones, those of groups on
   /// their way out, and those of `to_end`.
   hosts_by_domain hosts_in_reach(const service_state& s,
--- a/src/group-controller.cc
+++ b/src/group-controller.cc
@@ -189,10 +189,8 @@
       track.leaving_since = std::min(track.leaving_since, now);
     }
     // A load may take far less than it does at most.
-    const auto& staged = server.entry.staged;
-    const bool loaded =
-        std::find(staged.begin(), staged.end(), track.staging) != staged.end();
-    if (loaded) track.staging_until = std::min(track.staging_until, now);
+    if (staged_on(server.entry, track.staging))
+      track.staging_until = std::min(track.staging_until, now);
   }
   std::erase_if(this->tracks, [&](const auto& item) {
     return directory.servers().count(item.first) == 0;
--- a/src/group-spares.cc
+++ b/src/group-spares.cc
@@ -11,6 +11,7 @@
 #include "group-state.h"
 
 namespace spokesail {
+
 std::vector<std::string> group_controller::most_useful_to_repairs(
     const service_state& s, const model_profile& model) const {
   // Those whose hosts hold the weights of another model come first; of the
@@ -63,12 +64,10 @@
   return this->released.count(group) == 0 && this->dissolving.count(group) == 0;
 }
 
-std::set<std::string> group_controller::groups_to_end(
-    const service_state& s, const model_profile& model,
-    int& beyond_spares) const {
-  std::set<std::string> out = s.spare_groups;
+group_controller::endable_groups group_controller::groups_to_end(
+    const service_state& s, const model_profile& model) const {
+  endable_groups out{s.spare_groups};
   const model_standing taker = this->standing_of(s, model);
-  beyond_spares = 0;
   for (const auto& other : s.engine->models) {
     // A larger group is worth more than the smaller one that it would repair.
     if (other.group_size >= model.group_size) continue;
@@ -80,9 +79,9 @@
       ++count;
     }
     if (count == 0) continue;
-    beyond_spares += count;
+    out.beyond_spares += count;
     const auto names = this->most_useful_to_repairs(s, other);
-    out.insert(names.begin(), names.end());
+    out.names.insert(names.begin(), names.end());
   }
   return out;
 }
@@ -116,20 +115,20 @@
                                         hosts_by_domain& free, absl::Time now,
                                         group_actions& out) {
   if (!this->options.spares_serve) return false;
-  int beyond_spares = 0;
-  const auto to_end = this->groups_to_end(s, model, beyond_spares);
-  const auto reach = this->hosts_in_reach(s, model, free, to_end);
+  const endable_groups endable = this->groups_to_end(s, model);
+  const auto reach = this->hosts_in_reach(s, model, free, endable.names);
   const auto best = this->best_formation(s, model, reach, now);
   if (!best || best->loads > 0) return false;
   std::set<std::string> ended;
   for (const auto& id : best->members) {
     const std::string& group = s.entry(id).membership.group;
-    if (to_end.count(group) != 0 && this->stays(group)) ended.insert(group);
+    const bool stays = this->stays(group);
+    if (stays && endable.names.count(group) != 0) ended.insert(group);
   }
   const auto serving = std::count_if(
       ended.begin(), ended.end(),
       [&](const auto& name) { return s.spare_groups.count(name) == 0; });
-  if (serving > beyond_spares) return false;
+  if (serving > endable.beyond_spares) return false;
   for (const auto& group : s.groups) {
     if (ended.count(group.name) == 0) continue;
     s.spare_groups.erase(group.name);
--- a/src/group-staging.cc
+++ b/src/group-staging.cc
@@ -43,12 +43,6 @@
   return least == engine.models.end() ? nullptr : &*least;
 }
 
-/// Whether a model's weights lie on a server's host.
-bool staged_by_name(const server_entry& entry, const std::string& model) {
-  return std::find(entry.staged.begin(), entry.staged.end(), model) !=
-         entry.staged.end();
-}
-
 /// How much a model needs one more spare in a domain.
 double need_of(double members, int spares) {
   const double covered = std::max(no_spares, 1.0 + spares);
@@ -94,7 +88,7 @@
                                     domain_weights& weights) const {
   const std::string model = group_model(entry.membership.group);
   weights.members[model]++;
-  if (now >= track.staging_until && staged_by_name(entry, model)) {
+  if (now >= track.staging_until && staged_on(entry, model)) {
     weights.serving[entry.id] = model;
   }
 }
--- a/src/group-state.h
+++ b/src/group-state.h
@@ -48,10 +48,13 @@
 };
 
 /// Whether a model's weights lie on a server's host.
-inline bool staged_on(const server_entry& entry, const model_profile& model) {
-  return std::find(entry.staged.begin(), entry.staged.end(), model.name) !=
+inline bool staged_on(const server_entry& entry, const std::string& model) {
+  return std::find(entry.staged.begin(), entry.staged.end(), model) !=
          entry.staged.end();
 }
+inline bool staged_on(const server_entry& entry, const model_profile& model) {
+  return staged_on(entry, model.name);
+}
 
 /// An order about a group, without what only a join says.
 inline group_order order_about(group_order_kind kind, const std::string& group,
