--- a/include/spokesail/group-controller.h
+++ b/include/spokesail/group-controller.h
@@ -51,8 +51,10 @@
   /// member serves again that much sooner.
   bool warm_spares = true;
   /// Whether groups of a smaller model give way to a larger one that has hardly
-  /// any left (`may_yield`).
-  bool smaller_yield = true;
+  /// any left (`may_yield`), and hold its weights for that. Off unless asked
+  /// for: hosts that hold them are then missed where the smaller model's
+  /// requests come in bursts (refused on one day: 0.028 rather than 0.005).
+  bool smaller_yield = false;
   /// Window in which loads from the weight store are counted, and the excess
   /// over the store's rate that it tolerates.
   absl::Duration load_window = absl::Seconds(5);
