Show changes of servers that nodes miss in logs and metrics

Cause: a node that drops changes which do not follow on what it knows leaves no line, neither does a relay that sends only later ones, nor a message that is dropped as older than its sender's last. Change: news_gap, news_withheld, message_overtaken; spokesail_news_total{event}; gauge servers_revision. No change of logic.

--- /dev/null
+++ b/include/spokesail/change-relay.h
@@ -0,0 +1,59 @@
+// What a relay tells its followers of changes, and what a follower makes of it.
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace spokesail {
+
+/// What a relay has told those that ask it. Times are the caller's; nothing
+/// here sends.
+class change_sender {
+ public:
+  /// What a relay knows: the revisions up to which it has all changes.
+  struct state {
+    int64_t servers = 0;
+    int64_t config = 0;
+    bool operator==(const state&) const = default;
+  };
+
+  /// Who is to be told unasked, and of all changes after which revision.
+  struct telling {
+    std::string follower;
+    int64_t from = 0;
+    bool operator==(const telling&) const = default;
+  };
+
+  /// Takes a question of a follower that knows all changes up to `known`.
+  /// Returns the revision from which on it is to be told.
+  int64_t on_question(const std::string& follower, int64_t known,
+                      absl::Time now);
+
+  /// Takes note that a follower is being told all changes after `from`.
+  void on_told(const std::string& follower, int64_t from, const state& now_known,
+               absl::Time now);
+
+  /// The followers that lack what is known now. Those that have not asked for
+  /// a while are forgotten.
+  std::vector<telling> due(const state& now_known, absl::Time now);
+
+ private:
+  /// Who asked this node lately, and what was last passed on.
+  struct follower_state {
+    absl::Time asked;
+    state told;
+    /// When it was last told of servers.
+    absl::Time told_at = absl::InfinitePast();
+  };
+  std::map<std::string, follower_state> followers;
+};
+
+/// Whether changes after `from` follow on what is known up to `known`, so that
+/// none between them is missed.
+inline bool follows_on(int64_t from, int64_t known) { return from <= known; }
+
+}  // namespace spokesail
--- a/src/news-relay.cc
+++ b/src/news-relay.cc
@@ -149,6 +149,13 @@
   if (known != this->followers.end() && known->second.servers_revision > from &&
       this->node.now() - known->second.told < resend_time) {
     from = known->second.servers_revision;
+    this->node.metrics.count_news("withheld");
+    this->node.log.belief(
+        "news_withheld",
+        {{"peer", peer},
+         {"known", absl::StrCat(request.servers_revision)},
+         {"told", absl::StrCat(from)}},
+        this->node.now());
   }
   this->tell(peer, from, request.nonce);
 }
@@ -207,7 +214,10 @@
 
 void news_relay::take_servers(const std::string& peer, const news& said) {
   // Changes apply only to who has all those before.
-  if (said.from_revision > this->node.directory.revision()) return;
+  if (said.from_revision > this->node.directory.revision()) {
+    this->note_gap(peer, said);
+    return;
+  }
   const bool changed =
       apply_news(this->node.directory, said.servers, this->node.now());
   this->node.directory.caught_up(said.to_revision);
@@ -222,6 +232,18 @@
   if (this->on_servers) this->on_servers();
 }
 
+void news_relay::note_gap(const std::string& peer, const news& said) {
+  this->node.metrics.count_news("gap");
+  this->node.log.belief(
+      "news_gap",
+      {{"relay", peer},
+       {"known", absl::StrCat(this->node.directory.revision())},
+       {"from", absl::StrCat(said.from_revision)},
+       {"to", absl::StrCat(said.to_revision)},
+       {"asked", said.nonce != 0 ? "1" : "0"}},
+      this->node.now());
+}
+
 void news_relay::ask() {
   const std::string chosen = this->choose().upstream;
   if (chosen != this->relay) {
--- a/src/news-relay.h
+++ b/src/news-relay.h
@@ -70,6 +70,8 @@
   /// Takes the changes of servers that `said` brings, if they follow on what
   /// this node knows.
   void take_servers(const std::string& peer, const news& said);
+  /// Takes note of changes that do not follow on what this node knows.
+  void note_gap(const std::string& peer, const news& said);
   /// Tells a peer of all servers' changes after `from` and the rest of the
   /// news, in answer to a question or unasked (0).
   void tell(const std::string& peer, int64_t from, uint64_t question);
--- a/src/node-metrics.cc
+++ b/src/node-metrics.cc
@@ -36,6 +36,8 @@
                      "orders to servers by kind and result")),
       peer_bytes(counter(registry, "spokesail_peer_bytes_total",
                          "bytes exchanged with other nodes")),
+      news_events(counter(registry, "spokesail_news_total",
+                          "changes of servers that nodes missed, by event")),
       events(counter(registry, "spokesail_events_total",
                      "things that happened to streams")),
       state(prometheus::BuildGauge()
@@ -81,6 +83,10 @@
   this->peer_bytes.Add({{"direction", direction}}).Increment(bytes);
 }
 
+void node_metrics::count_news(const std::string& event) {
+  this->news_events.Add({{"event", event}}).Increment();
+}
+
 void node_metrics::observe_first_event(double seconds) {
   this->first_event.Observe(seconds);
 }
--- a/src/node-process.cc
+++ b/src/node-process.cc
@@ -231,6 +231,8 @@
   m.set_gauge("kept_connections", static_cast<double>(this->state.pool.size()));
   m.set_gauge("servers",
               static_cast<double>(this->state.directory.servers().size()));
+  m.set_gauge("servers_revision",
+              static_cast<double>(this->state.directory.revision()));
   m.set_gauge("live_nodes", this->state.live_nodes);
   m.set_gauge("lease_held", this->lease.holds() ? 1 : 0);
   m.set_gauge("config_age_seconds",
--- a/src/peer-link.cc
+++ b/src/peer-link.cc
@@ -194,7 +194,15 @@
   const absl::Time now = this->node.now();
   peer_node& p = this->peers[message.node];
   const bool old = p.boot == message.boot && message.sequence <= p.sequence;
-  if (old) return;
+  if (old) {
+    this->node.metrics.count_news("overtaken");
+    this->node.log.belief("message_overtaken",
+                          {{"peer", message.node},
+                           {"sequence", absl::StrCat(message.sequence)},
+                           {"known", absl::StrCat(p.sequence)}},
+                          now);
+    return;
+  }
   const bool back = now - p.heard >= live_time;
   // A node that is not on the list yet is answered where it speaks from.
   if (p.listed == absl::InfinitePast()) p.endpoint = from;
