Give what a relay told its followers a module without network

Change: change_sender (who was told what, and from where on to tell next) and follows_on, moved out of news_relay as they were; no change of logic.

--- a/include/spokesail/change-relay.h
+++ b/include/spokesail/change-relay.h
@@ -34,8 +34,8 @@
                       absl::Time now);
 
   /// Takes note that a follower is being told all changes after `from`.
-  void on_told(const std::string& follower, int64_t from, const state& now_known,
-               absl::Time now);
+  void on_told(const std::string& follower, int64_t from,
+               const state& now_known, absl::Time now);
 
   /// The followers that lack what is known now. Those that have not asked for
   /// a while are forgotten.
--- a/src/change-relay.cc
+++ b/src/change-relay.cc
@@ -37,8 +37,8 @@
   });
   std::vector<telling> out;
   for (const auto& [name, f] : this->followers) {
-    const bool behind = f.told.servers < now_known.servers ||
-                        f.told.config < now_known.config;
+    const bool behind =
+        f.told.servers < now_known.servers || f.told.config < now_known.config;
     if (behind) out.push_back({name, f.told.servers});
   }
   return out;
--- a/src/news-relay.cc
+++ b/src/news-relay.cc
@@ -59,13 +59,6 @@
 /// away, and then it is the first to know of its return.
 constexpr absl::Duration outdated_time = absl::Milliseconds(1200);
 
-/// Who asked this long ago is not told any more.
-constexpr absl::Duration follower_time = absl::Seconds(2);
-
-/// A peer that asks for changes which it was told of is told again after this
-/// long: 0.1 MB takes a link of 20 Mbit/s 40 ms, and there are several peers.
-constexpr absl::Duration resend_time = absl::Milliseconds(500);
-
 /// Changes that one datagram holds, about 20 KB.
 constexpr size_t most_changes = 200;
 
@@ -137,42 +130,34 @@
     out.all_servers = this->node.directory_listed && part.to_revision == to;
     this->link.send(peer, out);
   }
-  follower& f = this->followers[peer];
-  const absl::Time now = this->node.now();
-  f = {now, to, this->node.config_revision, to > from ? now : f.told};
+  this->sender.on_told(peer, from, this->known(), this->node.now());
+}
+
+change_sender::state news_relay::known() const {
+  return {this->node.directory.revision(), this->node.config_revision};
 }
 
 void news_relay::answer(const std::string& peer, const news_request& request) {
-  int64_t from = request.servers_revision;
-  const auto known = this->followers.find(peer);
-  // What it was told a moment ago is still on its way.
-  if (known != this->followers.end() && known->second.servers_revision > from &&
-      this->node.now() - known->second.told < resend_time) {
-    from = known->second.servers_revision;
-    this->node.metrics.count_news("withheld");
-    this->node.log.belief(
-        "news_withheld",
-        {{"peer", peer},
-         {"known", absl::StrCat(request.servers_revision)},
-         {"told", absl::StrCat(from)}},
-        this->node.now());
-  }
+  const int64_t asked_from = request.servers_revision;
+  const int64_t from =
+      this->sender.on_question(peer, asked_from, this->node.now());
+  if (from != asked_from) this->note_withheld(peer, asked_from, from);
   this->tell(peer, from, request.nonce);
 }
 
+void news_relay::note_withheld(const std::string& peer, int64_t asked_from,
+                               int64_t told) {
+  this->node.metrics.count_news("withheld");
+  this->node.log.belief("news_withheld",
+                        {{"peer", peer},
+                         {"known", absl::StrCat(asked_from)},
+                         {"told", absl::StrCat(told)}},
+                        this->node.now());
+}
+
 void news_relay::push() {
-  const absl::Time now = this->node.now();
-  std::erase_if(this->followers, [&](const auto& item) {
-    return now - item.second.asked > follower_time;
-  });
-  const int64_t servers_revision = this->node.directory.revision();
-  for (auto& [peer, f] : this->followers) {
-    const bool behind = f.servers_revision < servers_revision ||
-                        f.config_revision < this->node.config_revision;
-    if (!behind) continue;
-    const absl::Time asked = f.asked;
-    this->tell(peer, f.servers_revision, 0);
-    f.asked = asked;
+  for (const auto& next : this->sender.due(this->known(), this->node.now())) {
+    this->tell(next.follower, next.from, 0);
   }
 }
 
@@ -214,7 +199,7 @@
 
 void news_relay::take_servers(const std::string& peer, const news& said) {
   // Changes apply only to who has all those before.
-  if (said.from_revision > this->node.directory.revision()) {
+  if (!follows_on(said.from_revision, this->node.directory.revision())) {
     this->note_gap(peer, said);
     return;
   }
--- a/src/news-relay.h
+++ b/src/news-relay.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "peer-link.h"
+#include "spokesail/change-relay.h"
 #include "spokesail/relay-choice.h"
 
 namespace spokesail {
@@ -70,6 +71,10 @@
   /// Takes the changes of servers that `said` brings, if they follow on what
   /// this node knows.
   void take_servers(const std::string& peer, const news& said);
+  /// The revisions up to which this node knows what it passes on.
+  change_sender::state known() const;
+  /// Takes note of a peer that asked for more than it is told.
+  void note_withheld(const std::string& peer, int64_t asked_from, int64_t told);
   /// Takes note of changes that do not follow on what this node knows.
   void note_gap(const std::string& peer, const news& said);
   /// Tells a peer of all servers' changes after `from` and the rest of the
@@ -80,15 +85,8 @@
 
   node_context& node;
   peer_link& link;
-  /// Who asked this node lately, and what was last passed on.
-  struct follower {
-    absl::Time asked;
-    int64_t servers_revision = 0;
-    int64_t config_revision = 0;
-    /// When it was last told of servers.
-    absl::Time told;
-  };
-  std::map<std::string, follower> followers;
+  /// Those that ask this node, and what they were told.
+  change_sender sender;
   /// Relays that failed this node, and until when they are passed over.
   std::map<std::string, absl::Time> failed;
   std::string relay;
