--- /dev/null
+++ b/test/news-fleet.h
@@ -0,0 +1,208 @@
+// Nodes that pass on changes of servers over links that lose messages, in
+// virtual time.
+#pragma once
+
+#include <absl/strings/str_cat.h>
+#include <absl/time/time.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "server-news.h"
+#include "spokesail/change-relay.h"
+#include "spokesail/hash.h"
+
+namespace spokesail::test {
+
+/// How often a node asks its relay.
+constexpr absl::Duration ask_period = absl::Milliseconds(180);
+
+/// A tree of nodes whose first, node 0, learns of each change by itself.
+class news_fleet {
+ public:
+  /// A message from one node to another.
+  struct message {
+    int from = 0;
+    int to = 0;
+    /// Whether a question; else changes, in answer to one or unasked.
+    bool question = false;
+    bool asked = false;
+    int64_t known = 0;
+    news_part part;
+  };
+
+  /// What a link does to a message: how long it takes, or that it is lost.
+  using link = std::function<absl::Duration(const message&)>;
+  static constexpr absl::Duration lost = absl::InfiniteDuration();
+
+  /// `parents` gives whom each node but the first asks.
+  news_fleet(std::vector<int> parents, link way)
+      : nodes(parents.size() + 1), way(std::move(way)) {
+    for (size_t i = 0; i < parents.size(); ++i) {
+      node& n = this->nodes[i + 1];
+      n.parent = parents[i];
+      // Nodes that start together still ask at different times.
+      const auto offset = ask_period * static_cast<double>(i % 7) / 7;
+      this->at(this->now + offset, [this, i] { this->ask_again(i + 1); });
+    }
+  }
+
+  /// Has the first node learn of a change.
+  void change() {
+    const int64_t revision = ++this->last_revision;
+    listed_server server;
+    server.entry.id = absl::StrCat("s", revision % server_count);
+    server.entry.slots = static_cast<int>(revision);
+    server.revision = revision;
+    node& first = this->nodes.front();
+    first.directory.update(server);
+    first.directory.caught_up(revision);
+    this->made.push_back(this->now);
+    this->push(0);
+  }
+
+  void run_for(absl::Duration time) {
+    const absl::Time until = this->now + time;
+    while (!this->events.empty() && this->events.begin()->first <= until) {
+      const auto first = this->events.begin();
+      this->now = first->first;
+      const auto work = std::move(first->second);
+      this->events.erase(first);
+      work();
+    }
+    this->now = until;
+  }
+
+  /// Makes a change each `gap` for `time`.
+  void change_for(absl::Duration time, absl::Duration gap) {
+    const absl::Time until = this->now + time;
+    while (this->now < until) {
+      this->change();
+      this->run_for(gap);
+    }
+  }
+
+  /// The longest time for which a node lacked a change, up to now.
+  absl::Duration longest_lag() const {
+    absl::Duration longest = absl::ZeroDuration();
+    for (const node& n : this->nodes) {
+      longest = std::max(longest, n.longest_lag);
+      const auto known = static_cast<size_t>(n.directory.revision());
+      if (known < this->made.size()) {
+        longest = std::max(longest, this->now - this->made[known]);
+      }
+    }
+    return longest;
+  }
+
+  /// Whether all nodes hold the same servers.
+  bool agree() const {
+    const auto& first = this->nodes.front().directory;
+    return std::all_of(this->nodes.begin(), this->nodes.end(),
+                       [&](const node& n) {
+                         return n.directory.servers() == first.servers() &&
+                                n.directory.revision() == first.revision();
+                       });
+  }
+
+  /// Changes sent by all nodes, each as often as it was sent.
+  size_t changes_sent() const { return this->sent_changes; }
+  size_t messages_sent() const { return this->sent_messages; }
+
+ private:
+  static constexpr int server_count = 40;
+  static constexpr size_t most_changes = 200;
+
+  struct node {
+    int parent = -1;
+    server_directory directory;
+    change_sender sender;
+    absl::Duration longest_lag = absl::ZeroDuration();
+  };
+
+  void at(absl::Time when, std::function<void()> work) {
+    this->events.emplace(when, std::move(work));
+  }
+
+  void send(message m) {
+    ++this->sent_messages;
+    this->sent_changes += m.part.servers.size();
+    const absl::Duration takes = this->way(m);
+    if (takes == lost) return;
+    this->at(this->now + takes, [this, m = std::move(m)] { this->take(m); });
+  }
+
+  void ask_again(size_t i) {
+    this->ask(static_cast<int>(i));
+    this->at(this->now + ask_period, [this, i] { this->ask_again(i); });
+  }
+
+  void ask(int i) {
+    const node& n = this->nodes[static_cast<size_t>(i)];
+    message m;
+    m.from = i;
+    m.to = n.parent;
+    m.question = true;
+    m.known = n.directory.revision();
+    this->send(std::move(m));
+  }
+
+  void take(const message& m) {
+    node& n = this->nodes[static_cast<size_t>(m.to)];
+    if (m.question) {
+      const int64_t from =
+          n.sender.on_question(absl::StrCat(m.from), m.known, this->now);
+      this->tell(m.to, m.from, from, true);
+      return;
+    }
+    this->take_changes(n, m);
+  }
+
+  void take_changes(node& n, const message& m) {
+    const int64_t known = n.directory.revision();
+    if (!follows_on(m.part.from_revision, known)) return;
+    const bool changed = apply_news(n.directory, m.part.servers, this->now);
+    n.directory.caught_up(m.part.to_revision);
+    for (int64_t r = known + 1; r <= n.directory.revision(); ++r) {
+      const absl::Time learnt = this->made[static_cast<size_t>(r - 1)];
+      n.longest_lag = std::max(n.longest_lag, this->now - learnt);
+    }
+    if (changed) this->push(m.to);
+  }
+
+  void push(int i) {
+    node& n = this->nodes[static_cast<size_t>(i)];
+    const change_sender::state known = {n.directory.revision(), 0};
+    for (const auto& next : n.sender.due(known, this->now)) {
+      this->tell(i, std::stoi(next.follower), next.from, false);
+    }
+  }
+
+  void tell(int i, int to, int64_t from, bool asked) {
+    node& n = this->nodes[static_cast<size_t>(i)];
+    const int64_t until = n.directory.revision();
+    auto changes = news_since(n.directory, from, this->now);
+    for (auto& part :
+         split_news(std::move(changes), most_changes, from, until)) {
+      this->send({i, to, false, asked, 0, std::move(part)});
+    }
+    n.sender.on_told(absl::StrCat(to), from, {until, 0}, this->now);
+  }
+
+  std::vector<node> nodes;
+  link way;
+  absl::Time now = absl::FromUnixSeconds(1000);
+  std::multimap<absl::Time, std::function<void()>> events;
+  int64_t last_revision = 0;
+  /// When each change was made, by revision less one.
+  std::vector<absl::Time> made;
+  size_t sent_changes = 0;
+  size_t sent_messages = 0;
+};
+
+}  // namespace spokesail::test
