Count the time of each message to a follower by itself

Cause: a relay held back for 0.5 s what it had told a follower a moment ago, and counted that time from its last message of changes. While changes went on, a message that was lost once was never sent again, and the follower passed over all that came after it. Change: each message is kept until its follower's question confirms it; the oldest one that is not confirmed after 0.5 s is lost, and all after it is sent again. A follower that knows less than the relay confirmed (one that started anew) is told at once. Without losses each change is still sent once to each.

--- a/include/spokesail/change-relay.h
+++ b/include/spokesail/change-relay.h
@@ -4,6 +4,7 @@
 #include <absl/time/time.h>
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <vector>
@@ -33,21 +34,28 @@
   int64_t on_question(const std::string& follower, int64_t known,
                       absl::Time now);
 
-  /// Takes note that a follower is being told all changes after `from`.
-  void on_told(const std::string& follower, int64_t from,
-               const state& now_known, absl::Time now);
+  /// Takes note of a message to a follower that holds all changes after `from`
+  /// up to `to`, and names the configuration's revision `config`.
+  void on_told(const std::string& follower, int64_t from, int64_t to,
+               int64_t config, absl::Time now);
 
   /// The followers that lack what is known now. Those that have not asked for
   /// a while are forgotten.
   std::vector<telling> due(const state& now_known, absl::Time now);
 
  private:
+  /// One message to a follower.
+  struct message {
+    int64_t from = 0;
+    int64_t to = 0;
+    absl::Time at;
+  };
   /// Who asked this node lately, and what was last passed on.
   struct follower_state {
     absl::Time asked;
     state told;
-    /// When it was last told of servers.
-    absl::Time told_at = absl::InfinitePast();
+    /// Messages that the follower has not said to know, in order.
+    std::deque<message> unconfirmed;
   };
   std::map<std::string, follower_state> followers;
 };
--- a/src/news-relay.cc
+++ b/src/news-relay.cc
@@ -129,8 +129,9 @@
     out.servers = std::move(part.servers);
     out.all_servers = this->node.directory_listed && part.to_revision == to;
     this->link.send(peer, out);
+    this->sender.on_told(peer, out.from_revision, out.to_revision,
+                         out.config_revision, this->node.now());
   }
-  this->sender.on_told(peer, from, this->known(), this->node.now());
 }
 
 change_sender::state news_relay::known() const {
--- a/test/news-fleet.h
+++ b/test/news-fleet.h
@@ -189,9 +189,10 @@
     auto changes = news_since(n.directory, from, this->now);
     for (auto& part :
          split_news(std::move(changes), most_changes, from, until)) {
+      n.sender.on_told(absl::StrCat(to), part.from_revision, part.to_revision,
+                       0, this->now);
       this->send({i, to, false, asked, 0, std::move(part)});
     }
-    n.sender.on_told(absl::StrCat(to), from, {until, 0}, this->now);
   }
 
   std::vector<node> nodes;
