Read servers' entries by type, and use none of another writer's

Cause: an entry was taken for a server's if it had a service and an address; any state but draining counted as ready, and one that could not be read left the entry known before in force. A node's entry or a lease with a field of another type ended the process. Nodes' entries and the lease are checked; a lease that cannot be read runs out like anyone's and is numbered on. An entry without born is one of before there were any. Tests, which failed on the reader before or did not compile against it: an_entry_that_lacks_a_field..., a_field_of_another_type_or_range..., what_is_no_object_or_far_too_large..., any_spoiled_entry_is_read_or_refused, one_that_cannot_be_read_is_waited_out..., an_entry_of_another_writer.... Left: bytes in the store's answer that are no UTF-8 or nested deep spoil the whole answer; reports and the configuration are read as before.

--- a/include/spokesail/platform-adapter.h
+++ b/include/spokesail/platform-adapter.h
@@ -94,8 +94,10 @@
 
   /// Nothing if the object is not a configuration that can be read.
   virtual std::optional<routing_config> read_config(const object& o) const = 0;
-  /// Nothing if the object is not a server's entry that can be read.
-  virtual std::optional<server_entry> read_server(const object& o) const = 0;
+  /// Nothing if the object names no server to use, since it is not as a server
+  /// writes it; `fault` then says why, in a few fixed words.
+  virtual std::optional<server_entry> read_server(const object& o,
+                                                  std::string& fault) const = 0;
 
   /// Nothing if a value is not of its form; `fault` then says which.
   virtual std::optional<caller_request> read_caller(
--- a/include/spokesail/server-entry.h
+++ b/include/spokesail/server-entry.h
@@ -26,7 +26,7 @@
 
 /// A backend server's entry in the platform.
 struct server_entry {
-  /// Unique over all starts of all servers.
+  /// Of one server at a time; one that starts again may have the same.
   std::string id;
   std::string service;
   /// IP number and port.
@@ -40,11 +40,16 @@
   /// Models whose weights lie on its host.
   std::vector<std::string> staged;
   group_membership membership;
+  /// Tells the starts of one id apart and grows from one to the next; 0 if the
+  /// server does not say.
+  int64_t born = 0;
   bool operator==(const server_entry&) const = default;
 };
 
 /// A server's answer when asked for its state. The load in it lags.
 struct server_report {
+  /// Of the start that answers, as in its entry; 0 if it does not say.
+  int64_t born = 0;
   /// Orders that it has begun since its start.
   int64_t orders_taken = 0;
   bool order_running = false;
--- a/src/document.cc
+++ b/src/document.cc
@@ -20,7 +20,13 @@
 std::vector<std::string> write_ids(const std::string& body) {
   const json spec = json::parse(body, nullptr, false);
   if (!spec.is_object() || !spec.contains(writes_field)) return {};
-  return spec[writes_field].get<std::vector<std::string>>();
+  const json& ids = spec[writes_field];
+  if (!ids.is_array()) return {};
+  std::vector<std::string> out;
+  for (const auto& id : ids) {
+    if (id.is_string()) out.push_back(id.get<std::string>());
+  }
+  return out;
 }
 
 document_write make_write(const object& base, const std::string& spec,
--- a/src/lease.cc
+++ b/src/lease.cc
@@ -16,6 +16,29 @@
   r.renewals = j.value("renewals", int64_t{0});
 }
 
+namespace {
+
+/// Who holds a lease whose entry cannot be read. Somebody may, so that it has
+/// to run out like any other before it is taken over.
+constexpr char unknown_holder[] = "?";
+
+/// Nothing if the text is no lease's record.
+std::optional<lease_record> read_record(const std::string& body) {
+  const json spec = json::parse(body, nullptr, false);
+  if (!spec.is_object()) return std::nullopt;
+  const auto holder = spec.find("holder");
+  if (holder != spec.end() && !holder->is_string()) return std::nullopt;
+  for (const char* name : {"fence", "renewals"}) {
+    const auto number = spec.find(name);
+    if (number != spec.end() && !number->is_number_integer()) {
+      return std::nullopt;
+    }
+  }
+  return spec.get<lease_record>();
+}
+
+}  // namespace
+
 void lease::observe(const object& seen, absl::Time now, double random_unit) {
   if (this->known && seen.version <= this->base.version) return;
   this->take_version(seen, now, random_unit);
@@ -23,11 +46,15 @@
 
 void lease::take_version(const object& seen, absl::Time now,
                          double random_unit) {
-  const json spec = json::parse(seen.body, nullptr, false);
-  if (!spec.is_object()) return;
+  const auto read = read_record(seen.body);
   this->known = true;
   this->base = seen;
-  this->record = spec.get<lease_record>();
+  if (read) {
+    this->record = *read;
+  } else {
+    // The fencing number that is known still counts.
+    this->record.holder = unknown_holder;
+  }
   this->takeover_at = now + random_unit * this->timing.takeover_spread;
   // A lease that was given up need not run out.
   if (!this->record.holder.empty()) this->takeover_at += this->timing.duration;
--- a/src/node-metrics.cc
+++ b/src/node-metrics.cc
@@ -38,6 +38,8 @@
                          "bytes exchanged with other nodes")),
       news_events(counter(registry, "spokesail_news_total",
                           "changes of servers that nodes missed, by event")),
+      unusable_entries(counter(registry, "spokesail_entries_unusable_total",
+                               "servers' entries that name no server to use")),
       events(counter(registry, "spokesail_events_total",
                      "things that happened to streams")),
       state(prometheus::BuildGauge()
@@ -83,6 +85,10 @@
   this->peer_bytes.Add({{"direction", direction}}).Increment(bytes);
 }
 
+void node_metrics::count_unusable_entry(const std::string& why) {
+  this->unusable_entries.Add({{"why", why}}).Increment();
+}
+
 void node_metrics::count_news(const std::string& event) {
   this->news_events.Add({{"event", event}}).Increment();
 }
--- a/src/node-metrics.h
+++ b/src/node-metrics.h
@@ -29,6 +29,8 @@
   /// A group that was given up because it stands still.
   void count_stall();
   void count_peer_bytes(const char* direction, double bytes);
+  /// An entry that names no server to use.
+  void count_unusable_entry(const std::string& why);
   /// Something that kept changes of servers from a node, or brought them again.
   void count_news(const std::string& event);
   /// Times of one request, in seconds.
@@ -57,6 +59,7 @@
   prometheus::Family<prometheus::Counter>& orders;
   prometheus::Family<prometheus::Counter>& peer_bytes;
   prometheus::Family<prometheus::Counter>& news_events;
+  prometheus::Family<prometheus::Counter>& unusable_entries;
   prometheus::Family<prometheus::Counter>& events;
   prometheus::Family<prometheus::Gauge>& state;
   prometheus::Counter& resumed;
--- a/src/peer-link.cc
+++ b/src/peer-link.cc
@@ -149,15 +149,20 @@
 }
 
 void peer_link::take_entry(const object& o) {
-  const auto body = json::parse(o.body, nullptr, false);
+  json body = json::parse(o.body, nullptr, false);
   if (!body.is_object()) return;
+  const json& address = body["address"];
+  const json& hall = body["hall"];
+  const json& cores = body["cores"];
+  if (!address.is_string() || !hall.is_string()) return;
+  if (!cores.is_null() && !cores.is_number()) return;
   boost::system::error_code error;
-  const auto at = parse_endpoint(body.value("address", ""), error);
+  const auto at = parse_endpoint(address.get<std::string>(), error);
   if (error) return;
   peer_node& p = this->peers[o.key.name];
   p.endpoint = udp::endpoint(at.address(), at.port());
-  p.hall = body.value("hall", "");
-  p.cores = body.value("cores", 1.0F);
+  p.hall = hall.get<std::string>();
+  p.cores = cores.is_null() ? 1 : cores.get<float>();
   p.listed = this->node.now();
   // Who is listed when this node starts counts as living until it is silent
   // for as long as any other, so that a relay is found at once.
--- a/src/server-feed.cc
+++ b/src/server-feed.cc
@@ -51,12 +51,19 @@
 void server_feed::take_listing(const object_listing& listing,
                                absl::Time proof) {
   std::map<std::string, listed_server> listed;
+  std::vector<const object*> unusable;
   for (const auto& o : listing.objects) {
-    const auto entry = this->node.adapter.read_server(o);
-    if (entry) listed[entry->id] = {*entry, o.version, absl::InfinitePast()};
+    const auto entry = this->read(o);
+    if (entry) {
+      listed[entry->id] = {*entry, o.version, absl::InfinitePast()};
+    } else {
+      unusable.push_back(&o);
+    }
   }
   this->node.directory.replace(listed, listing.revision,
                                this->keep_missing_until());
+  // They are there and say nothing, so they are not kept as lost ones are.
+  for (const object* o : unusable) this->drop(*o);
   this->node.directory_listed = true;
   this->take_proof(proof);
   this->node.forget_groups();
@@ -108,9 +115,29 @@
                         this->node.now());
 }
 
+std::optional<server_entry> server_feed::read(const object& o) {
+  std::string fault;
+  auto entry = this->node.adapter.read_server(o, fault);
+  if (entry) return entry;
+  this->node.metrics.count_unusable_entry(fault);
+  this->node.log.belief("entry_unusable",
+                        {{"server", o.key.name},
+                         {"rev", absl::StrCat(o.version)},
+                         {"why", fault}},
+                        this->node.now());
+  return entry;
+}
+
+void server_feed::drop(const object& o) {
+  this->node.directory.remove(o.key.name, o.version, absl::InfinitePast());
+}
+
 void server_feed::take_entry(const object& o) {
-  const auto entry = this->node.adapter.read_server(o);
-  if (!entry) return;
+  const auto entry = this->read(o);
+  if (!entry) {
+    this->drop(o);
+    return;
+  }
   this->node.directory.update({*entry, o.version, absl::InfinitePast()});
   this->node.log.belief("server_entry",
                         {{"server", entry->id},
--- a/src/server-feed.h
+++ b/src/server-feed.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <vector>
 
 #include "node-context.h"
@@ -38,6 +39,10 @@
  private:
   void take_entries(const std::vector<object>& objects, int64_t revision);
   void take_entry(const object& o);
+  /// Nothing, with a line that says why, if an entry names no server to use.
+  std::optional<server_entry> read(const object& o);
+  /// Takes note that an entry names no server, whatever it said before.
+  void drop(const object& o);
   /// Takes note that all changes up to a time are known.
   void take_proof(absl::Time proof);
   /// Takes the end of an entry, which counts as there until `keep_until`.
--- a/standin/fleet-standin.cc
+++ b/standin/fleet-standin.cc
@@ -140,7 +140,9 @@
   auto& known = this->kinds["servers"];
   const auto& servers = this->emulator.directory().servers();
   for (const auto& [id, server] : servers) {
-    const json spec = entry_json(server.entry);
+    const auto spoiled = this->faults.spoiled_entries.find(id);
+    const bool own = spoiled == this->faults.spoiled_entries.end();
+    const json spec = own ? entry_json(server.entry) : spoiled->second;
     const auto found = known.find(id);
     if (found != known.end() && found->second.spec == spec) continue;
     this->put("servers", id, spec);
--- a/standin/fleet-standin.h
+++ b/standin/fleet-standin.h
@@ -37,6 +37,8 @@
   bool cross_plain_answers = false;
   /// Streams are reset after this many events; 0 for none.
   int break_after_events = 0;
+  /// What another writer leaves in place of servers' entries, by id.
+  std::map<std::string, nlohmann::json> spoiled_entries;
   /// Streams of one head fall silent.
   std::string silent_head;
 };
--- a/test/fleet-adapter-test.cc
+++ b/test/fleet-adapter-test.cc
@@ -5,6 +5,9 @@
 #include <rapidcheck/gtest.h>
 
 #include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
+#include <vector>
 
 namespace spokesail {
 namespace {
@@ -79,25 +82,132 @@
   EXPECT_FALSE(config->routes[0].repeatable);
 }
 
+/// An entry as a server writes it.
+json good_entry() {
+  return {{"service", "x"},
+          {"addr", "10.0.0.1:80"},
+          {"zone", "z"},
+          {"version", "v1"},
+          {"slots", 22},
+          {"state", "draining"},
+          {"cold_left_ms", 0},
+          {"seq", 44},
+          {"born", 1780000000123},
+          {"domain", "d"},
+          {"staged", {"m"}},
+          {"group",
+           {{"name", "m.5"}, {"epoch", 5}, {"rank", 1}, {"state", "ready"}}}};
+}
+
+/// Why an entry names no server; empty if it names one.
+std::string fault_of(const json& spec) {
+  std::string fault;
+  const auto entry =
+      adapter->read_server(object_of("servers", "i-1", spec), fault);
+  EXPECT_EQ(entry.has_value(), fault.empty());
+  return fault;
+}
+
 TEST(fleet_adapter, reads_a_servers_word_on_its_group) {
-  const json spec = {
-      {"service", "x"},
-      {"addr", "10.0.0.1:80"},
-      {"zone", "z"},
-      {"state", "draining"},
-      {"seq", 44},
-      {"domain", "d"},
-      {"staged", {"m"}},
-      {"group",
-       {{"name", "m.5"}, {"epoch", 5}, {"rank", 1}, {"state", "ready"}}}};
-  const auto entry = adapter->read_server(object_of("servers", "i-1", spec));
+  std::string fault;
+  const auto entry =
+      adapter->read_server(object_of("servers", "i-1", good_entry()), fault);
   ASSERT_TRUE(entry);
+  EXPECT_EQ(fault, "");
   EXPECT_EQ(entry->id, "i-1");
+  EXPECT_EQ(entry->born, 1780000000123);
   EXPECT_TRUE(entry->draining);
   EXPECT_EQ(entry->membership,
             (group_membership{"m.5", 5, 1, member_phase::ready}));
 }
 
+TEST(fleet_adapter, an_entry_that_lacks_a_field_names_no_server) {
+  for (const char* name : {"service", "addr", "zone", "version", "slots",
+                           "state", "cold_left_ms", "seq"}) {
+    json spec = good_entry();
+    spec.erase(name);
+    EXPECT_EQ(fault_of(spec), name);
+  }
+}
+
+/// Entries of plain services have none of these; those of before servers told
+/// their starts apart have no `born`.
+TEST(fleet_adapter, what_only_some_servers_say_may_be_absent) {
+  for (const char* name : {"domain", "staged", "group", "born"}) {
+    json spec = good_entry();
+    spec.erase(name);
+    EXPECT_EQ(fault_of(spec), "");
+  }
+  json spec = good_entry();
+  spec["group"] = {{"name", ""}, {"epoch", 0}, {"rank", 0}, {"state", ""}};
+  EXPECT_EQ(fault_of(spec), "");
+}
+
+TEST(fleet_adapter, a_field_of_another_type_or_range_names_no_server) {
+  const std::vector<std::pair<const char*, json>> wrong = {
+      {"service", 7},
+      {"service", ""},
+      {"addr", "nowhere"},
+      {"addr", "10.0.0.1"},
+      {"addr", "10.0.0.1:0"},
+      {"addr", "10.0.0.1:70000"},
+      {"zone", nullptr},
+      {"version", 3},
+      {"slots", "22"},
+      {"slots", -1},
+      {"slots", 1.5},
+      {"slots", 1e300},
+      {"state", "resting"},
+      {"state", true},
+      {"cold_left_ms", "no"},
+      {"seq", {1}},
+      {"born", 0},
+      {"born", -5},
+      {"born", 1.5},
+      {"born", "1780000000123"},
+      {"born", 1e300},
+      {"domain", 4},
+      {"staged", "m"},
+      {"staged", {"m", 4}},
+      {"group", "m.5"},
+      {"group", {{"name", "m.5"}, {"epoch", 5}, {"rank", 1}}},
+      {"group",
+       {{"name", "m.5"}, {"epoch", 5}, {"rank", 1}, {"state", "asleep"}}},
+      {"group",
+       {{"name", "m.5"}, {"epoch", 5}, {"rank", -1}, {"state", "ready"}}}};
+  for (const auto& [name, value] : wrong) {
+    json spec = good_entry();
+    spec[name] = value;
+    EXPECT_EQ(fault_of(spec), name) << value;
+  }
+}
+
+TEST(fleet_adapter, what_is_no_object_or_far_too_large_names_no_server) {
+  EXPECT_EQ(fault_of(nullptr), "not an object");
+  EXPECT_EQ(fault_of(json::array({1, 2})), "not an object");
+  json spec = good_entry();
+  spec["note"] = std::string(1 << 20, 'x');
+  EXPECT_EQ(fault_of(spec), "too large");
+  std::string fault;
+  object cut = object_of("servers", "i-1", good_entry());
+  cut.body.resize(cut.body.size() / 2);
+  EXPECT_FALSE(adapter->read_server(cut, fault));
+  EXPECT_EQ(fault, "not an object");
+}
+
+/// Whatever bytes stand there, an entry or a reason comes back.
+RC_GTEST_PROP(fleet_adapter, any_spoiled_entry_is_read_or_refused, ()) {
+  object o = object_of("servers", "i-1", good_entry());
+  const int changes = *rc::gen::inRange(1, 6);
+  for (int i = 0; i < changes; ++i) {
+    const auto at = *rc::gen::inRange<size_t>(0, o.body.size());
+    o.body[at] = static_cast<char>(*rc::gen::inRange(0, 256));
+  }
+  std::string fault;
+  const auto entry = adapter->read_server(o, fault);
+  RC_ASSERT(entry.has_value() == fault.empty());
+}
+
 TEST(fleet_adapter, takes_the_number_of_orders_from_the_report) {
   http_response answer(http::status::ok, 11);
   answer.body() = R"({"seq":4,"running":12,"waiting":1,"busy":true})";
@@ -194,7 +304,8 @@
   const json any = any_json(4);
   const object o = object_of("any", "x", any);
   adapter->read_config(o);
-  adapter->read_server(o);
+  std::string fault;
+  adapter->read_server(o, fault);
   http_response answer(http::status::ok, 11);
   answer.body() = any.dump();
   adapter->read_report(answer);
--- a/test/lease-test.cc
+++ b/test/lease-test.cc
@@ -137,6 +137,24 @@
   EXPECT_TRUE(own.released());
 }
 
+/// Another writer's bytes, which would otherwise end the process or leave the
+/// lease to nobody for good.
+TEST(lease, one_that_cannot_be_read_is_waited_out_and_numbered_higher) {
+  for (const std::string body :
+       {"[]", "no object", R"({"holder":7})", R"({"fence":"x"})",
+        R"({"holder":"b","fence":9,"renewals":1.5})"}) {
+    lease own("hall", "a", timing);
+    own.observe(lease_object("b", 4, 7), start, 0);
+    own.observe({{kinds::lease, "hall"}, 8, body, false}, start, 0);
+    EXPECT_FALSE(own.due(start + timing.duration - absl::Milliseconds(1), "w"));
+    const auto call = own.due(start + timing.duration, "w");
+    ASSERT_TRUE(call) << body;
+    EXPECT_EQ(call->base_version, 8);
+    own.on_answer(took(*call, 9), start + timing.duration, 0);
+    EXPECT_EQ(own.fence(), 5);
+  }
+}
+
 TEST(lease, one_that_another_took_is_not_released) {
   lease own("hall", "a", timing);
   own.observe_absent(start);
--- a/test/node-test.cc
+++ b/test/node-test.cc
@@ -448,6 +448,34 @@
             lists);
 }
 
+/// From the revision at which it was spoiled, whatever it said before.
+TEST_F(node_test, an_entry_of_another_writer_names_no_server) {
+  this->start(2);
+  const std::string id =
+      this->on_loop([this] { return this->fleet->serving_head("large"); });
+  const auto known = [&](bool expected) {
+    return this->wait_until([&] {
+      return std::all_of(this->nodes.begin(), this->nodes.end(),
+                         [&](const auto& node) {
+                           const auto& all = node->context().directory;
+                           return (all.find(id) != nullptr) == expected;
+                         });
+    });
+  };
+  ASSERT_TRUE(known(true));
+  this->on_loop([&] {
+    this->fleet->faults.spoiled_entries[id] = {{"service", 7}};
+    return 0;
+  });
+  EXPECT_TRUE(known(false));
+  EXPECT_EQ(this->ask(request("r1", "/look/a")).result_int(), 200U);
+  this->on_loop([&] {
+    this->fleet->faults.spoiled_entries.clear();
+    return 0;
+  });
+  EXPECT_TRUE(known(true));
+}
+
 TEST_F(node_test, few_nodes_watch_the_store) {
   this->start(3);
   EXPECT_TRUE(this->wait_until([this] {
