Tell the starts of a server apart that has the same id

Cause: a server may start again under the id that it had; born, which tells its starts apart, was read nowhere. The controller drops what it knew of the earlier start (orders counted, model run last, silence, orders under way) at the first entry or report of the later one, and does not believe a report of an earlier. That a model run last in an earlier start was taken for cheap to join again was read, not shown. Left: what nodes hold against a server by its id for a second (avoid, suspects), kept connections, learned service times.

--- a/include/spokesail/group-controller.h
+++ b/include/spokesail/group-controller.h
@@ -162,6 +162,8 @@
  private:
   /// What is known of one server beyond its entry in the directory.
   struct server_track {
+    /// The start that all else here is about; 0 if it is not known.
+    int64_t born = 0;
     /// Orders it has begun, by its own count; nothing until it has been asked.
     std::optional<int64_t> orders_taken;
     /// The order that has no result yet.
@@ -186,6 +188,9 @@
     /// The group that it was told to leave as its head.
     std::string leads;
   };
+  /// Drops what was known of a server whose report is of a later start.
+  void take_restart(server_track& track, const server_report& report,
+                    absl::Time now);
   /// A group that this holder has decided to form.
   struct group_plan {
     std::string service;
--- a/src/group-controller.cc
+++ b/src/group-controller.cc
@@ -149,6 +149,12 @@
     track.probe_at = now + this->options.retry_probe;
     return;
   }
+  if (report->born != 0 && report->born < track.born) {
+    // It was under way when the server started again.
+    track.probe_at = now;
+    return;
+  }
+  if (report->born > track.born) this->take_restart(track, *report, now);
   track.silent = false;
   track.probe_at = absl::InfiniteFuture();
   if (!track.pending) track.orders_taken = report->orders_taken;
@@ -157,6 +163,18 @@
   if (track.order_running) track.probe_at = now + busy_wait;
 }
 
+void group_controller::take_restart(server_track& track,
+                                    const server_report& report,
+                                    absl::Time now) {
+  const bool known_before = track.born != 0;
+  if (known_before) track = server_track();
+  track.born = report.born;
+  if (!known_before) return;
+  // Its entry may still be that of the earlier start.
+  track.assumed = report.membership;
+  track.assumed_until = now + this->options.assume_time;
+}
+
 std::vector<std::string> group_controller::silent_servers() const {
   std::vector<std::string> out;
   for (const auto& [id, track] : this->tracks) {
@@ -176,6 +194,11 @@
   for (const auto& [id, server] : directory.servers()) {
     if (server.entry.domain.empty()) continue;
     server_track& track = this->tracks[id];
+    // A later start knows of no order and belongs to no group.
+    if (server.entry.born > track.born) {
+      if (track.born != 0) track = server_track();
+      track.born = server.entry.born;
+    }
     if (track.assumed && (now >= track.assumed_until ||
                           confirms(server.entry.membership, *track.assumed))) {
       track.assumed.reset();
--- a/standin/fleet-emulator.cc
+++ b/standin/fleet-emulator.cc
@@ -37,6 +37,7 @@
   s.entry.hall = hall;
   s.entry.domain = domain;
   const std::string id = s.entry.id;
+  s.entry.born = absl::ToUnixMillis(now);
   this->servers[id] = s;
   this->publish(this->servers[id], now);
   return id;
@@ -55,6 +56,17 @@
   this->pending.push_back({now + this->timing.lapse, listed, true});
 }
 
+void fleet_emulator::restart(const std::string& id, absl::Time now) {
+  server& s = this->servers.at(id);
+  server next;
+  next.entry = s.entry;
+  next.entry.membership = {};
+  next.entry.draining = false;
+  next.entry.born = absl::ToUnixMillis(now);
+  s = next;
+  this->publish(s, now);
+}
+
 void fleet_emulator::set_dark(const std::string& id, bool dark) {
   this->servers.at(id).dark = dark;
 }
@@ -312,6 +324,7 @@
     return std::nullopt;
   }
   server_report out;
+  out.born = found->second.entry.born;
   out.orders_taken = found->second.orders;
   out.order_running = !found->second.loading.empty();
   out.membership = found->second.entry.membership;
--- a/standin/fleet-emulator.h
+++ b/standin/fleet-emulator.h
@@ -55,6 +55,10 @@
   /// Kills a server; its entry goes after the lapse.
   void kill(const std::string& id, absl::Time now);
 
+  /// Has a server crash and start again at once under the id that it had, with
+  /// what lies on its host.
+  void restart(const std::string& id, absl::Time now);
+
   /// Cuts a server off from callers and from its group, or heals the cut.
   void set_dark(const std::string& id, bool dark);
 
--- a/test/group-controller-test.cc
+++ b/test/group-controller-test.cc
@@ -132,6 +132,53 @@
   EXPECT_TRUE(run.fleet.breaches().empty());
 }
 
+/// Its count of orders starts anew and it belongs to no group, whether its
+/// entry or its report is the first to say so.
+TEST(group_controller, a_member_that_starts_again_under_its_id_is_replaced) {
+  for (const bool noticed : {false, true}) {
+    fleet_run run = standing_fleet(2, idle_spares());
+    const std::string id = member_of(run, "large", 2);
+    const std::string group = run.fleet.directory().find(id)->membership.group;
+    run.fleet.restart(id, run.now);
+    if (noticed) run.notice(id);
+    run.run_for(absl::Seconds(6));
+    EXPECT_EQ(run.fleet.serving("large"), 6);
+    EXPECT_TRUE(run.fleet.breaches().empty());
+    for (const auto& [name, server] : run.fleet.directory().servers()) {
+      const group_membership& said = server.entry.membership;
+      EXPECT_FALSE(said.group == group && said.phase == member_phase::open);
+    }
+    // It takes orders again, by its new count.
+    const std::string other = member_of(run, "large", 1);
+    run.fleet.kill(other, run.now);
+    run.notice(other);
+    run.run_for(absl::Seconds(40));
+    EXPECT_EQ(run.fleet.serving("large"), 6);
+  }
+}
+
+/// An answer that was under way when the server started again.
+TEST(group_controller, a_report_of_an_earlier_start_is_not_believed) {
+  constexpr int64_t earlier_orders = 77;
+  fleet_run run = standing_fleet(3, idle_spares());
+  const std::string id = member_of(run, "large", 2);
+  server_report late = *run.fleet.report(id);
+  late.orders_taken = earlier_orders;
+  run.fleet.restart(id, run.now);
+  run.run_for(absl::Milliseconds(80));
+  run.controller.on_report(id, late, run.now);
+  const absl::Time until = run.now + absl::Seconds(6);
+  while (run.now < until) {
+    run.step();
+    for (const auto& a : run.answers) {
+      EXPECT_FALSE(a.order.server == id &&
+                   a.order.expected_orders == earlier_orders);
+    }
+  }
+  EXPECT_EQ(run.fleet.serving("large"), 6);
+  EXPECT_TRUE(run.fleet.breaches().empty());
+}
+
 /// The load of the first holder of a large fleet, in which all hosts are to
 /// join groups at once.
 TEST(group_controller, orders_a_large_fleet_in_a_window) {
--- a/test/server-directory-test.cc
+++ b/test/server-directory-test.cc
@@ -133,6 +133,24 @@
       group_of({server("a", 1, 0, member_phase::open), old}).serving());
 }
 
+/// A start under the same id: a word of the earlier start never brings it back,
+/// and one that does not tell its start counts by its revision alone.
+TEST(server_directory, a_late_word_of_an_earlier_start_is_not_taken) {
+  server_directory directory;
+  const auto born = [](int64_t when, int64_t revision) {
+    listed_server out = server("a", revision);
+    out.entry.born = when;
+    return out;
+  };
+  EXPECT_TRUE(directory.update(born(5, 1)));
+  EXPECT_TRUE(directory.update(born(9, 2)));
+  EXPECT_FALSE(directory.update(born(5, 3)));
+  EXPECT_EQ(directory.find("a")->born, 9);
+  EXPECT_TRUE(directory.update(born(9, 4)));
+  EXPECT_TRUE(directory.update(born(0, 5)));
+  EXPECT_EQ(directory.find("a")->born, 0);
+}
+
 TEST(collect_groups, a_senseless_rank_is_not_believed) {
   EXPECT_EQ(group_of({server("a", 1, -1, member_phase::open)}).name, "");
   EXPECT_EQ(group_of({server("a", 1, 1 << 30, member_phase::open)}).name, "");
