--- a/include/spokesail/group-controller.h
+++ b/include/spokesail/group-controller.h
@@ -163,7 +163,7 @@
   /// What is known of one server beyond its entry in the directory.
   struct server_track {
     /// The start that all else here is about; 0 if it is not known.
-    int64_t born = 0;
+    int64_t incarnation = 0;
     /// Orders it has begun, by its own count; nothing until it has been asked.
     std::optional<int64_t> orders_taken;
     /// The order that has no result yet.
--- a/include/spokesail/server-entry.h
+++ b/include/spokesail/server-entry.h
@@ -42,14 +42,14 @@
   group_membership membership;
   /// Tells the starts of one id apart and grows from one to the next; 0 if the
   /// server does not say.
-  int64_t born = 0;
+  int64_t incarnation = 0;
   bool operator==(const server_entry&) const = default;
 };
 
 /// A server's answer when asked for its state. The load in it lags.
 struct server_report {
   /// Of the start that answers, as in its entry; 0 if it does not say.
-  int64_t born = 0;
+  int64_t incarnation = 0;
   /// Orders that it has begun since its start.
   int64_t orders_taken = 0;
   bool order_running = false;
--- a/src/group-controller.cc
+++ b/src/group-controller.cc
@@ -149,12 +149,13 @@
     track.probe_at = now + this->options.retry_probe;
     return;
   }
-  if (report->born != 0 && report->born < track.born) {
+  if (report->incarnation != 0 && report->incarnation < track.incarnation) {
     // It was under way when the server started again.
     track.probe_at = now;
     return;
   }
-  if (report->born > track.born) this->take_restart(track, *report, now);
+  if (report->incarnation > track.incarnation)
+    this->take_restart(track, *report, now);
   track.silent = false;
   track.probe_at = absl::InfiniteFuture();
   if (!track.pending) track.orders_taken = report->orders_taken;
@@ -166,9 +167,9 @@
 void group_controller::take_restart(server_track& track,
                                     const server_report& report,
                                     absl::Time now) {
-  const bool known_before = track.born != 0;
+  const bool known_before = track.incarnation != 0;
   if (known_before) track = server_track();
-  track.born = report.born;
+  track.incarnation = report.incarnation;
   if (!known_before) return;
   // Its entry may still be that of the earlier start.
   track.assumed = report.membership;
@@ -195,9 +196,9 @@
     if (server.entry.domain.empty()) continue;
     server_track& track = this->tracks[id];
     // A later start knows of no order and belongs to no group.
-    if (server.entry.born > track.born) {
-      if (track.born != 0) track = server_track();
-      track.born = server.entry.born;
+    if (server.entry.incarnation > track.incarnation) {
+      if (track.incarnation != 0) track = server_track();
+      track.incarnation = server.entry.incarnation;
     }
     if (track.assumed && (now >= track.assumed_until ||
                           confirms(server.entry.membership, *track.assumed))) {
--- a/src/node-message.capnp
+++ b/src/node-message.capnp
@@ -65,7 +65,7 @@
   rank @13 :UInt32;
   phase @14 :UInt8;
   # Tells the starts of one id apart; 0 if it is not known.
-  born @15 :Int64;
+  incarnation @15 :Int64;
 }
 
 struct News {
--- a/src/node-message.cc
+++ b/src/node-message.cc
@@ -98,7 +98,7 @@
   out.setEpoch(entry.membership.epoch);
   out.setRank(entry.membership.rank);
   out.setPhase(static_cast<uint8_t>(entry.membership.phase));
-  out.setBorn(entry.born);
+  out.setIncarnation(entry.incarnation);
 }
 
 member_phase read_phase(uint8_t phase) {
@@ -124,7 +124,7 @@
   entry.membership.epoch = in.getEpoch();
   entry.membership.rank = static_cast<int>(in.getRank());
   entry.membership.phase = read_phase(in.getPhase());
-  entry.born = in.getBorn();
+  entry.incarnation = in.getIncarnation();
   return out;
 }
 
--- a/src/server-directory.cc
+++ b/src/server-directory.cc
@@ -88,8 +88,9 @@
     if (known->second.revision > server.revision) return false;
     if (known->second.revision == server.revision && !lapsing) return false;
     // A late word of an earlier start, whatever brought it.
-    const int64_t born = server.entry.born;
-    if (born != 0 && born < known->second.entry.born) return false;
+    const int64_t incarnation = server.entry.incarnation;
+    if (incarnation != 0 && incarnation < known->second.entry.incarnation)
+      return false;
   }
   this->erase(id);
   this->by_id[id] = server;
--- a/standin/fleet-emulator.cc
+++ b/standin/fleet-emulator.cc
@@ -37,7 +37,7 @@
   s.entry.hall = hall;
   s.entry.domain = domain;
   const std::string id = s.entry.id;
-  s.entry.born = absl::ToUnixMillis(now);
+  s.entry.incarnation = absl::ToUnixMillis(now);
   this->servers[id] = s;
   this->publish(this->servers[id], now);
   return id;
@@ -62,7 +62,7 @@
   next.entry = s.entry;
   next.entry.membership = {};
   next.entry.draining = false;
-  next.entry.born = absl::ToUnixMillis(now);
+  next.entry.incarnation = absl::ToUnixMillis(now);
   s = next;
   this->publish(s, now);
 }
@@ -324,7 +324,7 @@
     return std::nullopt;
   }
   server_report out;
-  out.born = found->second.entry.born;
+  out.incarnation = found->second.entry.incarnation;
   out.orders_taken = found->second.orders;
   out.order_running = !found->second.loading.empty();
   out.membership = found->second.entry.membership;
--- a/test/fleet-adapter-test.cc
+++ b/test/fleet-adapter-test.cc
@@ -115,7 +115,7 @@
   ASSERT_TRUE(entry);
   EXPECT_EQ(fault, "");
   EXPECT_EQ(entry->id, "i-1");
-  EXPECT_EQ(entry->born, 1780000000123);
+  EXPECT_EQ(entry->incarnation, 1780000000123);
   EXPECT_TRUE(entry->draining);
   EXPECT_EQ(entry->membership,
             (group_membership{"m.5", 5, 1, member_phase::ready}));
--- a/test/node-message-test.cc
+++ b/test/node-message-test.cc
@@ -11,7 +11,7 @@
   server.entry = {"s1",   "lm",      "10.0.0.1:80",
                   "hall", "d0",      8,
                   true,   {"large"}, {"large.7", 7, 1, member_phase::open}};
-  server.entry.born = 1780000000123;
+  server.entry.incarnation = 1780000000123;
   server.revision = 12;
   return server;
 }
--- a/test/server-directory-test.cc
+++ b/test/server-directory-test.cc
@@ -137,18 +137,18 @@
 /// and one that does not tell its start counts by its revision alone.
 TEST(server_directory, a_late_word_of_an_earlier_start_is_not_taken) {
   server_directory directory;
-  const auto born = [](int64_t when, int64_t revision) {
+  const auto start_of = [](int64_t incarnation, int64_t revision) {
     listed_server out = server("a", revision);
-    out.entry.born = when;
+    out.entry.incarnation = incarnation;
     return out;
   };
-  EXPECT_TRUE(directory.update(born(5, 1)));
-  EXPECT_TRUE(directory.update(born(9, 2)));
-  EXPECT_FALSE(directory.update(born(5, 3)));
-  EXPECT_EQ(directory.find("a")->born, 9);
-  EXPECT_TRUE(directory.update(born(9, 4)));
-  EXPECT_TRUE(directory.update(born(0, 5)));
-  EXPECT_EQ(directory.find("a")->born, 0);
+  EXPECT_TRUE(directory.update(start_of(5, 1)));
+  EXPECT_TRUE(directory.update(start_of(9, 2)));
+  EXPECT_FALSE(directory.update(start_of(5, 3)));
+  EXPECT_EQ(directory.find("a")->incarnation, 9);
+  EXPECT_TRUE(directory.update(start_of(9, 4)));
+  EXPECT_TRUE(directory.update(start_of(0, 5)));
+  EXPECT_EQ(directory.find("a")->incarnation, 0);
 }
 
 TEST(collect_groups, a_senseless_rank_is_not_believed) {
