Ask last whether others hear from a node

Cause: watches_store is asked for each message to a follower, and looked through the node's whole hall each time since the age of servers counts there. Change: only where the answer hangs on it. Same decisions.

--- a/src/news-relay.cc
+++ b/src/news-relay.cc
@@ -76,8 +76,12 @@
   news_age known = this->node.age();
   // What its relay is about to tell is not late yet.
   if (this->awaits_servers()) known.servers = absl::ZeroDuration();
-  return must_watch(known, this->node.settings.bounds,
-                    {this->confirmed, this->relied_on()});
+  const news_bounds& bounds = this->node.settings.bounds;
+  if (must_watch(known, bounds, {this->confirmed, false})) return true;
+  // Whether others hear from this node takes a look at its whole hall, and this
+  // is asked for each message.
+  return must_watch(known, bounds, {this->confirmed, true}) &&
+         this->relied_on();
 }
 
 bool news_relay::awaits_servers() const {
--- a/src/news-relay.h
+++ b/src/news-relay.h
@@ -16,10 +16,11 @@
 
 /// The holder of the controller's lease watches the store and passes on what it
 /// learns, down a tree of each data hall's nodes (see relay-choice.h). The
-/// holder's own word goes the same way. The age of a
-/// relay's knowledge counts from when it was asked, so that a late answer is
-/// never taken for a fresh one. A node whose relay does not answer, or does not
-/// know better, asks the next, and in the end watches the store itself.
+/// holder's own word goes the same way. The age of a relay's knowledge, of the
+/// configuration and of the servers, counts from when it was asked, so that a
+/// late answer is never taken for a fresh one. A node whose relay does not
+/// answer, or does not know better, asks the next, and in the end watches the
+/// store itself (see news-age.h).
 class news_relay {
  public:
   news_relay(node_context& node, peer_link& link) : node(node), link(link) {}
