--- a/src/request-run.cc
+++ b/src/request-run.cc
@@ -69,6 +69,19 @@
   return this->deadline - this->node.now();
 }
 
+const request_identity& request_run::identity() {
+  if (!this->known_identity) {
+    const auto host = this->request[http::field::host];
+    const auto target = this->request.target();
+    const auto method = this->request.method_string();
+    this->known_identity = identify_request(
+        this->workspace == nullptr ? "" : this->workspace->name,
+        {method.data(), method.size()}, {host.data(), host.size()},
+        {target.data(), target.size()}, this->request.body());
+  }
+  return *this->known_identity;
+}
+
 net::awaitable<void> request_run::wait_for_start() {
   const absl::Time until = this->arrived + start_wait;
   const auto started = [this] {
@@ -353,6 +366,7 @@
   this->node.log.write(
       log_weight::request, "attempt_ended",
       {{"id", this->info.id},
+       {"identity", to_text(this->identity())},
        {"end", end},
        {"why",
         ex.aborted == abort_cause::none ? error : abort_cause_name(ex.aborted)},
@@ -404,6 +418,7 @@
        {"place_running", absl::StrCat(this->chosen.running)},
        {"predicted_ms",
         absl::StrCat(static_cast<int>(this->chosen.predicted_ms))},
+       {"identity", this->known_identity ? to_text(*this->known_identity) : ""},
        {"sends", absl::StrCat(this->sends)},
        {"runs", absl::StrCat(this->runs)},
        {"repeats_left", absl::StrCat(this->repeats_left())},
--- a/src/request-run.h
+++ b/src/request-run.h
@@ -12,6 +12,7 @@
 #include "event-splitter.h"
 #include "exchange.h"
 #include "node-context.h"
+#include "spokesail/request-identity.h"
 
 namespace spokesail {
 
@@ -93,6 +94,9 @@
   /// Answers without a server. Returns whether the connection may be used on.
   boost::asio::awaitable<bool> answer(refusal r);
   absl::Duration time_left() const;
+  /// What the request is over all its attempts; read from its whole content
+  /// when it is first asked for, since few requests need it.
+  const request_identity& identity();
   void log_attempt(const exchange& ex, const char* end,
                    const std::string& error);
   int repeats_left();
@@ -160,6 +164,7 @@
   /// Null for plain services.
   const model_profile* model = nullptr;
   caller_request info;
+  std::optional<request_identity> known_identity;
   absl::Time deadline = absl::InfiniteFuture();
 
   /// Servers that it was sent to.
