--- /dev/null
+++ b/include/spokesail/crash-ledger.h
@@ -0,0 +1,106 @@
+// Which requests crash the servers that run them, as far as one node knows.
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "spokesail/crash-evidence.h"
+
+namespace spokesail {
+
+/// Stands for one start of a server.
+uint64_t server_start(const std::string& server, int64_t incarnation);
+
+/// Counts the servers that ended under each request, and quarantines a request
+/// once so many did that it must be the cause. Times are the caller's; nothing
+/// here waits or sends.
+///
+/// A group runs many requests when it crashes and only one is guilty, and
+/// servers end for causes of their own, so that three things clear a request: a
+/// run that got further than where servers ended, a whole answer, and another
+/// request that ran on the same servers and on more that ended.
+class crash_ledger {
+ public:
+  /// Servers that have to end under a request. Two is what a caller's attempt
+  /// may meet by chance while hosts fail one after the other.
+  static constexpr size_t proof = 3;
+  /// A request is remembered for this long after a server last ended under it,
+  /// or it passed. Long enough for callers that come back after minutes; a
+  /// release may have mended what it ran into. Chosen, not measured.
+  static constexpr absl::Duration memory = absl::Minutes(30);
+  /// Requests that are remembered at most, 1 KB each or less.
+  static constexpr size_t most_requests = 8192;
+  /// The part of them that may belong to one workspace, so that none can push
+  /// out what is known of the others' requests.
+  static constexpr size_t workspace_share = 4;
+
+  /// Takes note that a server ended under a request that had come so far.
+  void add_crash(const request_identity& request, uint64_t server,
+                 int64_t point, absl::Time now);
+
+  /// Takes note that a run got so far. Requests under which no server ended
+  /// are not remembered by it.
+  void add_progress(const request_identity& request, int64_t point,
+                    absl::Time now);
+
+  /// Takes what another node knows of a request.
+  void take(const crash_news& said, absl::Time now);
+
+  /// Whether a request is not to be sent to any server.
+  bool quarantined(const request_identity& request) const;
+
+  /// How long a request stays quarantined if nothing clears it.
+  absl::Duration remaining(const request_identity& request,
+                           absl::Time now) const;
+
+  /// Servers that ended under a request, as it counts by itself.
+  size_t count(const request_identity& request) const;
+
+  /// What to tell of a request; nothing if it is not remembered.
+  std::optional<crash_news> tell(const request_identity& request,
+                                 absl::Time now) const;
+
+  /// All requests under which enough servers ended, in order.
+  const std::set<request_identity>& proved() const { return this->guilty; }
+
+  /// A hash of these, the same on all nodes that know the same.
+  uint64_t digest() const;
+
+  /// Requests that this node has learned something of, or knows better than
+  /// one that told it, since this was last asked.
+  std::vector<request_identity> take_changes();
+
+  /// Forgets what is too old.
+  void expire(absl::Time now);
+
+  bool empty() const { return this->records.empty(); }
+  size_t size() const { return this->records.size(); }
+
+ private:
+  struct record {
+    crash_evidence evidence;
+    absl::Time seen = absl::InfinitePast();
+  };
+  /// Replaces what is known of a request.
+  void put(const request_identity& request, record next);
+  /// Makes room for one more request of a workspace.
+  void make_room(uint64_t workspace);
+  /// Drops the request of a workspace that matters least.
+  void drop_least(uint64_t workspace);
+  /// Whether a request whose count is greater ran on the server too.
+  bool explained(const request_identity& request, uint64_t server) const;
+
+  std::map<request_identity, record> records;
+  /// Remembered requests by workspace.
+  std::map<uint64_t, size_t> by_workspace;
+  std::set<request_identity> guilty;
+  std::set<request_identity> changes;
+};
+
+}  // namespace spokesail
--- /dev/null
+++ b/src/crash-check.h
@@ -0,0 +1,29 @@
+// Finds out whether a server ended under a request.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <cstdint>
+#include <string>
+
+#include "exchange.h"
+#include "spokesail/request-identity.h"
+
+namespace spokesail {
+
+/// A run whose server broke off, or whose group fell silent.
+struct lost_run {
+  request_identity request;
+  request_place place;
+  /// The last event that the run had passed on, of the request as a whole.
+  int64_t point = -1;
+  /// A member of the group that was found not to answer; empty if none was.
+  std::string silent_member;
+};
+
+/// Asks the run's server whether it lives. If it does not, or has started anew,
+/// this is held against the request in the node's ledger: a connection that
+/// breaks proves nothing by itself. Only that server, or the silent member, is
+/// taken for the one that ended.
+boost::asio::awaitable<void> check_crash(node_context& node, lost_run run);
+
+}  // namespace spokesail
--- /dev/null
+++ b/src/crash-gossip.h
@@ -0,0 +1,45 @@
+// Tells other nodes of requests that crash servers, and hears of them.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <set>
+#include <string>
+
+#include "peer-link.h"
+#include "spokesail/crash-spread.h"
+
+namespace spokesail {
+
+/// Passes what this node learns on, and asks others now and then whether they
+/// know the same: at once after a start or a suspension, and again and again
+/// for nodes that were cut off while others counted.
+class crash_gossip {
+ public:
+  crash_gossip(node_context& node, peer_link& link)
+      : node(node), link(link), spread(node.settings.node) {}
+
+  /// Tells and asks until the process ends.
+  boost::asio::awaitable<void> run();
+
+  /// Takes what a peer says.
+  void take(const std::string& peer, const crash_report& said);
+
+ private:
+  void tell(const std::vector<std::string>& peers, absl::Time now);
+  /// Asks one peer, if it is time to.
+  void ask(const std::vector<std::string>& peers, absl::Time now);
+  /// Sends a peer all that is proved.
+  void answer(const std::string& peer, absl::Time now);
+  /// Writes down which requests have come into quarantine, or out of it.
+  void log_changes(absl::Time now);
+
+  node_context& node;
+  peer_link& link;
+  crash_spread spread;
+  absl::Time asked = absl::InfinitePast();
+  /// Whether a peer has answered since this node started.
+  bool answered = false;
+  std::set<request_identity> quarantined;
+};
+
+}  // namespace spokesail
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -26,6 +26,8 @@
   int64_t epoch = 0;
   /// Members of the group, to ask when it falls silent.
   std::vector<std::string> members;
+  /// Start of the server, by its entry; 0 if it is not known.
+  int64_t incarnation = 0;
 
   /// What its load is counted under.
   const std::string& load_key() const {
@@ -84,6 +86,10 @@
   bool reused = false;
   /// Why it was broken off; none if it was not.
   abort_cause aborted = abort_cause::none;
+  /// Whether its server ended it before its time, by a break or by silence.
+  bool lost = false;
+  /// A member of its group that did not answer; empty if none was found.
+  std::string lost_member;
   /// When it is broken off, whatever it waits for.
   absl::Time limit = absl::InfiniteFuture();
   /// Whether it is the caller that is waited for.
--- a/src/node-context.h
+++ b/src/node-context.h
@@ -19,6 +19,7 @@
 #include "node-message.h"
 #include "node-metrics.h"
 #include "node-settings.h"
+#include "spokesail/crash-ledger.h"
 #include "spokesail/engine-model.h"
 #include "spokesail/load-table.h"
 #include "spokesail/news-age.h"
@@ -89,6 +90,8 @@
 
   load_table loads;
   repeat_budget repeats;
+  /// Requests under which servers ended.
+  crash_ledger crashes;
   /// Nodes that live, this one included, as far as it knows.
   int live_nodes = 1;
   /// Whether this node or a peer has had requests.
--- a/src/node-message.cc
+++ b/src/node-message.cc
@@ -172,6 +172,44 @@
   return out;
 }
 
+void write_crashes(rpc::CrashReport::Builder out, const crash_report& r) {
+  out.setDigest(r.digest);
+  out.setAsks(r.asks);
+  auto list = out.initEvidence(r.evidence.size());
+  for (size_t i = 0; i < r.evidence.size(); ++i) {
+    const crash_news& said = r.evidence[i];
+    list[i].setWorkspace(said.identity.workspace);
+    list[i].setContent(said.identity.content);
+    list[i].setPassed(said.evidence.passed);
+    list[i].setAgeMs(
+        static_cast<uint32_t>(absl::ToInt64Milliseconds(said.age)));
+    auto crashes = list[i].initCrashes(said.evidence.crashes.size());
+    size_t at = 0;
+    for (const auto& [server, point] : said.evidence.crashes) {
+      crashes[at].setServer(server);
+      crashes[at].setPoint(point);
+      ++at;
+    }
+  }
+}
+
+crash_report read_crashes(rpc::CrashReport::Reader in) {
+  crash_report out;
+  out.digest = in.getDigest();
+  out.asks = in.getAsks();
+  for (const auto said : in.getEvidence()) {
+    crash_news one;
+    one.identity = {said.getWorkspace(), said.getContent()};
+    one.evidence.passed = said.getPassed();
+    one.age = absl::Milliseconds(said.getAgeMs());
+    for (const auto crash : said.getCrashes()) {
+      one.evidence.crashes[crash.getServer()] = crash.getPoint();
+    }
+    out.evidence.push_back(std::move(one));
+  }
+  return out;
+}
+
 }  // namespace
 
 std::string encode(const node_message& message) {
@@ -191,6 +229,8 @@
     request.setServersToldAfter(r->servers.told_after);
   } else if (const auto* n = std::get_if<news>(&message.content)) {
     write_news(root.initNews(), *n);
+  } else if (const auto* c = std::get_if<crash_report>(&message.content)) {
+    write_crashes(root.initCrashReport(), *c);
   } else {
     const auto& said = std::get<suspicion>(message.content);
     auto out = root.initSuspicion();
@@ -232,6 +272,8 @@
       const auto said = root.getSuspicion();
       message.content =
           suspicion{read_texts(said.getServers()), said.getGroup().cStr()};
+    } else if (root.isCrashReport()) {
+      message.content = read_crashes(root.getCrashReport());
     } else {
       return;
     }
--- a/src/node-message.h
+++ b/src/node-message.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "spokesail/change-relay.h"
+#include "spokesail/crash-evidence.h"
 #include "spokesail/load-table.h"
 #include "spokesail/server-directory.h"
 
@@ -109,8 +110,19 @@
   bool operator==(const suspicion&) const = default;
 };
 
+/// Tells of requests that crash the servers that run them.
+struct crash_report {
+  std::vector<crash_news> evidence;
+  /// Hash of all that the sender holds for proved.
+  uint64_t digest = 0;
+  /// Whether the receiver is to answer if its own digest is another.
+  bool asks = false;
+  bool operator==(const crash_report&) const = default;
+};
+
 /// What a datagram holds.
-using message_content = std::variant<gossip, news_request, news, suspicion>;
+using message_content =
+    std::variant<gossip, news_request, news, suspicion, crash_report>;
 
 /// One datagram.
 struct node_message {
--- a/src/node-process.cc
+++ b/src/node-process.cc
@@ -53,6 +53,7 @@
       link(state),
       gossip(state, link),
       relay(state, link),
+      crashes(state, link),
       config(state),
       lease(state),
       duty(state, lease),
@@ -90,6 +91,9 @@
   this->link.on_news = [this](const std::string& peer, const auto& said) {
     this->relay.take(peer, said);
   };
+  this->link.on_crashes = [this](const std::string& peer, const auto& said) {
+    this->crashes.take(peer, said);
+  };
   this->link.on_suspicion = [this](const suspicion& said) {
     for (const auto& id : said.servers) this->duty.suspect(id);
     this->stalls.hear(said);
@@ -146,6 +150,7 @@
   this->spawn(this->config.serve());
   this->spawn(this->gossip.run());
   this->spawn(this->relay.run());
+  this->spawn(this->crashes.run());
   this->spawn(this->lease.run());
   this->spawn(this->duty.run());
   this->spawn(this->accept_callers());
--- a/src/node-process.h
+++ b/src/node-process.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "config-share.h"
+#include "crash-gossip.h"
 #include "group-duty.h"
 #include "http-fetch.h"
 #include "lease-keeper.h"
@@ -93,6 +94,7 @@
   peer_link link;
   node_gossip gossip;
   news_relay relay;
+  crash_gossip crashes;
   config_share config;
   lease_keeper lease;
   group_duty duty;
--- a/src/peer-link.cc
+++ b/src/peer-link.cc
@@ -73,6 +73,15 @@
   return relay_order(std::move(nodes));
 }
 
+std::vector<std::string> peer_link::reachable_peers() const {
+  std::vector<std::string> out;
+  for (const auto& [name, p] : this->peers) {
+    const bool silent = this->near(p) && !this->alive(p);
+    if (this->reachable(p) && !silent) out.push_back(name);
+  }
+  return out;
+}
+
 std::map<std::string, std::vector<relay_candidate>> peer_link::far_halls()
     const {
   std::map<std::string, std::vector<relay_candidate>> out;
@@ -229,6 +238,8 @@
     this->on_request(message.node, *r);
   } else if (const auto* n = std::get_if<news>(&message.content)) {
     this->on_news(message.node, *n);
+  } else if (const auto* c = std::get_if<crash_report>(&message.content)) {
+    this->on_crashes(message.node, *c);
   } else {
     this->on_suspicion(std::get<suspicion>(message.content));
   }
--- a/src/peer-link.h
+++ b/src/peer-link.h
@@ -48,6 +48,9 @@
   std::vector<relay_candidate> live_near() const;
   /// This data hall's living nodes, this one included, as news passes down.
   std::vector<std::string> hall_order() const;
+  /// Peers of this data hall that were heard of lately, and peers of the others
+  /// that may be spoken to.
+  std::vector<std::string> reachable_peers() const;
   /// Nodes of other halls that may be spoken to, by hall.
   std::map<std::string, std::vector<relay_candidate>> far_halls() const;
   /// Peers of this data hall, or of all others, that may be spoken to.
@@ -66,6 +69,7 @@
   std::function<void(const std::string& peer, const news_request&)> on_request;
   std::function<void(const std::string& peer, const news&)> on_news;
   std::function<void(const suspicion&)> on_suspicion;
+  std::function<void(const std::string& peer, const crash_report&)> on_crashes;
 
  private:
   /// How a reading of the list of nodes ended.
--- a/src/request-answer.cc
+++ b/src/request-answer.cc
@@ -57,6 +57,7 @@
   while (!ex.body_done()) {
     const std::string error = co_await ex.read_some(body);
     if (!error.empty() || body.size() > largest_whole_answer) {
+      ex.lost = !error.empty();
       this->log_attempt(ex, "broken", error.empty() ? "too large" : error);
       co_return run_end::broken;
     }
@@ -161,6 +162,7 @@
     }
   }
   if (!error.empty() || ex.aborted != abort_cause::none) {
+    ex.lost = true;
     this->log_attempt(ex, "broken", error);
     co_return run_end::broken;
   }
--- /dev/null
+++ b/src/request-crash.cc
@@ -0,0 +1,66 @@
+// What a request's runs tell of whether it crashes servers.
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "caller-session.h"
+#include "crash-check.h"
+#include "request-run.h"
+
+namespace spokesail {
+namespace {
+
+namespace net = boost::asio;
+namespace http = boost::beast::http;
+
+}  // namespace
+
+const request_identity& request_run::identity() {
+  if (!this->known_identity) {
+    const auto host = this->request[http::field::host];
+    const auto target = this->request.target();
+    const auto method = this->request.method_string();
+    this->known_identity = identify_request(
+        this->workspace == nullptr ? "" : this->workspace->name,
+        {method.data(), method.size()}, {host.data(), host.size()},
+        {target.data(), target.size()}, this->request.body());
+  }
+  return *this->known_identity;
+}
+
+bool request_run::quarantined() {
+  // Read from the whole content only while anything is held against anybody.
+  return !this->node.crashes.empty() &&
+         this->node.crashes.quarantined(this->identity());
+}
+
+net::awaitable<void> request_run::note_run(const exchange& ex, run_end end) {
+  const bool by_caller = ex.aborted == abort_cause::caller_gone ||
+                         ex.aborted == abort_cause::time_up;
+  if (end == run_end::broken && ex.lost && !by_caller) {
+    co_await this->note_loss(ex);
+  }
+  if (this->node.crashes.empty()) co_return;
+  if (end == run_end::done) {
+    this->node.crashes.add_progress(this->identity(), run_point::whole,
+                                    this->node.now());
+  } else if (ex.writing) {
+    this->node.crashes.add_progress(this->identity(), this->last_event,
+                                    this->node.now());
+  }
+}
+
+net::awaitable<void> request_run::note_loss(const exchange& ex) {
+  lost_run lost{this->identity(), ex.place, this->last_event, ex.lost_member};
+  auto check = check_crash(this->node, std::move(lost));
+  // Whether to send a request on that may be the cause hangs on the answer. The
+  // second chance of others is not held up by it.
+  const bool decides =
+      this->node.crashes.count(this->identity()) + 1 >= crash_ledger::proof;
+  if (decides) {
+    co_await std::move(check);
+  } else {
+    net::co_spawn(this->node.loop, std::move(check), net::detached);
+  }
+}
+
+}  // namespace spokesail
--- a/src/request-place.cc
+++ b/src/request-place.cc
@@ -89,8 +89,8 @@
   this->chosen = {
       group.name, this->is_near(*head), option.running,
       predict_first_event_ms(engine, *this->model, option, size.prompt)};
-  return request_place{head->id, head->address, group.name, group.epoch,
-                       group.members};
+  return request_place{head->id,    head->address, group.name,
+                       group.epoch, group.members, head->incarnation};
 }
 
 std::vector<group_option> request_run::weigh(
@@ -151,7 +151,8 @@
   if (best == nullptr) return std::nullopt;
   this->chosen = {best->id, this->is_near(*best),
                   this->node.loads.total(best->id, now).running, 0};
-  return request_place{best->id, best->address, "", 0, {best->id}};
+  return request_place{best->id, best->address, "",
+                       0,        {best->id},    best->incarnation};
 }
 
 net::awaitable<std::optional<request_place>> request_run::find_place() {
--- a/src/request-run.cc
+++ b/src/request-run.cc
@@ -69,19 +69,6 @@
   return this->deadline - this->node.now();
 }
 
-const request_identity& request_run::identity() {
-  if (!this->known_identity) {
-    const auto host = this->request[http::field::host];
-    const auto target = this->request.target();
-    const auto method = this->request.method_string();
-    this->known_identity = identify_request(
-        this->workspace == nullptr ? "" : this->workspace->name,
-        {method.data(), method.size()}, {host.data(), host.size()},
-        {target.data(), target.size()}, this->request.body());
-  }
-  return *this->known_identity;
-}
-
 net::awaitable<void> request_run::wait_for_start() {
   const absl::Time until = this->arrived + start_wait;
   const auto started = [this] {
@@ -111,7 +98,14 @@
   const absl::Duration patience =
       this->info.patience.value_or(this->route->timeout);
   this->deadline = this->arrived + std::min(patience, this->route->timeout);
-  return this->match_service();
+  if (const auto refused = this->match_service()) return refused;
+  if (!this->quarantined()) return std::nullopt;
+  // Each server that runs it crashes, and all that runs beside it is lost. Its
+  // caller is told that it has not run, which is true of this attempt, and to
+  // stay away for as long as that holds.
+  return refusal{
+      503, "servers crashed under it",
+      this->node.crashes.remaining(this->identity(), this->node.now())};
 }
 
 std::optional<request_run::refusal> request_run::match_route() {
@@ -201,14 +195,20 @@
 }
 
 net::awaitable<run_end> request_run::attempt(request_place place) {
-  exchange ex(this->node, place, this->info.prompt_tokens);
+  exchange ex(this->node, std::move(place), this->info.prompt_tokens);
   this->session.current = &ex;
   struct detach {
     caller_session& session;
     ~detach() { this->session.current = nullptr; }
   } detach_at_end{this->session};
-  this->prepare_exchange(ex, place);
+  this->prepare_exchange(ex, ex.place);
   this->sends++;
+  const run_end end = co_await this->exchange_with(ex);
+  co_await this->note_run(ex, end);
+  co_return end;
+}
+
+net::awaitable<run_end> request_run::exchange_with(exchange& ex) {
   const bool connected = co_await this->connect(ex);
   if (!connected) co_return run_end::not_run;
   const bool answered = co_await this->ask(ex);
@@ -240,6 +240,7 @@
   }
   if (error.empty()) co_return true;
   this->runs++;
+  ex.lost = true;
   this->log_attempt(ex, "broken", error);
   // A kept connection may just have been closed by its server.
   if (!ex.reused && ex.aborted == abort_cause::none) {
@@ -274,6 +275,7 @@
 bool request_run::may_repeat(run_end end) {
   if (this->session.gone || this->sends >= most_sends) return false;
   if (this->time_left() <= absl::ZeroDuration()) return false;
+  if (this->quarantined()) return false;
   if (end == run_end::broken &&
       (!this->route->repeatable || this->runs >= this->route->attempts)) {
     return false;
@@ -326,6 +328,8 @@
           absl::ToDoubleSeconds(this->waited_for_place));
     }
     if (this->session.gone || !place) break;
+    // It may have been found guilty while it waited.
+    if (this->sends > 0 && this->quarantined()) break;
     if (this->sends > 0) this->count_repeat();
     this->tried.insert(place->load_key());
     end = co_await this->attempt(*place);
--- a/src/request-run.h
+++ b/src/request-run.h
@@ -70,8 +70,10 @@
   /// The answer about a route or key that this node does not know.
   refusal not_known(unsigned status, const char* reason) const;
   std::optional<refusal> match_service();
-  /// Sends the request to one place and passes the answer on.
+  /// Sends the request to one place, passes the answer on, and takes note of
+  /// what the run tells of the request.
   boost::asio::awaitable<run_end> attempt(request_place place);
+  boost::asio::awaitable<run_end> exchange_with(exchange& ex);
   /// Sets the limits of an attempt.
   void prepare_exchange(exchange& ex, const request_place& place) const;
   /// The request as a server gets it.
@@ -94,14 +96,24 @@
   /// Answers without a server. Returns whether the connection may be used on.
   boost::asio::awaitable<bool> answer(refusal r);
   absl::Duration time_left() const;
-  /// What the request is over all its attempts; read from its whole content
-  /// when it is first asked for, since few requests need it.
-  const request_identity& identity();
   void log_attempt(const exchange& ex, const char* end,
                    const std::string& error);
   int repeats_left();
   void log_end(const char* outcome, const std::string& reason, unsigned status);
 
+  // Whether it crashes servers: request-crash.cc.
+
+  /// What the request is over all its attempts; read from its whole content
+  /// when it is first asked for, since few requests need it.
+  const request_identity& identity();
+  /// Whether it may not be sent because servers crashed under it.
+  bool quarantined();
+  /// Takes note of what a run that ended so tells of the request.
+  boost::asio::awaitable<void> note_run(const exchange& ex, run_end end);
+  /// Finds out whether a run's server ended. Waits for it if the request's
+  /// next sending hangs on it.
+  boost::asio::awaitable<void> note_loss(const exchange& ex);
+
   // The choice of a place: request-place.cc.
 
   /// Draws a service of the route by weight; null if it is not configured.
--- a/src/stall-watch.cc
+++ b/src/stall-watch.cc
@@ -120,7 +120,7 @@
                                              bool tell_peers) {
   const server_entry* entry = this->node.directory.find(server);
   if (entry == nullptr) {
-    this->give_up(group, "a member is gone");
+    this->give_up(group, "a member is gone", server);
     co_return;
   }
   const std::string address = entry->address;
@@ -134,7 +134,7 @@
   this->node.suspect_server(server);
   if (this->on_suspect) this->on_suspect(server);
   if (tell_peers && this->on_loss) this->on_loss({{server}, group});
-  this->give_up(group, absl::StrCat(server, " does not answer"));
+  this->give_up(group, absl::StrCat(server, " does not answer"), server);
 }
 
 bool stall_watch::uses(const std::string& group) const {
@@ -158,7 +158,8 @@
   }
 }
 
-void stall_watch::give_up(const std::string& group, const std::string& why) {
+void stall_watch::give_up(const std::string& group, const std::string& why,
+                          const std::string& lost) {
   const absl::Time now = this->node.now();
   int streams = 0;
   const std::vector<exchange*> all(this->node.exchanges.begin(),
@@ -166,6 +167,7 @@
   for (exchange* ex : all) {
     if (ex->place.group != group || ex->aborted != abort_cause::none) continue;
     ++streams;
+    ex->lost_member = lost;
     ex->abort(abort_cause::stalled);
   }
   if (streams == 0 && this->node.avoided(group)) return;
--- a/src/stall-watch.h
+++ b/src/stall-watch.h
@@ -58,8 +58,10 @@
   /// tells the peers if none did.
   boost::asio::awaitable<void> ask_member(std::string group, std::string server,
                                           bool tell_peers);
-  /// Breaks off all exchanges with a group and passes it over for a while.
-  void give_up(const std::string& group, const std::string& why);
+  /// Breaks off all exchanges with a group and passes it over for a while;
+  /// `lost` is the member that does not answer, if one was found.
+  void give_up(const std::string& group, const std::string& why,
+               const std::string& lost = "");
 
   node_context& node;
   absl::Time last_check = absl::InfinitePast();
--- a/test/node-message-test.cc
+++ b/test/node-message-test.cc
@@ -37,6 +37,19 @@
   EXPECT_EQ(*back, sample(g));
 }
 
+TEST(node_message, evidence_of_crashes_comes_back_as_it_was) {
+  crash_report said;
+  said.evidence = {
+      {{1, 2}, {{{77, run_point::start}, {78, 4}}, 4}, absl::Seconds(3)},
+      {{5, 6}, {{}, run_point::whole}, absl::ZeroDuration()}};
+  said.digest = 99;
+  said.asks = true;
+  const auto bytes = encode(sample(said));
+  const auto back = decode_message(bytes.data(), bytes.size());
+  ASSERT_TRUE(back);
+  EXPECT_EQ(*back, sample(said));
+}
+
 TEST(node_message, news_come_back_as_they_were) {
   news n;
   n.nonce = 9;
