--- a/src/exchange.h
+++ b/src/exchange.h
@@ -86,6 +86,8 @@
   bool reused = false;
   /// Why it was broken off; none if it was not.
   abort_cause aborted = abort_cause::none;
+  /// Whether the head of an answer came.
+  bool answered = false;
   /// Whether its server ended it before its time, by a break or by silence.
   bool lost = false;
   /// A member of its group that did not answer; empty if none was found.
--- a/src/request-crash.cc
+++ b/src/request-crash.cc
@@ -12,6 +12,12 @@
 namespace net = boost::asio;
 namespace http = boost::beast::http;
 
+/// A kept connection to a server that is gone is reset within a round trip:
+/// under 10 ms between data halls. A server that ended by itself would else
+/// count against each request that was sent there before its end was known: on
+/// a day whose hosts all stopped, such a request was held to be guilty.
+constexpr absl::Duration dead_connection_limit = absl::Milliseconds(20);
+
 }  // namespace
 
 const request_identity& request_run::identity() {
@@ -33,11 +39,18 @@
          this->node.crashes.quarantined(this->identity());
 }
 
+bool request_run::may_have_run(const exchange& ex) const {
+  return !ex.reused || ex.answered ||
+         this->node.now() - ex.sent_at >= dead_connection_limit;
+}
+
 net::awaitable<void> request_run::note_run(const exchange& ex, run_end end) {
   const bool by_caller = ex.aborted == abort_cause::caller_gone ||
                          ex.aborted == abort_cause::time_up;
   if (end == run_end::broken && ex.lost && !by_caller) {
-    co_await this->note_loss(ex);
+    // Over a new connection, the next send shows whether its server ended.
+    this->fresh_connection = true;
+    if (this->may_have_run(ex)) co_await this->note_loss(ex);
   }
   if (this->node.crashes.empty()) co_return;
   if (end == run_end::done) {
--- a/src/request-run.cc
+++ b/src/request-run.cc
@@ -223,7 +223,8 @@
 net::awaitable<bool> request_run::connect(exchange& ex) {
   // A call that may run once only goes over a new connection: a kept one may
   // break such that nobody can tell whether the call arrived.
-  const std::string error = co_await ex.connect(this->route->repeatable);
+  const std::string error =
+      co_await ex.connect(this->route->repeatable && !this->fresh_connection);
   if (error.empty()) co_return true;
   this->log_attempt(ex, "not_connected", error);
   this->node.avoid_place(ex.place.load_key());
@@ -238,7 +239,8 @@
     const bool no_body = this->request.method() == http::verb::head;
     error = co_await ex.read_head(no_body);
   }
-  if (error.empty()) co_return true;
+  ex.answered = error.empty();
+  if (ex.answered) co_return true;
   this->runs++;
   ex.lost = true;
   this->log_attempt(ex, "broken", error);
--- a/src/request-run.h
+++ b/src/request-run.h
@@ -108,6 +108,8 @@
   const request_identity& identity();
   /// Whether it may not be sent because servers crashed under it.
   bool quarantined();
+  /// Whether a server that broke off can have begun to run the request.
+  bool may_have_run(const exchange& ex) const;
   /// Takes note of what a run that ended so tells of the request.
   boost::asio::awaitable<void> note_run(const exchange& ex, run_end end);
   /// Finds out whether a run's server ended. Waits for it if the request's
@@ -177,6 +179,8 @@
   const model_profile* model = nullptr;
   caller_request info;
   std::optional<request_identity> known_identity;
+  /// Whether a send broke, so that the next uses no kept connection.
+  bool fresh_connection = false;
   absl::Time deadline = absl::InfiniteFuture();
 
   /// Servers that it was sent to.
