--- a/standin/fleet-standin.cc
+++ b/standin/fleet-standin.cc
@@ -176,11 +176,18 @@
 
 net::awaitable<void> fleet_standin::serve_host(host& h, socket_ptr socket) {
   boost::beast::flat_buffer buffer;
-  for (;;) {
+  for (bool kept = false;; kept = true) {
     request in;
     auto [error, size] =
         co_await http::async_read(*socket, buffer, in, use_tuple);
     if (error) break;
+    const bool stream = !h.plain && this->emulator.open_head(h.id) &&
+                        in.method() == http::verb::post &&
+                        in.target() != "/spokesail/order";
+    if (kept && stream && this->faults.end_on_kept) {
+      co_await this->crash(h, absl::ZeroDuration());
+      break;
+    }
     if (!co_await this->serve_call(h, socket, in)) break;
   }
   boost::system::error_code ignored;
@@ -252,9 +259,9 @@
   co_return !error;
 }
 
-net::awaitable<void> fleet_standin::crash(host& h) {
+net::awaitable<void> fleet_standin::crash(host& h, absl::Duration after) {
   const std::string id = h.id;
-  co_await sleep_for(crash_time);
+  co_await sleep_for(after);
   if (h.id != id || !h.acceptor->is_open()) co_return;
   this->record.crashed.insert(id);
   this->kill(id);
@@ -270,7 +277,7 @@
   this->record.workspaces[id] = text_of(in, "X-Tenant");
   if (!in.body().empty() && in.body() == this->faults.crash_body) {
     this->record.crashing_runs++;
-    co_await this->crash(h);
+    co_await this->crash(h, crash_time);
     co_return false;
   }
   int64_t after = -1;
--- a/standin/fleet-standin.h
+++ b/standin/fleet-standin.h
@@ -44,6 +44,9 @@
   /// A server that runs a request with this body crashes and is replaced after
   /// a while; none if empty.
   std::string crash_body;
+  /// Engines end as a stream's request reaches them over a kept connection,
+  /// before they run it, and are replaced after a while.
+  bool end_on_kept = false;
 };
 
 /// What the servers saw.
@@ -64,7 +67,7 @@
   int lease_given_up = 0;
   /// Runs of the body that crashes servers.
   int crashing_runs = 0;
-  /// Servers that crashed under it.
+  /// Servers that crashed under it, or ended on a kept connection.
   std::set<std::string> crashed;
 };
 
@@ -133,8 +136,8 @@
                                           const request& in);
   boost::asio::awaitable<bool> serve_stream(host& h, socket_ptr socket,
                                             const request& in);
-  /// Runs the body that crashes servers.
-  boost::asio::awaitable<void> crash(host& h);
+  /// Ends a host after a moment and replaces it later.
+  boost::asio::awaitable<void> crash(host& h, absl::Duration after);
   /// Opens a host's port and joins it to the fleet under a new id.
   void open_host(host& h, const std::string& domain);
   response order_answer(host& h, const request& in);
--- a/test/crashing-request-test.cc
+++ b/test/crashing-request-test.cc
@@ -96,5 +96,24 @@
   }
 }
 
+TEST_F(crashing_request_test, is_not_what_met_servers_that_were_gone_before) {
+  this->start_fleet();
+  const auto send = [this](const std::string& id, const std::string& body) {
+    auto out = stream_request(id);
+    out.body() = body;
+    return event_ids(this->ask(out).body());
+  };
+  for (int i = 0; i < 30 && this->crashes() < crashes_that_prove; ++i) {
+    // Leaves kept connections to the groups that serve now.
+    for (int k = 0; k < 10; ++k) send(absl::StrCat("first-", i, "-", k), "");
+    this->on_loop([this] { return this->fleet->faults.end_on_kept = true; });
+    EXPECT_EQ(send(absl::StrCat("again-", i), "the same each time"), all_ids());
+    this->on_loop([this] { return this->fleet->faults.end_on_kept = false; });
+  }
+  EXPECT_GE(this->crashes(), crashes_that_prove);
+  EXPECT_TRUE(this->on_loop(
+      [this] { return this->nodes[0]->context().crashes.proved().empty(); }));
+}
+
 }  // namespace
 }  // namespace spokesail
