--- a/test/crashing-request-test.cc
+++ b/test/crashing-request-test.cc
@@ -96,6 +96,18 @@
   }
 }
 
+TEST_F(crashing_request_test, is_known_to_a_node_that_starts_later) {
+  this->start_fleet();
+  this->prove();
+  this->on_loop([this] {
+    this->add_node("node-late");
+    return 0;
+  });
+  EXPECT_TRUE(this->wait_until([this] {
+    return this->nodes.back()->context().crashes.proved().size() == 1;
+  }));
+}
+
 TEST_F(crashing_request_test, is_not_what_met_servers_that_were_gone_before) {
   this->start_fleet();
   const auto send = [this](const std::string& id, const std::string& body) {
