Parse and log the rate limits that servers advertise

Two of the hypotheses about servers that advertised a limit and received more could not be distinguished, because no log line recorded what a server advertised or whether the node knew the limit when it sent the request.

Parse and validate the limit header of an answer: missing, empty, negative, non-finite, or repeated with different values. Store the limit per server incarnation, and end it on an answer without the header whose request was sent later. Nothing acts on the limit yet.

Log events: server_limit_named, server_limit_ended, server_limit_unreadable. New fields in request_ended: limit_per_s, limit_age_ms. Metrics: spokesail_limited_requests_total{event="sent"}, gauge limited_servers.

The stand-in can advertise limits, with a configurable set of servers, start time, duration and strictness, also from the command line.

--- a/include/spokesail/platform-adapter.h
+++ b/include/spokesail/platform-adapter.h
@@ -82,6 +82,11 @@
   std::string at_fault;
   /// How long the server keeps the connection; nothing if it does not say.
   std::optional<absl::Duration> keep_alive;
+  /// Advertised request rate limit across all nodes, in requests per second;
+  /// nothing if the header is missing or invalid.
+  std::optional<double> limit_per_s;
+  /// Whether the limit header is present but invalid.
+  bool limit_unreadable = false;
   bool operator==(const answer_head&) const = default;
 };
 
--- a/src/node-context.h
+++ b/src/node-context.h
@@ -34,6 +34,7 @@
 #include "spokesail/repeat-budget.h"
 #include "spokesail/request-admission.h"
 #include "spokesail/server-directory.h"
+#include "spokesail/server-limits.h"
 #include "spokesail/speed-table.h"
 
 namespace spokesail {
@@ -119,6 +120,8 @@
   crash_ledger crashes;
   /// What may be sent to cold servers.
   cold_allowance cold;
+  /// Request rate limits that servers advertise.
+  server_limits limits;
   /// Nodes that live, this one included, as far as it knows.
   int live_nodes = 1;
   /// How many nodes may be there, those that are not heard included.
--- a/src/node-metrics.cc
+++ b/src/node-metrics.cc
@@ -47,6 +47,9 @@
       cold_requests(
           counter(registry, "spokesail_cold_requests_total",
                   "requests to cold servers, by what became of them")),
+      limited_requests(
+          counter(registry, "spokesail_limited_requests_total",
+                  "requests to servers that name a limit, by event")),
       events(counter(registry, "spokesail_events_total",
                      "things that happened to streams")),
       state(prometheus::BuildGauge()
@@ -112,6 +115,10 @@
   this->cold_requests.Add({{"event", event}}).Increment(requests);
 }
 
+void node_metrics::count_limited(const std::string& event) {
+  this->limited_requests.Add({{"event", event}}).Increment();
+}
+
 void node_metrics::count_unusable_entry(const std::string& why) {
   this->unusable_entries.Add({{"why", why}}).Increment();
 }
--- a/src/node-metrics.h
+++ b/src/node-metrics.h
@@ -38,6 +38,8 @@
   void count_unusable_entry(const std::string& why);
   /// Something that kept changes of servers from a node, or brought them again.
   void count_news(const std::string& event);
+  /// An event of a request to a server with a rate limit.
+  void count_limited(const std::string& event);
   /// Requests to cold servers that were asked for, granted, used or lost.
   void count_cold(const std::string& event, int requests);
   /// Times of one request, in seconds.
@@ -75,6 +77,7 @@
   prometheus::Family<prometheus::Counter>& news_events;
   prometheus::Family<prometheus::Counter>& unusable_entries;
   prometheus::Family<prometheus::Counter>& cold_requests;
+  prometheus::Family<prometheus::Counter>& limited_requests;
   prometheus::Family<prometheus::Counter>& events;
   prometheus::Family<prometheus::Gauge>& state;
   prometheus::Family<prometheus::Gauge>& model_groups;
--- a/src/node-process.cc
+++ b/src/node-process.cc
@@ -254,6 +254,8 @@
               static_cast<double>(this->state.directory.servers().size()));
   m.set_gauge("servers_revision",
               static_cast<double>(this->state.directory.revision()));
+  m.set_gauge("limited_servers",
+              static_cast<double>(this->state.limits.size()));
   m.set_gauge("live_nodes", this->state.live_nodes);
   const auto fleet = this->state.fleet.most(this->state.now());
   m.set_gauge("most_nodes", fleet.value_or(0));
@@ -307,6 +309,10 @@
   if (this->state.directory.expire(now, this->state.servers_proof)) {
     this->state.forget_groups();
   }
+  this->state.limits.forget([this](const server_instance& instance) {
+    const server_entry* entry = this->state.directory.find(instance.server);
+    return entry != nullptr && entry->incarnation == instance.incarnation;
+  });
   if (this->state.closing() && this->callers.is_open()) {
     boost::system::error_code ignored;
     this->callers.close(ignored);
--- a/src/request-log.cc
+++ b/src/request-log.cc
@@ -40,6 +40,23 @@
       now);
 }
 
+void request_run::log_limit(const char* event, const exchange& ex,
+                            std::optional<double> before,
+                            std::optional<double> after) {
+  const auto format_limit = [](std::optional<double> per_s) {
+    return per_s ? absl::StrCat(*per_s) : "none";
+  };
+  this->node.log.belief(event,
+                        {{"server", ex.place.server},
+                         {"group", ex.place.group},
+                         {"id", this->info.id},
+                         {"status", absl::StrCat(ex.head().result_int())},
+                         {"before_per_s", format_limit(before)},
+                         {"per_s", format_limit(after)},
+                         {"live_nodes", absl::StrCat(this->node.live_nodes)}},
+                        this->node.now());
+}
+
 repeat_account request_run::repeats() {
   if (this->service == nullptr) return {};
   const absl::Time now = this->node.now();
@@ -78,6 +95,7 @@
         absl::ToDoubleSeconds(this->longest_pause));
   }
   const absl::Time first = std::min(this->first_event_at, now);
+  const std::optional<limit_report>& limit = this->chosen.limit;
   this->node.log.write(
       log_weight::request, "request_ended",
       {{"id", this->info.id},
@@ -105,6 +123,8 @@
        {"predicted_ms",
         absl::StrCat(static_cast<int>(this->chosen.predicted_ms))},
        {"slowness", absl::StrCat(this->chosen.slowness)},
+       {"limit_per_s", limit ? absl::StrCat(limit->per_s.value_or(0)) : ""},
+       {"limit_age_ms", limit ? millis(limit->age) : ""},
        {"identity", this->known_identity ? to_text(*this->known_identity) : ""},
        {"sends", absl::StrCat(this->sends)},
        {"runs", absl::StrCat(this->runs)},
--- a/src/request-place.cc
+++ b/src/request-place.cc
@@ -112,10 +112,13 @@
 request_place request_run::take_group(const group_view& group,
                                       const group_option& option) {
   const server_entry* head = this->node.directory.find(group.head());
-  this->chosen = {group.name, this->is_near(*head), option.running,
+  this->chosen = {group.name,
+                  this->is_near(*head),
+                  option.running,
                   predict_first_event_ms(*this->service->engine, *this->model,
                                          option, this->expected_size().prompt),
-                  option.slowness};
+                  option.slowness,
+                  this->limit_of(*head)};
   return request_place{head->id,    head->address, group.name,
                        group.epoch, group.members, head->incarnation};
 }
@@ -164,6 +167,13 @@
   return entry.hall == this->node.settings.hall;
 }
 
+std::optional<limit_report> request_run::limit_of(
+    const server_entry& entry) const {
+  const auto report =
+      this->node.limits.report({entry.id, entry.incarnation}, this->node.now());
+  return report && report->per_s ? report : std::nullopt;
+}
+
 double request_run::far_cost_ms() const {
   return other_hall_ms +
          stale_share * absl::ToDoubleMilliseconds(this->node.far_news_period);
@@ -197,9 +207,12 @@
   }
   if (best == servers.size()) return std::nullopt;
   const server_entry& entry = *servers[best];
-  this->chosen = {entry.id, this->is_near(entry),
-                  this->node.loads.total(entry.id, now).running, 0,
-                  slowness[best]};
+  this->chosen = {entry.id,
+                  this->is_near(entry),
+                  this->node.loads.total(entry.id, now).running,
+                  0,
+                  slowness[best],
+                  this->limit_of(entry)};
   return request_place{entry.id, entry.address, "",
                        0,        {entry.id},    entry.incarnation};
 }
--- a/src/request-run.cc
+++ b/src/request-run.cc
@@ -231,6 +231,7 @@
   if (!answered) co_return run_end::broken;
   const answer_head head =
       this->node.adapter.read_answer(ex.head().result_int(), ex.head());
+  this->note_limit(ex, head);
   const std::optional<run_end> end = this->judge_head(ex, head);
   if (end) co_return *end;
   co_return co_await this->pass_answer(ex, head);
@@ -255,6 +256,7 @@
 
 net::awaitable<bool> request_run::ask(exchange& ex) {
   if (this->reserved) this->count_repeat();
+  if (this->chosen.limit) this->node.metrics.count_limited("sent");
   this->reached++;
   http_request sent = this->attempt_request(ex.place);
   std::string error = co_await ex.send(sent);
@@ -274,6 +276,25 @@
   co_return false;
 }
 
+void request_run::note_limit(const exchange& ex, const answer_head& head) {
+  if (head.request_id != this->info.id) return;
+  const server_instance server{ex.place.server, ex.place.incarnation};
+  const std::optional<double> before = this->node.limits.find(server);
+  if (head.limit_unreadable) {
+    this->log_limit("server_limit_unreadable", ex, before, std::nullopt);
+    return;
+  }
+  // A missing header counts only in a stamped answer that is not marked as not
+  // run; any other may not come from the server itself.
+  if (!head.limit_per_s && (head.not_run || !head.stamped)) return;
+  this->node.limits.note_answer(server, head.limit_per_s, ex.sent_at,
+                                this->node.now());
+  const std::optional<double> after = this->node.limits.find(server);
+  if (before == after) return;
+  this->log_limit(after ? "server_limit_named" : "server_limit_ended", ex,
+                  before, after);
+}
+
 std::optional<run_end> request_run::judge_head(const exchange& ex,
                                                const answer_head& head) {
   const bool known_id = head.request_id == this->info.id;
--- a/src/request-run.h
+++ b/src/request-run.h
@@ -57,6 +57,8 @@
     double predicted_ms = 0;
     /// What the place counts as for its slowness; 1 if it is not slow.
     double slowness = 1;
+    /// Rate limit of the server, or of the group's head; nothing if none.
+    std::optional<limit_report> limit;
   };
 
   // Checks, attempts and refusals: request-run.cc.
@@ -89,6 +91,9 @@
   /// How an attempt ends by its answer's head; nothing if the answer is one.
   std::optional<run_end> judge_head(const exchange& ex,
                                     const answer_head& head);
+  /// Updates the server's rate limit from an answer, and logs changes and
+  /// invalid headers.
+  void note_limit(const exchange& ex, const answer_head& head);
   /// Whether the request may be sent again after an attempt that ended so.
   bool may_repeat(run_end end);
   /// Sets a further sending aside in the budget, where it stays while a place
@@ -108,6 +113,9 @@
 
   void log_attempt(const exchange& ex, const char* end,
                    const std::string& error);
+  /// Logs that a server's rate limit changed, ended or is invalid.
+  void log_limit(const char* event, const exchange& ex,
+                 std::optional<double> before, std::optional<double> after);
   /// Tells of a further sending, or that there is none, and why.
   void log_repeat(const char* event);
   /// How the budget of its service's repeats stands.
@@ -171,6 +179,8 @@
   /// Whether a server is in this node's data hall.
   bool is_near(const server_entry& entry) const;
   std::optional<request_place> pick_server();
+  /// The rate limit in effect for a server, if any.
+  std::optional<limit_report> limit_of(const server_entry& entry) const;
   /// Whether a group could take the request, its load aside.
   bool may_serve(const group_view& group) const;
   /// Whether this node may have one more connection to a place.
--- a/standin/fleet-main.cc
+++ b/standin/fleet-main.cc
@@ -1,6 +1,7 @@
 // The small fleet as a process of its own, steered over HTTP by a soak.
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
+#include <absl/time/clock.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -16,6 +17,17 @@
 ABSL_FLAG(int, port, 0, "port to steer it at");
 ABSL_FLAG(int, domains, 2, "fabric domains");
 ABSL_FLAG(int, hosts, 5, "hosts of each domain");
+ABSL_FLAG(std::string, limit, "",
+          "rate limit that servers advertise, in requests/s; empty for none");
+ABSL_FLAG(std::string, limit_service, "",
+          "service whose servers advertise the limit; empty for all");
+ABSL_FLAG(double, limit_share, 1,
+          "fraction of the servers that advertise the limit");
+ABSL_FLAG(absl::Duration, limit_from, absl::ZeroDuration(),
+          "delay from startup until the limit is advertised");
+ABSL_FLAG(absl::Duration, limit_for, absl::InfiniteDuration(),
+          "how long the limit is advertised");
+ABSL_FLAG(bool, limit_strict, false, "reject requests above the limit");
 
 namespace spokesail::standin {
 namespace {
@@ -62,6 +74,13 @@
   fleet_standin fleet(loop, absl::GetFlag(FLAGS_domains),
                       absl::GetFlag(FLAGS_hosts));
   fleet.configure(fleet.sample_config({"key-1", "key-2"}));
+  const absl::Time limit_start = absl::Now() + absl::GetFlag(FLAGS_limit_from);
+  fleet.faults.limit = {absl::GetFlag(FLAGS_limit),
+                        absl::GetFlag(FLAGS_limit_service),
+                        absl::GetFlag(FLAGS_limit_share),
+                        limit_start,
+                        limit_start + absl::GetFlag(FLAGS_limit_for),
+                        absl::GetFlag(FLAGS_limit_strict)};
   fleet.start();
   spokesail::standin::fleet_steering steer(fleet);
   boost::asio::ip::tcp::acceptor acceptor(
--- a/standin/fleet-standin.cc
+++ b/standin/fleet-standin.cc
@@ -5,6 +5,7 @@
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
@@ -236,22 +237,53 @@
 }
 
 void fleet_standin::note_run(const host& h, const std::string& id) {
-  this->record.all_runs.push_back({id, absl::Now()});
+  this->record.all_runs.push_back({id, absl::Now(), h.id});
   this->record.runs[id]++;
   this->record.taken_in[h.hall]++;
 }
 
+std::string fleet_standin::limit_of(const host& h) const {
+  const limit_settings& settings = this->faults.limit;
+  const absl::Time now = absl::Now();
+  if (now < settings.from || now >= settings.until) return "";
+  const bool is_engine = settings.service == engine_service_name;
+  if (!settings.service.empty() && is_engine == h.plain) return "";
+  constexpr uint64_t buckets = 1000;
+  const bool selected = static_cast<double>(stable_hash(h.id) % buckets) <
+                        settings.share * buckets;
+  return selected ? settings.per_s : "";
+}
+
+bool fleet_standin::over_limit(const host& h) const {
+  double per_s = 0;
+  if (!this->faults.limit.strict) return false;
+  if (!absl::SimpleAtod(this->limit_of(h), &per_s)) return false;
+  const absl::Time since = absl::Now() - absl::Seconds(1);
+  const auto& runs = this->record.all_runs;
+  const auto recent_runs =
+      std::count_if(runs.begin(), runs.end(), [&](const server_run& run) {
+        return run.server == h.id && run.at >= since;
+      });
+  return static_cast<double>(recent_runs) >= std::max(1.0, per_s);
+}
+
 net::awaitable<bool> fleet_standin::serve_call(host& h, socket_ptr socket,
                                                const request& in) {
   const std::string id = text_of(in, "X-Request-Id");
   const std::string expected = text_of(in, "X-Expect-Instance");
   response out;
+  if (!id.empty() && expected == h.id) {
+    this->record.arrivals.push_back({id, absl::Now(), h.id});
+  }
   if (!expected.empty() && expected != h.id) {
     out = answer_of(421, "");
   } else if (in.target() == "/spokesail/report") {
     out = this->report_answer(h);
   } else if (in.target() == "/spokesail/order") {
     out = this->order_answer(h, in);
+  } else if (this->over_limit(h)) {
+    out = answer_of(503, "");
+    out.set("X-Not-Executed", "1");
   } else if (!h.plain && this->emulator.open_head(h.id)) {
     co_return co_await this->serve_stream(h, socket, in);
   } else if (!h.plain) {
@@ -273,6 +305,8 @@
   if (h.plain) out.body().append(this->faults.plain_answer_bytes, '.');
   const bool crossed = this->faults.cross_plain_answers && h.plain;
   if (!id.empty()) out.set("X-Request-Id", crossed ? "another" : id);
+  const std::string limit = this->limit_of(h);
+  if (!limit.empty()) out.set("Server-Limit", limit);
   out.prepare_payload();
   auto [error, size] = co_await http::async_write(*socket, out, use_tuple);
   co_return !error;
@@ -302,10 +336,13 @@
   }
   int64_t after = -1;
   if (!absl::SimpleAtoi(text_of(in, "Last-Event-Id"), &after)) after = -1;
+  const std::string limit = this->limit_of(h);
   std::string head = absl::StrCat(
       "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
       "X-Response-Stamp: stamp-",
-      h.id, "\r\nX-Request-Id: ", id, "\r\nTransfer-Encoding: chunked\r\n\r\n");
+      h.id, "\r\nX-Request-Id: ", id, "\r\nTransfer-Encoding: chunked\r\n",
+      limit.empty() ? "" : absl::StrCat("Server-Limit: ", limit, "\r\n"),
+      "\r\n");
   auto [error, size] =
       co_await net::async_write(*socket, net::buffer(head), use_tuple);
   if (error) co_return false;
--- a/standin/fleet-standin.h
+++ b/standin/fleet-standin.h
@@ -21,6 +21,21 @@
 
 namespace spokesail::standin {
 
+/// The rate limit that servers advertise in their answers.
+struct limit_settings {
+  /// Header value, in requests per second; no header is sent if empty.
+  std::string per_s;
+  /// The service whose servers advertise the limit; empty for all.
+  std::string service;
+  /// Fraction of these servers, selected by a hash of their ids.
+  double share = 1;
+  /// The limit is advertised from `from` up to, but not including, `until`.
+  absl::Time from = absl::InfinitePast();
+  absl::Time until = absl::InfiniteFuture();
+  /// Whether servers reject requests above the limit.
+  bool strict = false;
+};
+
 /// What the fleet does wrong, until it is changed.
 struct fleet_faults {
   /// Callers of the store, by user agent, that get 503.
@@ -54,12 +69,14 @@
   /// Engines end as a stream's request reaches them over a kept connection,
   /// before they run it, and are replaced after a while.
   bool end_on_kept = false;
+  limit_settings limit;
 };
 
 /// A request that a server began to run.
 struct server_run {
   std::string id;
   absl::Time at;
+  std::string server;
   bool operator==(const server_run&) const = default;
 };
 
@@ -67,6 +84,9 @@
 struct fleet_record {
   /// All runs, in their order.
   std::vector<server_run> all_runs;
+  /// Requests that reached their intended server, run or rejected, in order of
+  /// arrival.
+  std::vector<server_run> arrivals;
   /// Runs by request id.
   std::map<std::string, int> runs;
   /// Streams by the server that they were sent to.
@@ -170,6 +190,11 @@
                                             const request& in);
   /// Takes note that a server begins to run a request.
   void note_run(const host& h, const std::string& id);
+  /// The limit that a host currently advertises; empty if none.
+  std::string limit_of(const host& h) const;
+  /// Whether a host enforces its limit and has reached it in the last second.
+  /// Limits below one request per second are enforced as one.
+  bool over_limit(const host& h) const;
   /// Ends a host after a moment and replaces it later.
   boost::asio::awaitable<void> crash(host& h, absl::Duration after);
   /// Opens a host's port and joins it to the fleet under a new id.
--- a/standin/fleet-steering.cc
+++ b/standin/fleet-steering.cc
@@ -41,6 +41,10 @@
   f.shed_plain = body.value("shed_plain", f.shed_plain);
   f.cross_plain_answers =
       body.value("cross_plain_answers", f.cross_plain_answers);
+  f.limit.per_s = body.value("limit_per_s", f.limit.per_s);
+  f.limit.service = body.value("limit_service", f.limit.service);
+  f.limit.share = body.value("limit_share", f.limit.share);
+  f.limit.strict = body.value("limit_strict", f.limit.strict);
   f.break_after_events = body.value("break_after_events", f.break_after_events);
   order_faults& orders = this->fleet.engines().faults;
   orders.late = body.value("late_orders", orders.late);
--- a/test/fleet-adapter-test.cc
+++ b/test/fleet-adapter-test.cc
@@ -277,6 +277,41 @@
   EXPECT_TRUE(adapter->read_answer(503, plain).not_run);
 }
 
+TEST(fleet_adapter, reads_server_limit) {
+  const auto read = [](const char* value) {
+    http_fields head;
+    head.set("Server-Limit", value);
+    return adapter->read_answer(200, head);
+  };
+  EXPECT_EQ(read("1.4").limit_per_s, 1.4);
+  EXPECT_EQ(read("0").limit_per_s, 0);
+  EXPECT_EQ(read("1e9").limit_per_s, 1e9);
+  for (const char* value : {"", "many", "-1", "nan", "inf", "1e999", "1.4/s"}) {
+    EXPECT_FALSE(read(value).limit_per_s) << value;
+    EXPECT_TRUE(read(value).limit_unreadable) << value;
+  }
+  const answer_head none = adapter->read_answer(200, http_fields());
+  EXPECT_FALSE(none.limit_per_s);
+  EXPECT_FALSE(none.limit_unreadable);
+}
+
+TEST(fleet_adapter, rejects_conflicting_server_limits) {
+  http_fields head;
+  head.insert("Server-Limit", "1.4");
+  head.insert("Server-Limit", "1.4");
+  EXPECT_EQ(adapter->read_answer(200, head).limit_per_s, 1.4);
+  head.insert("Server-Limit", "3");
+  EXPECT_FALSE(adapter->read_answer(200, head).limit_per_s);
+  EXPECT_TRUE(adapter->read_answer(200, head).limit_unreadable);
+}
+
+TEST(fleet_adapter, ignores_server_limit_of_misdirected_request) {
+  http_fields head;
+  head.set("Server-Limit", "1.4");
+  EXPECT_EQ(adapter->read_answer(503, head).limit_per_s, 1.4);
+  EXPECT_FALSE(adapter->read_answer(421, head).limit_per_s);
+}
+
 TEST(fleet_adapter, reads_a_callers_head) {
   http_fields head;
   head.set("X-Request-Id", "r1");
