--- a/include/spokesail/cold-allowance.h
+++ b/include/spokesail/cold-allowance.h
@@ -1,4 +1,5 @@
-// What a node may send to cold servers, and what it asks for.
+// Grants that a node holds for servers that are cold or advertise a rate limit,
+// and those that it requests.
 #pragma once
 
 #include <absl/time/time.h>
@@ -21,12 +22,16 @@
   /// Servers that are asked for at once, and requests for each of them.
   static constexpr size_t most_servers = 32;
   static constexpr int most_requests = 4;
+  /// Requests asked for at once for each server that advertises a limit.
+  static constexpr int most_limited_requests = 32;
 
   explicit cold_allowance(cold_timing timing = {})
       : timing(timing), pause(timing.ask_period) {}
 
-  /// Takes note that a request would go to a cold server.
-  void wish(const std::string& server, int64_t incarnation);
+  /// Records demand for one request to a server, up to `most` requests per
+  /// question.
+  void wish(const std::string& server, int64_t incarnation,
+            int most = most_requests);
 
   /// Whether there is something to ask for, and it is time to.
   bool due(absl::Time now) const;
@@ -38,7 +43,7 @@
   /// not known, was answered, or is too long ago.
   int take(const cold_grant& said, absl::Time now);
 
-  /// Whether a request may be sent to a cold server.
+  /// Whether a grant for a server is available.
   bool has(const std::string& server, absl::Time now) const;
   /// Uses one request up. Returns until when it may be sent; nothing if there
   /// is none.
--- a/include/spokesail/cold-grant.h
+++ b/include/spokesail/cold-grant.h
@@ -1,10 +1,12 @@
-// Requests that may be sent to servers that have just started.
+// Messages that request and grant sends to servers with limited rates.
 #pragma once
 
 #include <cstdint>
 #include <string>
 #include <vector>
 
+#include "spokesail/server-limits.h"
+
 namespace spokesail {
 
 /// A number of requests to one start of a server.
@@ -21,6 +23,8 @@
   /// Given back with the answer, so that its time counts from the question.
   uint64_t nonce = 0;
   std::vector<server_count> wanted;
+  /// The sender's state of these servers' rate limits.
+  std::vector<limit_report> limits = {};
   bool operator==(const cold_request&) const = default;
 };
 
@@ -28,6 +32,8 @@
 struct cold_grant {
   uint64_t nonce = 0;
   std::vector<server_count> granted;
+  /// Limits for which the holder's state is newer than the asker's.
+  std::vector<limit_report> limits = {};
   bool operator==(const cold_grant&) const = default;
 };
 
--- a/include/spokesail/cold-ledger.h
+++ b/include/spokesail/cold-ledger.h
@@ -1,4 +1,5 @@
-// What the holder of the lease grants of requests to cold servers.
+// Grants by the lease holder of requests to servers that are cold or advertise
+// a rate limit.
 #pragma once
 
 #include <absl/time/time.h>
@@ -25,6 +26,15 @@
 /// `rate` requests in any second; it never gives any for a rate below one.
 cold_bucket bucket_for(double rate, absl::Duration grant_time);
 
+/// The bucket for a server that advertises a limit of `per_s` requests per
+/// second, less the fraction that nodes use without a grant. The rate has a
+/// positive minimum, even for a limit of 0: only an answer from the server
+/// shows that its limit has ended.
+cold_bucket bucket_for_limit(double per_s);
+
+/// The bucket with the lower burst and the lower rate of the two.
+cold_bucket smaller_bucket(const cold_bucket& a, const cold_bucket& b);
+
 /// One holder's ledger. It goes by the servers' ids, since grants for an
 /// earlier start of a server may be used on the next.
 class cold_ledger {
@@ -45,11 +55,12 @@
     return now - this->term_begin;
   }
 
-  /// Grants what may be sent of what is wanted. `rate_of` gives the requests a
-  /// second that a server bears while it is cold, 0 if it is not known.
-  cold_grant answer(const cold_request& asked,
-                    const std::function<double(const std::string&)>& rate_of,
-                    absl::Time now);
+  /// Grants what may be sent of what is wanted. `bucket_of` returns the bucket
+  /// of a server; nothing is granted if its burst is below 1.
+  cold_grant answer(
+      const cold_request& asked,
+      const std::function<cold_bucket(const server_count&)>& bucket_of,
+      absl::Time now);
 
   /// Drops servers whose buckets are full again.
   void forget_full(absl::Time now);
@@ -64,7 +75,8 @@
     absl::Time counted;
   };
   /// A server's account, filled up to `now`; null if there are too many.
-  account* find(const std::string& server, double rate, absl::Time now);
+  account* find(const std::string& server, const cold_bucket& bucket,
+                absl::Time now);
   static void fill(account& a, absl::Time now);
 
   cold_timing timing;
--- a/include/spokesail/server-limits.h
+++ b/include/spokesail/server-limits.h
@@ -54,7 +54,7 @@
                                      absl::Time now) const;
 
   /// Returns and clears the set of servers whose limit was added, ended or
-  /// changed by more than 10% in one update.
+  /// changed by more than 10% since the server was last returned.
   std::set<server_instance> take_changes();
 
   /// Removes the servers for which `exists` returns false.
@@ -70,6 +70,8 @@
     std::optional<double> per_s;
     /// When the answer that set or ended the limit arrived.
     absl::Time answered_at;
+    /// The limit when take_changes() last returned the server.
+    std::optional<double> returned_per_s;
   };
   void set(const server_instance& server, std::optional<double> per_s,
            absl::Time answered_at);
--- a/src/cold-allowance.cc
+++ b/src/cold-allowance.cc
@@ -5,7 +5,8 @@
 
 namespace spokesail {
 
-void cold_allowance::wish(const std::string& server, int64_t incarnation) {
+void cold_allowance::wish(const std::string& server, int64_t incarnation,
+                          int most) {
   const auto known = this->wishes.find(server);
   if (known == this->wishes.end() && this->wishes.size() >= most_servers) {
     return;
@@ -13,7 +14,7 @@
   server_count& wished = this->wishes[server];
   wished.server = server;
   wished.incarnation = incarnation;
-  wished.count = std::min(most_requests, wished.count + 1);
+  wished.count = std::min(most, wished.count + 1);
 }
 
 bool cold_allowance::due(absl::Time now) const {
--- a/src/cold-gossip.cc
+++ b/src/cold-gossip.cc
@@ -35,6 +35,34 @@
   return service == nullptr ? 0 : service->cold_requests_per_s;
 }
 
+cold_bucket cold_gossip::bucket_of(const server_count& wanted,
+                                   absl::Time now) const {
+  const double rate = this->rate_of(wanted.server);
+  const cold_bucket cold =
+      rate > 0 ? bucket_for(rate, this->node.cold.times().grant_time)
+               : cold_bucket();
+  const std::optional<double> limit =
+      this->node.limits.find({wanted.server, wanted.incarnation});
+  if (!limit) return cold;
+  const auto& servers = this->node.directory.servers();
+  const auto found = servers.find(wanted.server);
+  const bool is_cold =
+      rate > 0 && found != servers.end() && found->second.cold_until > now;
+  const cold_bucket limited = bucket_for_limit(*limit);
+  return is_cold ? smaller_bucket(cold, limited) : limited;
+}
+
+std::vector<limit_report> cold_gossip::merge_limits(
+    const std::vector<limit_report>& said, absl::Time now) {
+  std::vector<limit_report> out;
+  for (const limit_report& report : said) {
+    this->node.limits.take(report, now);
+    const auto known = this->node.limits.report(report.server, now);
+    if (known && known->per_s != report.per_s) out.push_back(*known);
+  }
+  return out;
+}
+
 void cold_gossip::follow_lease(absl::Time now) {
   // A lease that lapsed and was taken again has another fence.
   const std::optional<int64_t> held =
@@ -53,8 +81,11 @@
 cold_grant cold_gossip::grant(const std::string& peer,
                               const cold_request& asked, absl::Time now) {
   this->follow_lease(now);
+  std::vector<limit_report> limits = this->merge_limits(asked.limits, now);
   cold_grant out = this->ledger.answer(
-      asked, [this](const std::string& id) { return this->rate_of(id); }, now);
+      asked, [&](const auto& wanted) { return this->bucket_of(wanted, now); },
+      now);
+  out.limits = std::move(limits);
   this->node.metrics.count_cold("granted", sum(out.granted));
   this->node.log.belief(
       "cold_granted",
@@ -69,8 +100,12 @@
 }
 
 void cold_gossip::ask(absl::Time now) {
-  const cold_request asked =
-      this->node.cold.ask(this->node.random.engine(), now);
+  cold_request asked = this->node.cold.ask(this->node.random.engine(), now);
+  for (const server_count& wanted : asked.wanted) {
+    const auto known =
+        this->node.limits.report({wanted.server, wanted.incarnation}, now);
+    if (known) asked.limits.push_back(*known);
+  }
   const std::string holder = this->keeper.holder();
   this->node.metrics.count_cold("asked", sum(asked.wanted));
   this->node.log.belief(
@@ -84,7 +119,7 @@
   if (holder == this->node.settings.node) {
     this->take(holder, this->grant(holder, asked, now));
   } else if (!holder.empty()) {
-    this->link.send(holder, asked);
+    this->link.send(holder, std::move(asked));
   }
 }
 
@@ -92,12 +127,14 @@
   if (!this->keeper.holds()) return;
   cold_grant out = this->grant(peer, asked, this->node.now());
   // Who hears nothing asks again.
-  if (!out.granted.empty()) this->link.send(peer, std::move(out));
+  const bool has_content = !out.granted.empty() || !out.limits.empty();
+  if (has_content) this->link.send(peer, std::move(out));
 }
 
 void cold_gossip::take(const std::string& peer, const cold_grant& said) {
-  if (said.granted.empty()) return;
   const absl::Time now = this->node.now();
+  for (const auto& report : said.limits) this->node.limits.take(report, now);
+  if (said.granted.empty()) return;
   const int taken = this->node.cold.take(said, now);
   if (taken > 0) {
     this->node.metrics.count_cold("taken", taken);
--- a/src/cold-gossip.h
+++ b/src/cold-gossip.h
@@ -1,4 +1,4 @@
-// Asks for requests that may be sent to cold servers, and grants them.
+// Requests and grants sends to servers that are cold or advertise a rate limit.
 #pragma once
 
 #include <cstdint>
@@ -11,8 +11,8 @@
 
 namespace spokesail {
 
-/// A node's part in keeping cold servers under what they bear: as one of those
-/// that ask the holder of the lease, and as the holder.
+/// Keeps requests to these servers within their rates: asks the lease holder
+/// for grants, and issues grants while this node is the holder.
 class cold_gossip {
  public:
   cold_gossip(node_context& node, peer_link& link, lease_keeper& keeper)
@@ -38,6 +38,13 @@
   /// Requests a second that a server bears while it is cold; 0 if this node
   /// does not know it.
   double rate_of(const std::string& server) const;
+  /// The bucket for grants to a server, from its advertised limit and, while it
+  /// is cold, its cold rate.
+  cold_bucket bucket_of(const server_count& wanted, absl::Time now) const;
+  /// Merges the asker's limit reports. Returns this node's state where it
+  /// differs.
+  std::vector<limit_report> merge_limits(const std::vector<limit_report>& said,
+                                         absl::Time now);
   /// Servers that are cold by this node's news.
   int count_cold() const;
 
--- a/src/cold-ledger.cc
+++ b/src/cold-ledger.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "spokesail/limit-share.h"
+
 namespace spokesail {
 namespace {
 
@@ -13,8 +15,26 @@
 /// time need not wait for each other.
 constexpr double rate_for_two = 8;
 
+/// Minimum rate of grants per second, however low the limit.
+constexpr double least_grant_rate = 0.2;
+
+/// The burst of a limit's bucket is what the rate yields in this time, so that
+/// nodes that ask at the same time can be granted requests together.
+constexpr absl::Duration burst_time = absl::Milliseconds(500);
+
 }  // namespace
 
+cold_bucket bucket_for_limit(double per_s) {
+  cold_bucket out;
+  out.per_s = std::max(least_grant_rate, (1 - limit_share::fraction) * per_s);
+  out.burst = std::max(1.0, out.per_s * absl::ToDoubleSeconds(burst_time));
+  return out;
+}
+
+cold_bucket smaller_bucket(const cold_bucket& a, const cold_bucket& b) {
+  return {std::min(a.burst, b.burst), std::min(a.per_s, b.per_s)};
+}
+
 cold_bucket bucket_for(double rate, absl::Duration grant_time) {
   const double whole = std::floor(rate);
   if (whole < 1) return {};
@@ -45,7 +65,8 @@
   a.counted = std::max(a.counted, now);
 }
 
-cold_ledger::account* cold_ledger::find(const std::string& server, double rate,
+cold_ledger::account* cold_ledger::find(const std::string& server,
+                                        const cold_bucket& bucket,
                                         absl::Time now) {
   auto found = this->accounts.find(server);
   if (found == this->accounts.end()) {
@@ -56,22 +77,24 @@
         this->accounts.emplace(server, account{{}, 0, this->term_begin}).first;
   }
   account& a = found->second;
-  a.bucket = bucket_for(rate, this->timing.grant_time);
+  a.bucket = bucket;
   fill(a, now);
   return &a;
 }
 
 cold_grant cold_ledger::answer(
     const cold_request& asked,
-    const std::function<double(const std::string&)>& rate_of, absl::Time now) {
+    const std::function<cold_bucket(const server_count&)>& bucket_of,
+    absl::Time now) {
   cold_grant out{asked.nonce, {}};
   if (!this->may_grant(now)) return out;
   for (const server_count& wanted : asked.wanted) {
-    const double rate = rate_of(wanted.server);
-    if (rate < 1 || wanted.count <= 0) continue;
-    account* a = this->find(wanted.server, rate, now);
+    const cold_bucket bucket = bucket_of(wanted);
+    if (bucket.burst < 1 || wanted.count <= 0) continue;
+    account* a = this->find(wanted.server, bucket, now);
     if (a == nullptr) continue;
-    const int given = std::min(wanted.count, static_cast<int>(a->tokens));
+    const int given = static_cast<int>(
+        std::min(static_cast<double>(wanted.count), a->tokens));
     if (given <= 0) continue;
     a->tokens -= given;
     out.granted.push_back({wanted.server, wanted.incarnation, given});
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -31,7 +31,8 @@
   std::vector<std::string> members;
   /// Start of the server, by its entry; 0 if it is not known.
   int64_t incarnation = 0;
-  /// Until when a request may be sent to it; finite if it is cold.
+  /// Until when a request may be sent to it; finite if it needs a grant or a
+  /// slot of the server's limit.
   absl::Time send_by = absl::InfiniteFuture();
 
   /// What its load is counted under.
--- a/src/node-context.h
+++ b/src/node-context.h
@@ -27,6 +27,7 @@
 #include "spokesail/engine-model.h"
 #include "spokesail/fleet-size.h"
 #include "spokesail/hall-evacuations.h"
+#include "spokesail/limit-share.h"
 #include "spokesail/load-table.h"
 #include "spokesail/news-age.h"
 #include "spokesail/object-store.h"
@@ -118,10 +119,12 @@
   uint64_t admission_number = 0;
   /// Requests under which servers ended.
   crash_ledger crashes;
-  /// What may be sent to cold servers.
+  /// Grants for servers that are cold or advertise a rate limit.
   cold_allowance cold;
   /// Request rate limits that servers advertise.
   server_limits limits;
+  /// This node's share of these limits, which needs no grant.
+  limit_share limit_shares;
   /// Nodes that live, this one included, as far as it knows.
   int live_nodes = 1;
   /// How many nodes may be there, those that are not heard included.
--- a/src/node-message.capnp
+++ b/src/node-message.capnp
@@ -178,18 +178,40 @@
   asks @2 :Bool;
 }
 
-# Asks the holder of the lease for requests that may be sent to cold servers.
+# The state of a server's request rate limit, which applies across all nodes.
+struct LimitReport {
+  server @0 :Text;
+  # Distinguishes restarts under the same id; 0 if unknown.
+  incarnation @1 :Int64;
+  # Whether the server advertises a limit, and the limit in requests per second.
+  limited @2 :Bool;
+  perS @3 :Float64;
+  # Time since the answer that set or ended the limit.
+  ageMs @4 :UInt32;
+}
+
+# Asks the holder of the lease for requests that may be sent to servers that are
+# cold or advertise a rate limit.
 struct ColdRequest {
   # Given back with the answer, so that its time counts from the question.
   nonce @0 :UInt64;
   # Servers, and how many requests are wanted for each.
   wanted @1 :List(ServerCount);
+  # The sender's state of these servers' rate limits.
+  limits @2 :List(LimitReport);
 }
 
-# Grants requests to cold servers.
+# Grants requests to servers that are cold or advertise a rate limit.
 struct ColdGrant {
   nonce @0 :UInt64;
   granted @1 :List(ServerCount);
+  # Limits for which the sender's state is newer than the asker's.
+  limits @2 :List(LimitReport);
+}
+
+# Reports rate limits that have changed or ended.
+struct LimitNews {
+  reports @0 :List(LimitReport);
 }
 
 struct ServerCount {
@@ -214,6 +236,7 @@
     crashReport @9 :CrashReport;
     coldRequest @10 :ColdRequest;
     coldGrant @11 :ColdGrant;
+    limitNews @12 :LimitNews;
   }
   # The sender's part of a processor core.
   cores @8 :Float32;
--- a/src/node-message.cc
+++ b/src/node-message.cc
@@ -6,6 +6,9 @@
 #include <kj/exception.h>
 #include <kj/io.h>
 
+#include <algorithm>
+#include <limits>
+
 #include "generated/node-message.capnp.h"
 
 namespace spokesail {
@@ -14,6 +17,13 @@
 /// Words that a message may make its reader look at.
 constexpr uint64_t read_limit_words = 1 << 17;
 
+/// Converts to whole milliseconds, clamped to the range of uint32_t.
+uint32_t to_ms(absl::Duration time) {
+  constexpr int64_t most = std::numeric_limits<uint32_t>::max();
+  return static_cast<uint32_t>(
+      std::clamp<int64_t>(absl::ToInt64Milliseconds(time), 0, most));
+}
+
 template <typename List>
 void write_texts(List list, const std::vector<std::string>& texts) {
   for (size_t i = 0; i < texts.size(); ++i) list.set(i, texts[i]);
@@ -106,6 +116,30 @@
   return out;
 }
 
+template <typename List>
+void write_limits(List out, const std::vector<limit_report>& limits) {
+  for (size_t i = 0; i < limits.size(); ++i) {
+    out[i].setServer(limits[i].server.server);
+    out[i].setIncarnation(limits[i].server.incarnation);
+    out[i].setLimited(limits[i].per_s.has_value());
+    out[i].setPerS(limits[i].per_s.value_or(0));
+    out[i].setAgeMs(to_ms(limits[i].age));
+  }
+}
+
+template <typename List>
+std::vector<limit_report> read_limits(List list) {
+  std::vector<limit_report> out;
+  for (const auto item : list) {
+    limit_report report;
+    report.server = {item.getServer().cStr(), item.getIncarnation()};
+    if (item.getLimited()) report.per_s = item.getPerS();
+    report.age = absl::Milliseconds(item.getAgeMs());
+    out.push_back(std::move(report));
+  }
+  return out;
+}
+
 void write_evacuations(rpc::Evacuations::Builder out,
                        const evacuation_word& said) {
   out.setRevision(said.revision);
@@ -338,10 +372,15 @@
     auto request = root.initColdRequest();
     request.setNonce(w->nonce);
     write_counts(request.initWanted(w->wanted.size()), w->wanted);
+    write_limits(request.initLimits(w->limits.size()), w->limits);
   } else if (const auto* a = std::get_if<cold_grant>(&message.content)) {
     auto grant = root.initColdGrant();
     grant.setNonce(a->nonce);
     write_counts(grant.initGranted(a->granted.size()), a->granted);
+    write_limits(grant.initLimits(a->limits.size()), a->limits);
+  } else if (const auto* l = std::get_if<limit_news>(&message.content)) {
+    auto news = root.initLimitNews();
+    write_limits(news.initReports(l->reports.size()), l->reports);
   } else {
     const auto& said = std::get<suspicion>(message.content);
     auto out = root.initSuspicion();
@@ -388,11 +427,16 @@
     } else if (root.isColdRequest()) {
       const auto request = root.getColdRequest();
       message.content =
-          cold_request{request.getNonce(), read_counts(request.getWanted())};
+          cold_request{request.getNonce(), read_counts(request.getWanted()),
+                       read_limits(request.getLimits())};
     } else if (root.isColdGrant()) {
       const auto grant = root.getColdGrant();
       message.content =
-          cold_grant{grant.getNonce(), read_counts(grant.getGranted())};
+          cold_grant{grant.getNonce(), read_counts(grant.getGranted()),
+                     read_limits(grant.getLimits())};
+    } else if (root.isLimitNews()) {
+      message.content =
+          limit_news{read_limits(root.getLimitNews().getReports())};
     } else {
       return;
     }
--- a/src/node-message.h
+++ b/src/node-message.h
@@ -17,6 +17,7 @@
 #include "spokesail/model-demand.h"
 #include "spokesail/place-speed.h"
 #include "spokesail/server-directory.h"
+#include "spokesail/server-limits.h"
 
 namespace spokesail {
 
@@ -134,9 +135,16 @@
   bool operator==(const crash_report&) const = default;
 };
 
+/// Reports rate limits that have changed or ended.
+struct limit_news {
+  std::vector<limit_report> reports;
+  bool operator==(const limit_news&) const = default;
+};
+
 /// What a datagram holds.
-using message_content = std::variant<gossip, news_request, news, suspicion,
-                                     crash_report, cold_request, cold_grant>;
+using message_content =
+    std::variant<gossip, news_request, news, suspicion, crash_report,
+                 cold_request, cold_grant, limit_news>;
 
 /// One datagram.
 struct node_message {
--- a/src/node-process.cc
+++ b/src/node-process.cc
@@ -59,6 +59,7 @@
       lease(state),
       duty(state, lease),
       cold(state, link, lease),
+      limits(state, link),
       stalls(state) {}
 
 bool node_process::listen() {
@@ -103,6 +104,9 @@
   this->link.on_cold_grant = [this](const std::string& peer, const auto& said) {
     this->cold.take(peer, said);
   };
+  this->link.on_limit_news = [this](const std::string& peer, const auto& said) {
+    this->limits.take(peer, said);
+  };
   this->link.on_suspicion = [this](const suspicion& said) {
     for (const auto& id : said.servers) this->duty.suspect(id);
     this->stalls.hear(said);
@@ -166,6 +170,7 @@
   this->spawn(this->gossip.run());
   this->spawn(this->relay.run());
   this->spawn(this->crashes.run());
+  this->spawn(this->limits.run());
   this->spawn(this->lease.run());
   this->spawn(this->duty.run());
   this->spawn(this->accept_callers());
@@ -309,10 +314,12 @@
   if (this->state.directory.expire(now, this->state.servers_proof)) {
     this->state.forget_groups();
   }
-  this->state.limits.forget([this](const server_instance& instance) {
+  const auto exists = [this](const server_instance& instance) {
     const server_entry* entry = this->state.directory.find(instance.server);
     return entry != nullptr && entry->incarnation == instance.incarnation;
-  });
+  };
+  this->state.limits.forget(exists);
+  this->state.limit_shares.forget(exists);
   if (this->state.closing() && this->callers.is_open()) {
     boost::system::error_code ignored;
     this->callers.close(ignored);
--- a/src/node-process.h
+++ b/src/node-process.h
@@ -19,6 +19,7 @@
 #include "group-duty.h"
 #include "http-fetch.h"
 #include "lease-keeper.h"
+#include "limit-gossip.h"
 #include "news-relay.h"
 #include "node-context.h"
 #include "node-gossip.h"
@@ -104,6 +105,7 @@
   lease_keeper lease;
   group_duty duty;
   cold_gossip cold;
+  limit_gossip limits;
   stall_watch stalls;
   boost::asio::ip::tcp::acceptor callers{loop};
   boost::asio::ip::tcp::acceptor readiness{loop};
--- a/src/peer-link.cc
+++ b/src/peer-link.cc
@@ -244,6 +244,8 @@
     this->on_cold_request(message.node, *w);
   } else if (const auto* a = std::get_if<cold_grant>(&message.content)) {
     this->on_cold_grant(message.node, *a);
+  } else if (const auto* l = std::get_if<limit_news>(&message.content)) {
+    this->on_limit_news(message.node, *l);
   } else {
     this->on_suspicion(std::get<suspicion>(message.content));
   }
--- a/src/peer-link.h
+++ b/src/peer-link.h
@@ -73,6 +73,7 @@
   std::function<void(const std::string& peer, const cold_request&)>
       on_cold_request;
   std::function<void(const std::string& peer, const cold_grant&)> on_cold_grant;
+  std::function<void(const std::string& peer, const limit_news&)> on_limit_news;
 
  private:
   /// How a reading of the list of nodes ended.
--- a/src/request-admit.cc
+++ b/src/request-admit.cc
@@ -1,11 +1,12 @@
-// Whether a request may be sent now: by the grants that cold servers need, and
-// by admission where room is short.
+// Whether a request may be sent now: by the grants that cold and rate-limited
+// servers need, and by admission where room is short.
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
 
 #include "caller-session.h"
 #include "request-run.h"
+#include "spokesail/cold-ledger.h"
 
 namespace spokesail {
 namespace {
@@ -23,9 +24,10 @@
 
 std::optional<request_place> request_run::as_granted(
     std::optional<request_place> place) {
-  this->wish_for_cold();
-  if (place && this->is_cold(place->members)) return this->with_grant(*place);
-  return place;
+  this->wish_for_grant();
+  if (!place) return place;
+  const bool needed = this->chosen.limit || this->is_cold(place->members);
+  return needed ? this->with_grant(*place) : place;
 }
 
 bool request_run::is_cold(const std::vector<std::string>& members) const {
@@ -39,38 +41,91 @@
   });
 }
 
+bool request_run::has_slot(const server_entry& entry, double per_s) {
+  const absl::Time now = this->node.now();
+  const auto nodes = this->node.fleet.most(now);
+  return nodes &&
+         this->node.limit_shares.has({entry.id, entry.incarnation}, per_s,
+                                     *nodes, now, this->node.random);
+}
+
 bool request_run::may_send(const std::string& head,
                            const std::vector<std::string>& members) {
-  if (!this->is_cold(members)) return true;
+  const server_entry& entry = *this->node.directory.find(head);
+  const std::optional<limit_report> limit = this->limit_of(entry);
+  const bool cold = this->is_cold(members);
+  if (!cold && !limit) return true;
   if (this->node.cold.has(head, this->node.now())) return true;
-  // Each of those that are passed over is as likely to be asked for.
-  const auto passed = static_cast<uint64_t>(++this->cold_passed);
-  if (this->node.random.below(passed) == 0) this->cold_server = head;
+  if (!cold && this->has_slot(entry, *limit->per_s)) return true;
+  this->pass_over(head, limit);
   return false;
 }
 
-void request_run::wish_for_cold() {
+void request_run::reset_passed_over() {
+  this->ungranted_count = 0;
+  this->passed_over_per_s = 0;
+}
+
+void request_run::pass_over(const std::string& head,
+                            const std::optional<limit_report>& limit) {
+  if (limit) {
+    this->passed_over_per_s += bucket_for_limit(*limit->per_s).per_s;
+    if (this->sends == 0) {
+      // The log line of a refused request reports the last limit passed over.
+      this->chosen.place = head;
+      this->chosen.limit = limit;
+    }
+  }
+  // Reservoir sampling: each server passed over is chosen with equal
+  // probability.
+  const auto passed = static_cast<uint64_t>(++this->ungranted_count);
+  if (this->node.random.below(passed) == 0) this->ungranted_server = head;
+}
+
+void request_run::wish_for_grant() {
   const absl::Time now = this->node.now();
   const absl::Duration period = this->node.cold.times().ask_period;
-  if (this->cold_passed == 0 || now - this->cold_wanted_at < period) return;
-  const server_entry* entry = this->node.directory.find(this->cold_server);
+  if (this->ungranted_count == 0 || now - this->grant_wanted_at < period) {
+    return;
+  }
+  const server_entry* entry = this->node.directory.find(this->ungranted_server);
   if (entry == nullptr) return;
-  this->node.cold.wish(entry->id, entry->incarnation);
-  this->cold_wanted_at = now;
+  const bool limited = this->limit_of(*entry).has_value();
+  this->node.cold.wish(entry->id, entry->incarnation,
+                       limited ? cold_allowance::most_limited_requests
+                               : cold_allowance::most_requests);
+  this->grant_wanted_at = now;
 }
 
 std::optional<request_place> request_run::with_grant(request_place place) {
   const absl::Time now = this->node.now();
-  const auto until = this->node.cold.use(place.server, now);
+  const std::optional<limit_report> limit = this->chosen.limit;
+  std::optional<absl::Time> until;
+  if (!this->is_cold(place.members)) {
+    until = this->node.limit_shares.use({place.server, place.incarnation}, now);
+  }
+  const bool from_share = until.has_value();
+  if (!from_share) until = this->node.cold.use(place.server, now);
   if (!until) return std::nullopt;
   place.send_by = *until;
-  this->node.metrics.count_cold("used", 1);
+  if (from_share) {
+    this->node.metrics.count_limited("own_part");
+  } else {
+    this->node.metrics.count_cold("used", 1);
+  }
+  // Requests a grant for the next request in advance.
+  if (limit) {
+    this->node.cold.wish(place.server, place.incarnation,
+                         cold_allowance::most_limited_requests);
+  }
   this->node.log.write(
       log_weight::request, "cold_used",
       {{"id", this->info.id},
        {"server", place.server},
        {"group", place.group},
        {"left_ms", absl::StrCat(absl::ToInt64Milliseconds(*until - now))},
+       {"limit_per_s", limit ? absl::StrCat(*limit->per_s) : ""},
+       {"own_part", from_share ? "1" : "0"},
        {"servers_rev", absl::StrCat(this->node.directory.revision())},
        {"servers_age_ms",
         absl::StrCat(absl::ToInt64Milliseconds(this->node.age().servers))}},
@@ -105,7 +160,7 @@
 
 std::optional<request_place> request_run::ask_admission(
     const admission_request& asked, bool entered) {
-  this->cold_passed = 0;
+  this->reset_passed_over();
   const std::vector<const group_view*> groups = this->groups_to_weigh();
   const std::vector<group_option> options = this->weigh(groups);
   const admission_view view = {
--- a/src/request-place.cc
+++ b/src/request-place.cc
@@ -32,9 +32,9 @@
 /// Callers leave a stream that is silent for two seconds.
 constexpr absl::Duration repeat_wait = absl::Milliseconds(1500);
 
-/// How long a request waits for a grant if only cold servers are left: a
+/// How long a request waits for a grant if all servers left need one: a
 /// question and its answer between data halls, and the tick that asks.
-constexpr absl::Duration cold_wait = absl::Milliseconds(60);
+constexpr absl::Duration grant_wait = absl::Milliseconds(60);
 
 /// How often a waiting request looks for a place again.
 constexpr absl::Duration wait_step = absl::Milliseconds(15);
@@ -55,7 +55,7 @@
 }
 
 std::optional<request_place> request_run::pick() {
-  this->cold_passed = 0;
+  this->reset_passed_over();
   return this->as_granted(this->service->engine ? this->pick_group()
                                                 : this->pick_server());
 }
@@ -169,6 +169,7 @@
 
 std::optional<limit_report> request_run::limit_of(
     const server_entry& entry) const {
+  if (this->node.limits.empty()) return std::nullopt;
   const auto report =
       this->node.limits.report({entry.id, entry.incarnation}, this->node.now());
   return report && report->per_s ? report : std::nullopt;
@@ -221,18 +222,18 @@
   if (this->sends == 0 && this->node.settings.policy.admit_in_time &&
       this->service->engine) {
     const auto admitted_to = co_await this->admit();
-    if (admitted_to || this->cold_passed == 0) co_return admitted_to;
-    // A grant for one of the cold groups may be on its way.
+    if (admitted_to || this->ungranted_count == 0) co_return admitted_to;
+    // A grant for a group that was passed over may arrive shortly.
     this->admitted.reset();
   }
   auto place = this->pick();
   // A request that nobody has room for is refused at once: its caller can come
   // back in time, and one that waits would take its place late.
-  const bool cold = this->sends == 0 && this->cold_passed > 0;
-  if (place || (this->sends == 0 && !cold)) co_return place;
+  const bool may_be_granted = this->sends == 0 && this->ungranted_count > 0;
+  if (place || (this->sends == 0 && !may_be_granted)) co_return place;
   // Evacuations last longer than a request may wait.
   if (this->node.service_closed(this->service->name)) co_return place;
-  const absl::Duration longest = cold ? cold_wait : repeat_wait;
+  const absl::Duration longest = may_be_granted ? grant_wait : repeat_wait;
   const absl::Time until =
       this->node.now() + std::min(longest, this->time_left() / 2);
   while (!place && !this->session.gone && this->node.now() < until) {
--- a/src/request-run.cc
+++ b/src/request-run.cc
@@ -26,6 +26,9 @@
 constexpr absl::Duration full_retry = absl::Milliseconds(400);
 /// Evacuations last seconds at least.
 constexpr absl::Duration evacuated_retry = absl::Seconds(1);
+/// Upper bound on the retry delay for rate limits: a low limit may end before
+/// the computed delay has passed.
+constexpr absl::Duration longest_limit_retry = absl::Seconds(3);
 /// Another node can take the request at once.
 constexpr absl::Duration other_node_retry = absl::Milliseconds(20);
 /// A configuration is read within about this time.
@@ -353,8 +356,8 @@
   if (this->sends == 0 && turned_away) {
     return {503, this->admitted->reason, this->admitted->retry_after};
   }
-  if (this->sends == 0 && this->cold_passed > 0) {
-    return {503, "servers are cold", this->node.cold.times().grant_time};
+  if (this->sends == 0 && this->ungranted_count > 0) {
+    return this->no_grant_refusal();
   }
   if (this->sends == 0) {
     const bool groups = this->service->engine.has_value();
@@ -368,6 +371,19 @@
   return {502, "server broke off", {}};
 }
 
+request_run::refusal request_run::no_grant_refusal() const {
+  const absl::Duration grant_time = this->node.cold.times().grant_time;
+  if (this->passed_over_per_s <= 0) {
+    return {503, "servers are cold", grant_time};
+  }
+  this->node.metrics.count_limited("refused");
+  // The time in which these servers' grants amount to one request per node.
+  const absl::Duration one_per_node = absl::Seconds(
+      std::max(1, this->node.live_nodes) / this->passed_over_per_s);
+  return {503, "servers have reached their limits",
+          std::clamp(one_per_node, grant_time, longest_limit_retry)};
+}
+
 net::awaitable<bool> request_run::answer(refusal r) {
   http_response out(static_cast<http::status>(r.status), http_11);
   out.set(http::field::content_type, "text/plain");
--- a/src/request-run.h
+++ b/src/request-run.h
@@ -105,6 +105,9 @@
   /// it. Returns whether the connection may be used on.
   boost::asio::awaitable<bool> end_unserved(run_end end);
   refusal final_refusal(run_end end) const;
+  /// The refusal of a request for which no server could be used without a
+  /// grant.
+  refusal no_grant_refusal() const;
   /// Answers without a server. Returns whether the connection may be used on.
   boost::asio::awaitable<bool> answer(refusal r);
   absl::Duration time_left() const;
@@ -194,17 +197,24 @@
 
   /// The places that it competes for, as admission names them.
   std::string admission_pool() const;
-  /// Whether a request may be sent to servers, which may be cold. Takes note of
-  /// those that it may not be sent to.
+  /// Whether a request may be sent to a group's members or a plain server now.
+  /// If a required grant is missing, records that it was passed over.
   bool may_send(const std::string& head,
                 const std::vector<std::string>& members);
   /// Whether one of these is slow after a start, and must not get many
   /// requests.
   bool is_cold(const std::vector<std::string>& members) const;
-  /// Asks for a request to one of the cold servers that were passed over.
-  void wish_for_cold();
-  /// A choice, with the grant that it needs if it is cold; asks for grants for
-  /// those that were passed over.
+  /// Whether a slot of this node's share of a server's limit is available.
+  bool has_slot(const server_entry& entry, double per_s);
+  /// Clears the servers recorded as passed over, before another choice.
+  void reset_passed_over();
+  /// Records that a server was passed over for lack of a grant.
+  void pass_over(const std::string& head,
+                 const std::optional<limit_report>& limit);
+  /// Requests a grant for one of the servers that were passed over.
+  void wish_for_grant();
+  /// Consumes the grant that a choice needs, and requests one for the servers
+  /// that were passed over.
   std::optional<request_place> as_granted(std::optional<request_place> place);
   /// The place with the grant that it needs, which is used up; nothing if it
   /// has just ended.
@@ -265,12 +275,14 @@
   bool lost_before = false;
   absl::Time deadline = absl::InfiniteFuture();
 
-  /// Cold servers that the last choice passed over for want of a grant.
-  int cold_passed = 0;
-  /// One of them, drawn at random.
-  std::string cold_server;
-  /// When a grant was last wanted.
-  absl::Time cold_wanted_at = absl::InfinitePast();
+  /// Number of servers that the last choice passed over for lack of a grant.
+  int ungranted_count = 0;
+  /// One of them, chosen uniformly at random.
+  std::string ungranted_server;
+  /// Sum of the grant rates of those with a limit, in requests per second.
+  double passed_over_per_s = 0;
+  /// When a grant was last requested.
+  absl::Time grant_wanted_at = absl::InfinitePast();
 
   /// Servers that it was sent to.
   std::set<std::string> tried;
--- a/src/server-limits.cc
+++ b/src/server-limits.cc
@@ -21,8 +21,11 @@
 void server_limits::set(const server_instance& server,
                         std::optional<double> per_s, absl::Time answered_at) {
   entry& e = this->entries[server];
-  if (differ_significantly(e.per_s, per_s)) this->changes.insert(server);
-  e = {per_s, answered_at};
+  e.per_s = per_s;
+  e.answered_at = answered_at;
+  if (differ_significantly(e.returned_per_s, per_s)) {
+    this->changes.insert(server);
+  }
 }
 
 void server_limits::note_answer(const server_instance& server,
@@ -63,6 +66,10 @@
 }
 
 std::set<server_instance> server_limits::take_changes() {
+  for (const auto& server : this->changes) {
+    entry& e = this->entries[server];
+    e.returned_per_s = e.per_s;
+  }
   return std::exchange(this->changes, {});
 }
 
--- a/test/cold-servers-test.cc
+++ b/test/cold-servers-test.cc
@@ -146,7 +146,11 @@
 
   cold_grant grant(size_t at, const cold_request& asked) {
     return this->nodes[at].ledger.answer(
-        asked, [this](const std::string&) { return this->rate; }, this->now);
+        asked,
+        [this](const server_count&) {
+          return bucket_for(this->rate, cold_timing().grant_time);
+        },
+        this->now);
   }
 
   void take(size_t at, const cold_grant& given, absl::Time when) {
@@ -292,6 +296,13 @@
   }
 }
 
+/// Returns a function that gives every server the bucket for `rate`.
+auto bucket_at(double rate) {
+  return [rate](const server_count&) {
+    return bucket_for(rate, cold_timing().grant_time);
+  };
+}
+
 TEST(cold_bucket, gives_the_rate_within_a_second_and_the_time_of_grants) {
   for (int rate = 1; rate <= 200; ++rate) {
     const absl::Duration hold = absl::Milliseconds(500);
@@ -304,7 +315,7 @@
 
 TEST(cold_ledger, grants_nothing_without_a_term_and_until_it_is_old_enough) {
   cold_ledger ledger;
-  const auto rate = [](const std::string&) { return 26.0; };
+  const auto rate = bucket_at(26);
   const cold_request asked{1, {{"s", 1, 1}}};
   EXPECT_TRUE(ledger.answer(asked, rate, start).granted.empty());
   ledger.begin_term(start);
@@ -319,7 +330,7 @@
 TEST(cold_ledger, grants_nothing_for_servers_that_it_does_not_know) {
   cold_ledger ledger;
   ledger.begin_term(start);
-  const auto rate = [](const std::string&) { return 0.0; };
+  const auto rate = bucket_at(0);
   const absl::Time later = start + absl::Seconds(2);
   const cold_request asked{1, {{"s", 1, 1}}};
   EXPECT_TRUE(ledger.answer(asked, rate, later).granted.empty());
@@ -329,7 +340,7 @@
 TEST(cold_ledger, is_bounded_and_forgets_servers_with_full_buckets) {
   cold_ledger ledger;
   ledger.begin_term(start);
-  const auto rate = [](const std::string&) { return 26.0; };
+  const auto rate = bucket_at(26);
   const absl::Time later = start + absl::Seconds(2);
   cold_request asked;
   for (size_t i = 0; i <= cold_ledger::most_servers; ++i) {
@@ -344,7 +355,7 @@
 TEST(cold_ledger, shares_one_bucket_among_the_starts_of_a_server) {
   cold_ledger ledger;
   ledger.begin_term(start);
-  const auto rate = [](const std::string&) { return 26.0; };
+  const auto rate = bucket_at(26);
   const absl::Time later = start + absl::Seconds(2);
   const cold_grant given =
       ledger.answer({1, {{"s", 1, 2}, {"s", 2, 2}}}, rate, later);
--- /dev/null
+++ b/test/limit-fleet-test.cc
@@ -0,0 +1,533 @@
+// Simulates, in virtual time, the combined load of all nodes on servers that
+// advertise rate limits, with message loss, network partitions, changing or
+// missing lease holders, node restarts and changing limits.
+#include <absl/strings/str_cat.h>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+
+#include "spokesail/cold-allowance.h"
+#include "spokesail/cold-ledger.h"
+#include "spokesail/hash.h"
+#include "spokesail/limit-share.h"
+#include "spokesail/limit-spread.h"
+#include "spokesail/server-limits.h"
+
+namespace spokesail {
+namespace {
+
+const absl::Time start = absl::UnixEpoch();
+constexpr absl::Duration step = absl::Milliseconds(10);
+/// Time from sending a request until its answer arrives.
+constexpr absl::Duration answer_time = absl::Milliseconds(100);
+/// Period of the gossip rounds.
+constexpr absl::Duration gossip_period = absl::Milliseconds(50);
+/// Time after its start from which a node knows the number of nodes.
+constexpr absl::Duration count_time = absl::Seconds(4);
+
+/// The bound applies to every window that begins at least `notice` after the
+/// limit is first advertised. A node counts as informed `informed_after` after
+/// a server's answer first carried the limit.
+constexpr absl::Duration window = absl::Seconds(4);
+constexpr absl::Duration notice = absl::Seconds(3);
+constexpr absl::Duration informed_after = absl::Milliseconds(500);
+
+double allowed(double per_s) {
+  return 1.5 * per_s * absl::ToDoubleSeconds(window) + 5;
+}
+
+/// Mutations that disable one mechanism, to show that the tests detect it.
+enum class mutation {
+  none,
+  /// Nodes ignore limits.
+  ignore_limits,
+  /// Each node uses the share of all nodes.
+  undivided_share,
+  /// The first slots of all nodes have the same offset.
+  aligned_slots,
+  /// Nodes do not gossip limits.
+  no_gossip
+};
+
+/// Time by which some node has received an answer at the demand of the test.
+constexpr absl::Duration first_answers = absl::Milliseconds(700);
+
+struct fault_rates {
+  /// Fraction of messages lost.
+  double lost = 0;
+  /// Probability that a lease term has no holder.
+  double no_holder = 0;
+  /// Fraction of nodes that restart per second.
+  double restarts = 0;
+  /// Whether the network partitions into halves at random times.
+  bool splits = false;
+};
+
+class limit_fleet {
+ public:
+  /// Each node attempts `demand` requests per second to each server.
+  limit_fleet(int count, double per_s, double demand, fault_rates t, mutation m,
+              uint64_t seed)
+      : per_s(per_s),
+        demand(demand),
+        faults(t),
+        mutated(m),
+        random{std::mt19937_64(seed)},
+        nodes(static_cast<size_t>(count)) {
+    for (auto& n : this->nodes) {
+      n.began = start - absl::Hours(1);
+      this->names.push_back(absl::StrCat(this->names.size()));
+    }
+  }
+
+  void run(absl::Duration length) {
+    const absl::Time until = this->now + length;
+    while (this->now < until) this->advance();
+  }
+
+  /// Sets the limit that all servers advertise; nothing ends it.
+  void set_limit(std::optional<double> takes) { this->per_s = takes; }
+
+  /// Maximum number of requests that a server received within a window from
+  /// nodes that it had informed of the limit itself.
+  int most_in_a_window() const { return most_of(this->sent_when_informed); }
+  /// The same from all nodes.
+  int most_of_all_in_a_window() const { return most_of(this->sent); }
+
+  /// Mean rate per server after the notice period, in requests per second.
+  double used_per_s() const {
+    size_t out = 0;
+    for (const auto& times : this->sent) out += times.size();
+    const double seconds = absl::ToDoubleSeconds(this->now - start - notice);
+    return static_cast<double>(out) / servers / seconds;
+  }
+  /// Number of nodes that know a server's limit.
+  int count_knowing(int server) const {
+    return static_cast<int>(std::count_if(
+        this->nodes.begin(), this->nodes.end(), [&](const node& n) {
+          return n.limits.find(name_of(server)).has_value();
+        }));
+  }
+  int64_t passed_over = 0;
+
+ private:
+  static constexpr int servers = 3;
+  using send_times = std::vector<std::vector<absl::Time>>;
+
+  static int most_of(const send_times& sent) {
+    int most = 0;
+    for (const auto& times : sent) {
+      size_t first = 0;
+      for (size_t last = 0; last < times.size(); ++last) {
+        while (times[last] - times[first] >= window) ++first;
+        most = std::max(most, static_cast<int>(last - first + 1));
+      }
+    }
+    return most;
+  }
+
+  struct node {
+    server_limits limits;
+    cold_allowance allowance;
+    cold_ledger ledger;
+    limit_share shares;
+    absl::Time began;
+    limit_spread spread;
+    /// When an answer of each server first carried a limit.
+    std::map<server_instance, absl::Time> informed_at;
+    bool in_first_half = false;
+  };
+  struct event {
+    size_t node = 0;
+    /// Answers only: the server, its limit, and when the request was sent.
+    std::optional<server_instance> server;
+    std::optional<double> advertised;
+    absl::Time sent;
+    /// Messages only.
+    size_t from = 0;
+    cold_request asked;
+    std::optional<cold_grant> given;
+    std::vector<limit_report> reports;
+  };
+
+  static server_instance name_of(int server) {
+    return {absl::StrCat("s", server), 1};
+  }
+
+  std::optional<int> known_nodes(const node& n) const {
+    if (this->now - n.began < count_time) return std::nullopt;
+    return static_cast<int>(this->nodes.size());
+  }
+
+  void later(absl::Duration delay, event e) {
+    this->pending_events.emplace(this->now + delay, std::move(e));
+  }
+
+  void send_message(event e) {
+    const node& from = this->nodes[e.from];
+    const node& to = this->nodes[e.node];
+    if (this->split && from.in_first_half != to.in_first_half) return;
+    if (this->random.unit() < this->faults.lost) return;
+    this->later(this->random.unit() * absl::Milliseconds(20), std::move(e));
+  }
+
+  cold_grant grant(node& holder, const cold_request& asked) {
+    for (const auto& known : asked.limits) holder.limits.take(known, this->now);
+    return holder.ledger.answer(
+        asked,
+        [&](const server_count& wanted) {
+          const auto takes =
+              holder.limits.find({wanted.server, wanted.incarnation});
+          return takes ? bucket_for_limit(*takes) : cold_bucket();
+        },
+        this->now);
+  }
+
+  void ask(size_t i) {
+    node& n = this->nodes[i];
+    n.allowance.expire(this->now);
+    if (!n.allowance.due(this->now)) return;
+    cold_request asked = n.allowance.ask(++this->nonce, this->now);
+    for (const auto& wanted : asked.wanted) {
+      const auto known =
+          n.limits.report({wanted.server, wanted.incarnation}, this->now);
+      if (known) asked.limits.push_back(*known);
+    }
+    if (!this->holder) return;
+    if (*this->holder == i) {
+      n.allowance.take(this->grant(n, asked), this->now);
+      return;
+    }
+    event e;
+    e.node = *this->holder;
+    e.from = i;
+    e.asked = std::move(asked);
+    this->send_message(std::move(e));
+  }
+
+  /// Consumes a slot or grant for a request. Returns whether it may be sent.
+  bool try_send(size_t i, int server) {
+    node& n = this->nodes[i];
+    const server_instance to = name_of(server);
+    const auto takes = n.limits.find(to);
+    if (!takes || this->mutated == mutation::ignore_limits) return true;
+    const auto nodes = this->known_nodes(n);
+    random_stream same{std::mt19937_64(1)};
+    random_stream& drawn =
+        this->mutated == mutation::aligned_slots ? same : this->random;
+    const int sharing =
+        this->mutated == mutation::undivided_share ? 1 : nodes.value_or(0);
+    const bool own = nodes &&
+                     n.shares.has(to, *takes, sharing, this->now, drawn) &&
+                     n.shares.use(to, this->now);
+    const bool may = own || n.allowance.use(to.server, this->now);
+    n.allowance.wish(to.server, to.incarnation,
+                     cold_allowance::most_limited_requests);
+    return may;
+  }
+
+  void gossip(size_t i) {
+    if (this->mutated == mutation::no_gossip) return;
+    node& n = this->nodes[i];
+    for (auto& m :
+         n.spread.next_round(n.limits, this->names, this->random, this->now)) {
+      event e;
+      e.from = i;
+      e.node = std::stoul(m.peer);
+      e.reports = std::move(m.reports);
+      this->send_message(std::move(e));
+    }
+  }
+
+  void act(size_t i) {
+    node& n = this->nodes[i];
+    const double seconds = absl::ToDoubleSeconds(step);
+    if (this->random.unit() < this->faults.restarts * seconds) {
+      n = node();
+      n.began = this->now;
+      if (this->holder == i) this->end_term();
+    }
+    for (int s = 0; s < servers; ++s) {
+      if (this->random.unit() >= this->demand * seconds) continue;
+      if (!this->try_send(i, s)) {
+        ++this->passed_over;
+        continue;
+      }
+      const auto informed_at = n.informed_at.find(name_of(s));
+      const bool informed = informed_at != n.informed_at.end() &&
+                            this->now - informed_at->second >= informed_after;
+      if (this->now - start >= notice && this->per_s) {
+        this->sent[static_cast<size_t>(s)].push_back(this->now);
+        if (informed) {
+          this->sent_when_informed[static_cast<size_t>(s)].push_back(this->now);
+        }
+      }
+      event e;
+      e.node = i;
+      e.server = name_of(s);
+      e.advertised = this->per_s;
+      e.sent = this->now;
+      this->later(answer_time, std::move(e));
+    }
+    this->ask(i);
+    if (!n.limits.empty() && (this->now - start) % gossip_period < step) {
+      this->gossip(i);
+    }
+  }
+
+  void take(const event& e) {
+    node& n = this->nodes[e.node];
+    if (e.server) {
+      n.limits.note_answer(*e.server, e.advertised, e.sent, this->now);
+      if (e.advertised) n.informed_at.emplace(*e.server, this->now);
+    } else if (!e.reports.empty()) {
+      for (const auto& report : e.reports) n.limits.take(report, this->now);
+    } else if (e.given) {
+      n.allowance.take(*e.given, this->now);
+    } else if (this->holder == e.node) {
+      event answer;
+      answer.node = e.from;
+      answer.from = e.node;
+      answer.given = this->grant(n, e.asked);
+      this->send_message(std::move(answer));
+    }
+  }
+
+  void end_term() {
+    this->nodes[*this->holder].ledger.end_term();
+    this->holder.reset();
+  }
+
+  void keep_lease() {
+    if (this->now < this->next_change) return;
+    if (this->holder) this->end_term();
+    this->next_change = this->now + absl::Seconds(1 + 4 * this->random.unit());
+    if (this->random.unit() < this->faults.no_holder) return;
+    this->holder = this->random.below(this->nodes.size());
+    this->nodes[*this->holder].ledger.begin_term(this->now);
+    if (this->faults.no_holder == 0) this->next_change = absl::InfiniteFuture();
+  }
+
+  void split_or_heal() {
+    if (!this->faults.splits || this->random.unit() > 0.01) return;
+    this->split = !this->split;
+    for (node& n : this->nodes) n.in_first_half = this->random.unit() < 0.5;
+  }
+
+  void advance() {
+    this->now += step;
+    this->keep_lease();
+    this->split_or_heal();
+    while (!this->pending_events.empty() &&
+           this->pending_events.begin()->first <= this->now) {
+      const event e = this->pending_events.begin()->second;
+      this->pending_events.erase(this->pending_events.begin());
+      this->take(e);
+    }
+    for (size_t i = 0; i < this->nodes.size(); ++i) this->act(i);
+  }
+
+  std::optional<double> per_s;
+  double demand;
+  fault_rates faults;
+  mutation mutated;
+  random_stream random;
+  std::vector<node> nodes;
+  /// The name of each node is its index.
+  std::vector<std::string> names;
+  send_times sent{servers};
+  send_times sent_when_informed{servers};
+  std::multimap<absl::Time, event> pending_events;
+  std::optional<size_t> holder;
+  absl::Time next_change = start;
+  absl::Time now = start;
+  uint64_t nonce = 0;
+  bool split = false;
+};
+
+/// Demand per node that makes the total many times the limit.
+double overload_demand(int nodes, double per_s) {
+  return std::max(4.0, 10 * per_s / nodes);
+}
+
+// Guards against a combined load above the advertised limit.
+TEST(limit_fleet, servers_get_no_more_than_their_limit) {
+  for (const int nodes : {9, 83, 295}) {
+    for (const double per_s : {0.05, 0.3, 1.4, 5.0, 26.0}) {
+      limit_fleet fleet(nodes, per_s, overload_demand(nodes, per_s), {},
+                        mutation::none, 1);
+      fleet.run(absl::Seconds(12));
+      EXPECT_LE(fleet.most_of_all_in_a_window(), allowed(per_s))
+          << nodes << " nodes, " << per_s;
+    }
+  }
+}
+
+const fault_rates all_faults{0.1, 0.3, 0.02, true};
+
+TEST(limit_fleet, bound_holds_with_all_faults_combined) {
+  for (const int nodes : {9, 83, 295}) {
+    for (const double per_s : {0.05, 1.4, 26.0}) {
+      for (uint64_t seed = 1; seed <= 2; ++seed) {
+        limit_fleet fleet(nodes, per_s, overload_demand(nodes, per_s),
+                          all_faults, mutation::none, seed);
+        fleet.run(absl::Seconds(15));
+        EXPECT_LE(fleet.most_in_a_window(), allowed(per_s))
+            << nodes << " nodes, " << per_s << ", seed " << seed;
+      }
+    }
+  }
+}
+
+RC_GTEST_PROP(limit_fleet, bound_holds_at_random, ()) {
+  fault_rates t;
+  t.lost = *rc::gen::inRange(0, 50) * 0.01;
+  t.no_holder = *rc::gen::inRange(0, 100) * 0.01;
+  t.restarts = *rc::gen::inRange(0, 5) * 0.01;
+  t.splits = *rc::gen::arbitrary<bool>();
+  const int nodes = *rc::gen::element(9, 83, 295);
+  const double per_s = *rc::gen::inRange(1, 300) * 0.1;
+  limit_fleet fleet(nodes, per_s, overload_demand(nodes, per_s), t,
+                    mutation::none, *rc::gen::arbitrary<uint64_t>());
+  fleet.run(absl::Seconds(8));
+  RC_ASSERT(fleet.most_in_a_window() <= allowed(per_s));
+}
+
+TEST(limit_fleet, bound_breaks_if_limits_are_ignored) {
+  for (const int nodes : {9, 83}) {
+    limit_fleet fleet(nodes, 1.4, 4, {}, mutation::ignore_limits, 1);
+    fleet.run(absl::Seconds(10));
+    EXPECT_GT(fleet.most_in_a_window(), allowed(1.4));
+  }
+}
+
+TEST(limit_fleet, bound_breaks_if_shares_are_not_divided) {
+  limit_fleet fleet(83, 5, 5, {}, mutation::undivided_share, 1);
+  fleet.run(absl::Seconds(10));
+  EXPECT_GT(fleet.most_in_a_window(), allowed(5));
+}
+
+TEST(limit_fleet, bound_breaks_if_slots_are_aligned) {
+  limit_fleet fleet(295, 5, 10, {0, 1, 0, false}, mutation::aligned_slots, 1);
+  fleet.run(absl::Seconds(250));
+  EXPECT_GT(fleet.most_in_a_window(), allowed(5));
+}
+
+// Guards against servers that receive far less than their limit.
+TEST(limit_fleet, most_of_a_limit_is_used) {
+  for (const int nodes : {9, 83, 295}) {
+    for (const double per_s : {1.4, 26.0}) {
+      limit_fleet fleet(nodes, per_s, overload_demand(nodes, per_s), {},
+                        mutation::none, 1);
+      fleet.run(absl::Seconds(20));
+      const std::string name = absl::StrCat("used_of_", per_s, "_at_", nodes);
+      RecordProperty(name, absl::StrCat(fleet.used_per_s()));
+      EXPECT_GT(fleet.used_per_s(), 0.6 * per_s) << name;
+    }
+  }
+}
+
+// Guards against an outage of limited servers while nobody holds the lease.
+TEST(limit_fleet, a_part_of_a_limit_is_used_without_a_holder) {
+  for (const int nodes : {9, 83, 295}) {
+    limit_fleet fleet(nodes, 26, overload_demand(nodes, 26), {0, 1, 0, false},
+                      mutation::none, 1);
+    fleet.run(absl::Seconds(30));
+    RecordProperty(absl::StrCat("used_without_holder_at_", nodes),
+                   absl::StrCat(fleet.used_per_s()));
+    EXPECT_GT(fleet.used_per_s(), 0.5 * limit_share::fraction * 26);
+  }
+}
+
+// Guards against throttling when the demand is below the limit.
+TEST(limit_fleet, a_limit_above_demand_hardly_throttles) {
+  limit_fleet fleet(9, 200, 5, {}, mutation::none, 1);
+  fleet.run(absl::Seconds(20));
+  EXPECT_LT(fleet.passed_over, 0.1 * 9 * 5 * 3 * 20);
+}
+
+// Guards against limits that stay in effect after the server ends them.
+TEST(limit_fleet, throttling_stops_after_a_limit_ends) {
+  for (const int nodes : {9, 83, 295}) {
+    for (const double per_s : {0.0, 1.4}) {
+      limit_fleet fleet(nodes, per_s, 4, {0.1, 0, 0, false}, mutation::none, 1);
+      fleet.run(absl::Seconds(10));
+      fleet.set_limit(std::nullopt);
+      fleet.run(absl::Seconds(12));
+      const int64_t before = fleet.passed_over;
+      fleet.run(absl::Seconds(5));
+      EXPECT_EQ(fleet.passed_over, before) << nodes << " nodes, " << per_s;
+    }
+  }
+}
+
+// Guards against nodes that learn of a limit only from their own requests.
+TEST(limit_fleet, nodes_gossip_limits) {
+  for (const int nodes : {9, 83, 295}) {
+    for (uint64_t seed = 1; seed <= 5; ++seed) {
+      const fault_rates lossy{0.1, 0, 0, false};
+      limit_fleet fleet(nodes, 1.4, 0.3, lossy, mutation::none, seed);
+      limit_fleet without_gossip(nodes, 1.4, 0.3, lossy, mutation::no_gossip,
+                                 seed);
+      fleet.run(first_answers + absl::Milliseconds(500));
+      without_gossip.run(first_answers + absl::Milliseconds(500));
+      EXPECT_EQ(fleet.count_knowing(0), nodes) << "seed " << seed;
+      EXPECT_LT(without_gossip.count_knowing(0), nodes) << "seed " << seed;
+    }
+  }
+}
+
+TEST(limit_spread, keeps_changes_until_a_peer_is_reachable) {
+  random_stream random{std::mt19937_64(1)};
+  server_limits limits;
+  limit_spread spread;
+  limits.note_answer({"s", 1}, 1.4, start, start);
+  for (int i = 0; i < 100; ++i) {
+    EXPECT_TRUE(spread.next_round(limits, {}, random, start).empty());
+  }
+  EXPECT_EQ(spread.next_round(limits, {"node"}, random, start).size(),
+            limit_spread::fanout);
+}
+
+TEST(limit_share, issues_even_slots_without_accumulation) {
+  random_stream random{std::mt19937_64(1)};
+  limit_share share;
+  const server_instance server{"s", 1};
+  absl::Time now = start;
+  int used = 0;
+  for (int i = 0; i < 10000; ++i, now += step) {
+    if (share.has(server, 10, 3, now, random))
+      used += share.use(server, now) ? 1 : 0;
+  }
+  EXPECT_NEAR(used, 100 * limit_share::fraction * 10 / 3, 1);
+  now += absl::Hours(1);
+  while (!share.has(server, 10, 3, now, random)) now += step;
+  EXPECT_TRUE(share.use(server, now));
+  EXPECT_FALSE(share.use(server, now)) << "slots have expired";
+}
+
+TEST(limit_share, handles_extreme_limits) {
+  random_stream random{std::mt19937_64(1)};
+  limit_share share;
+  absl::Time now = start;
+  for (const double per_s : {0.0, 1e-300, 1e300, 5.0, 1e9, 0.0}) {
+    now += absl::Seconds(100);
+    share.has({"s", 1}, per_s, 295, now, random);
+    now += absl::Seconds(1);
+    EXPECT_EQ(share.has({"s", 1}, per_s, 295, now, random), per_s >= 1e9);
+  }
+}
+
+TEST(limit_bucket, keeps_every_window_below_the_bound) {
+  const double seconds = absl::ToDoubleSeconds(
+      window + cold_timing().grant_time + limit_share::slot_lifetime);
+  for (double per_s = 0.05; per_s < 500; per_s *= 1.1) {
+    const cold_bucket b = bucket_for_limit(per_s);
+    EXPECT_LE(b.burst + b.per_s * seconds, allowed(per_s)) << per_s;
+    EXPECT_GE(b.burst, 1);
+  }
+}
+
+}  // namespace
+}  // namespace spokesail
--- a/test/node-message-test.cc
+++ b/test/node-message-test.cc
@@ -42,7 +42,11 @@
 TEST(node_message, questions_and_grants_for_cold_servers_come_back) {
   const std::vector<message_content> contents = {
       cold_request{7, {{"s1", 1780000000123, 2}, {"s2", 0, 1}}},
-      cold_grant{7, {{"s1", 1780000000123, 1}}}};
+      cold_grant{7, {{"s1", 1780000000123, 1}}},
+      cold_request{8, {{"s1", 4, 2}}, {{{"s1", 4}, 1.4, absl::Seconds(3)}}},
+      cold_grant{8, {}, {{{"s1", 4}, std::nullopt, absl::Seconds(1)}}},
+      limit_news{{{{"s1", 4}, 0.0, absl::Milliseconds(7)},
+                  {{"s2", 0}, std::nullopt, absl::ZeroDuration()}}}};
   for (const auto& content : contents) {
     const auto bytes = encode(sample(content));
     const auto back = decode_message(bytes.data(), bytes.size());
--- a/test/server-limit-test.cc
+++ b/test/server-limit-test.cc
@@ -1,7 +1,8 @@
-// Nodes before servers that name how many requests a second they take.
+// Nodes in front of servers that advertise request rate limits.
 #include <atomic>
 
 #include "node-fixture.h"
+#include "spokesail/cold-timing.h"
 
 namespace spokesail {
 namespace {
@@ -9,12 +10,12 @@
 constexpr int node_count = 3;
 constexpr int callers = 6;
 
-/// Platforms count what a server gets in any time as long as this.
+/// Length of the window in which a platform counts a server's requests.
 constexpr absl::Duration window = absl::Seconds(4);
-/// Nodes have this long from the first answer that names a limit.
+/// Time that nodes have to comply after a limit is first advertised.
 constexpr absl::Duration notice = absl::Seconds(3);
 
-/// Requests that a server with a limit may get within a window.
+/// Maximum number of requests to a server within a window.
 double allowed(double per_s) {
   return 1.5 * per_s * absl::ToDoubleSeconds(window) + 5;
 }
@@ -23,18 +24,19 @@
  protected:
   server_limit_test() { this->keys_fail_closed = false; }
 
-  /// Has all servers of a service name a limit from now on.
-  void name_limit(const std::string& service, const std::string& per_s) {
+  /// Makes all servers of a service advertise a limit; an empty one ends it.
+  void advertise_limit(const std::string& service, const std::string& per_s) {
     this->on_loop([=, this] {
       this->fleet->faults.limit.service = service;
       this->fleet->faults.limit.per_s = per_s;
     });
-    this->named_at = absl::Now();
+    this->advertised_at = absl::Now();
   }
 
-  /// Has some callers send one request after the other, to all nodes in turn.
+  /// Sends requests from concurrent callers, each in a closed loop, to all
+  /// nodes in turn.
   template <typename Request>
-  void press(absl::Duration length, Request request) {
+  void send_load(absl::Duration length, Request request) {
     const absl::Time until = boot_now() + length;
     const auto call = [&] {
       while (boot_now() < until) {
@@ -49,13 +51,26 @@
     for (auto& thread : threads) thread.join();
   }
 
-  /// Most requests that one server got in one window after the notice.
+  bool any_holds_lease() {
+    return std::any_of(this->nodes.begin(), this->nodes.end(),
+                       [](const auto& node) { return node->holds_lease(); });
+  }
+
+  /// Whether no node stores a limit in effect.
+  bool no_limits() {
+    return std::all_of(
+        this->nodes.begin(), this->nodes.end(),
+        [](const auto& node) { return node->context().limits.size() == 0; });
+  }
+
+  /// Maximum number of requests that one server received in a window after the
+  /// notice period.
   int most_in_a_window() {
     const auto arrivals =
         this->on_loop([this] { return this->fleet->record.arrivals; });
     std::map<std::string, std::vector<absl::Time>> times;
     for (const auto& arrival : arrivals) {
-      if (arrival.at < this->named_at + notice) continue;
+      if (arrival.at < this->advertised_at + notice) continue;
       times[arrival.server].push_back(arrival.at);
     }
     int most = 0;
@@ -69,29 +84,99 @@
     return most;
   }
 
-  absl::Time named_at;
+  absl::Time advertised_at;
   std::atomic<int> sent = 0;
   std::atomic<int> served = 0;
 };
 
-// Guards against nodes that together send a server more than it says it takes.
+// Guards against a combined load above the advertised limit.
 TEST_F(server_limit_test, groups_get_no_more_than_their_heads_name) {
   this->start(node_count);
-  this->name_limit("lm", "1.4");
-  this->press(notice + window, stream_request);
+  this->advertise_limit("lm", "1.4");
+  this->send_load(notice + window, stream_request);
   EXPECT_LE(this->most_in_a_window(), allowed(1.4));
   EXPECT_GT(this->served, 0);
 }
 
-// Guards against the same at servers without groups.
+// Guards against the same overload of servers without groups.
 TEST_F(server_limit_test, plain_servers_get_no_more_than_they_name) {
   this->start(node_count);
-  this->name_limit("status", "1.4");
-  this->press(notice + window,
-              [](const std::string& id) { return request(id, "/look/now"); });
+  this->advertise_limit("status", "1.4");
+  this->send_load(notice + window, [](const std::string& id) {
+    return request(id, "/look/now");
+  });
   EXPECT_LE(this->most_in_a_window(), allowed(1.4));
   EXPECT_GT(this->served, 0);
 }
 
+// Guards against refusals without a usable Retry-After.
+TEST_F(server_limit_test, refusals_say_when_to_come_back) {
+  this->start(node_count);
+  this->advertise_limit("lm", "1");
+  for (int i = 0; i < 60; ++i) {
+    const auto answer =
+        this->ask(stream_request(absl::StrCat("request-", i)), i % node_count);
+    if (answer.result_int() == 200) continue;
+    EXPECT_EQ(answer.result_int(), 503U);
+    EXPECT_EQ(answer.body(), "servers have reached their limits");
+    const double seconds = std::stod(std::string(answer["Retry-After"]));
+    EXPECT_GE(seconds, 0.5);
+    EXPECT_LE(seconds, 3);
+    EXPECT_EQ(this->runs(absl::StrCat("request-", i)), 0);
+    return;
+  }
+  FAIL() << "none was refused";
+}
+
+// Guards against an outage of limited servers while nobody holds the lease.
+TEST_F(server_limit_test, nodes_use_their_shares_without_a_holder) {
+  this->start(node_count);
+  this->advertise_limit("lm", "20");
+  this->send_load(absl::Seconds(1), stream_request);
+  this->on_loop([this] { this->fleet->faults.store_silent = true; });
+  ASSERT_TRUE(this->wait_until([this] { return !this->any_holds_lease(); }));
+  std::this_thread::sleep_for(
+      absl::ToChronoMilliseconds(cold_timing().grant_time));
+  this->served = 0;
+  this->send_load(window, stream_request);
+  EXPECT_GT(this->served, 0);
+}
+
+// Guards against limits that stay in effect after the server ends them.
+TEST_F(server_limit_test, throttling_stops_after_a_limit_ends) {
+  this->start(node_count);
+  this->advertise_limit("lm", "5");
+  this->send_load(absl::Seconds(1), stream_request);
+  this->advertise_limit("lm", "");
+  this->send_load(absl::Seconds(2), stream_request);
+  EXPECT_TRUE(this->on_loop([this] { return this->no_limits(); }));
+  for (int i = 0; i < 30; ++i) {
+    const auto id = absl::StrCat("after-", i);
+    EXPECT_EQ(this->ask(stream_request(id), i % node_count).result_int(), 200U);
+  }
+}
+
+// Guards against nodes that learn of a limit only from their own requests.
+TEST_F(server_limit_test, nodes_gossip_limits) {
+  this->start(node_count);
+  this->advertise_limit("lm", "5");
+  EXPECT_EQ(this->ask(stream_request("request-1"), 0).result_int(), 200U);
+  EXPECT_TRUE(this->wait_until([this] {
+    return std::all_of(
+        this->nodes.begin(), this->nodes.end(),
+        [](const auto& node) { return node->context().limits.size() == 1; });
+  }));
+}
+
+// Guards against throttling by a malformed limit header.
+TEST_F(server_limit_test, a_malformed_limit_does_not_throttle) {
+  this->start(node_count);
+  this->advertise_limit("lm", "many");
+  for (int i = 0; i < 30; ++i) {
+    const auto id = absl::StrCat("request-", i);
+    EXPECT_EQ(this->ask(stream_request(id), i % node_count).result_int(), 200U);
+  }
+}
+
 }  // namespace
 }  // namespace spokesail
--- a/test/server-limits-test.cc
+++ b/test/server-limits-test.cc
@@ -67,6 +67,17 @@
   EXPECT_EQ(limits.take_changes().size(), 1U);
 }
 
+TEST(server_limits, reports_drift_in_small_steps) {
+  server_limits limits;
+  limits.note_answer(server, 10.0, at(0), at(1));
+  limits.take_changes();
+  limits.note_answer(server, 9.5, at(1), at(2));
+  limits.note_answer(server, 9.1, at(2), at(3));
+  EXPECT_TRUE(limits.take_changes().empty());
+  limits.note_answer(server, 8.8, at(3), at(4));
+  EXPECT_EQ(limits.take_changes().size(), 1U);
+}
+
 TEST(server_limits, forgets_removed_servers) {
   server_limits limits;
   limits.note_answer(server, 1.4, at(0), at(1));
