Stop as planned on a signal that arrives while a node starts

A node that got SIGTERM in its first 20 ms died by it, since the handler was installed after the settings had been read. The signals are now blocked first in main and handled once the loop runs. What remains is the time in which the program is loaded, before main.

--- a/src/main.cc
+++ b/src/main.cc
@@ -553,4 +553,8 @@
 }  // namespace
 }  // namespace spokesail
 
-int main(int argc, char** argv) { return spokesail::run(argc, argv); }
+int main(int argc, char** argv) {
+  const bool runs_node = argc > 1 && std::string_view(argv[1]) == "node";
+  if (runs_node) spokesail::block_node_signals();
+  return spokesail::run(argc, argv);
+}
--- a/src/node.cc
+++ b/src/node.cc
@@ -1,5 +1,6 @@
 #include "node.h"
 
+#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -14,6 +15,16 @@
 
 namespace net = boost::asio;
 
+/// The signals that a node handles in its event loop.
+constexpr std::array handled_signals = {SIGTERM, SIGINT, SIGHUP};
+
+sigset_t handled_signal_mask() {
+  sigset_t mask;
+  sigemptyset(&mask);
+  for (const int number : handled_signals) sigaddset(&mask, number);
+  return mask;
+}
+
 net::awaitable<void> handle_signals(net::signal_set& signals, node_log& log,
                                     node_process& process) {
   for (;;) {
@@ -30,11 +41,19 @@
 
 }  // namespace
 
+void block_node_signals() {
+  const sigset_t mask = handled_signal_mask();
+  pthread_sigmask(SIG_BLOCK, &mask, nullptr);
+}
+
 int run_node(const node_settings& settings) {
   std::signal(SIGPIPE, SIG_IGN);
   node_log log(settings.node);
   net::io_context loop(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE);
-  net::signal_set signals(loop, SIGTERM, SIGINT, SIGHUP);
+  net::signal_set signals(loop);
+  for (const int number : handled_signals) signals.add(number);
+  const sigset_t mask = handled_signal_mask();
+  pthread_sigmask(SIG_UNBLOCK, &mask, nullptr);
   // Leaked on purpose: coroutines of open connections are never resumed after
   // the loop stops and refer to the node until the process ends.
   auto* process = new node_process(settings, loop, log);  // NOLINT
--- a/src/node.h
+++ b/src/node.h
@@ -5,6 +5,10 @@
 
 namespace spokesail {
 
+/// Holds back the signals that stop or reload a node, which would otherwise end
+/// the process, until `run_node` can handle them. Call it first in the process.
+void block_node_signals();
+
 /// Runs a node until it receives a stop signal. Returns the exit code.
 int run_node(const node_settings& settings);
 
