Go on with a watch after an outage of the store

A watch that failed led to a new list: 103 of 111 logged nodes of a hall that was cut off for 6 s listed all 2,793 servers, six pages each (n S/500 calls for each return). The watch now goes on from its revision, and lists only if the store no longer has the changes.

--- a/src/store-sync.cc
+++ b/src/store-sync.cc
@@ -4,6 +4,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <optional>
 
 namespace spokesail {
 namespace {
@@ -56,6 +57,8 @@
 
 net::awaitable<void> store_sync::follow(store_feed& feed) {
   backoff delays(min_retry_delay, max_retry_delay);
+  // Revision after which to watch; none while the kind has to be listed.
+  std::optional<int64_t> revision;
   bool started = false;
   for (;;) {
     if (!feed.may_list()) {
@@ -63,37 +66,49 @@
       continue;
     }
     // A relay may have sent all servers before the first list.
-    int64_t revision = feed.known_revision();
-    bool answered = !started && revision > 0 && !feed.must_list();
+    const int64_t relayed = feed.known_revision();
+    if (!started && relayed > 0 && !feed.must_list()) revision = relayed;
+    if (revision) revision = std::max(*revision, relayed);
     started = true;
-    if (!answered) answered = co_await this->list(feed, revision);
+    bool answered = true;
+    if (!revision) {
+      int64_t listed = relayed;
+      answered = co_await this->list(feed, listed);
+      if (answered) revision = listed;
+    }
     if (answered) {
       delays.reset();
-      answered = co_await this->follow_changes(feed, revision);
+      const store_status end = co_await this->follow_changes(feed, *revision);
+      answered = end == store_status::ok;
+      // A store that was out of reach still has the changes since then, unless
+      // it says otherwise.
+      if (end != store_status::unavailable) revision.reset();
     }
     if (!answered) co_await this->node.sleep(this->retry_delay(delays));
   }
 }
 
-net::awaitable<bool> store_sync::follow_changes(store_feed& feed,
-                                                int64_t revision) {
+net::awaitable<store_status> store_sync::follow_changes(store_feed& feed,
+                                                        int64_t& revision) {
   bool first = true;
   for (;;) {
     if (this->watches_directly()) {
-      const bool answered = co_await this->watch_once(feed, revision, first);
-      if (!answered) co_return false;
+      const store_status status =
+          co_await this->watch_once(feed, revision, first);
+      if (status != store_status::ok) co_return status;
       first = false;
       continue;
     }
     first = true;
     co_await this->node.sleep(recheck_interval);
-    if (feed.must_list()) co_return true;
+    if (feed.must_list()) co_return store_status::ok;
     revision = std::max(revision, feed.known_revision());
   }
 }
 
-net::awaitable<bool> store_sync::watch_once(store_feed& feed, int64_t& revision,
-                                            bool first) {
+net::awaitable<store_status> store_sync::watch_once(store_feed& feed,
+                                                    int64_t& revision,
+                                                    bool first) {
   const absl::Time sent = this->node.now();
   object_changes changes =
       co_await this->node.store.watch(feed.kind, revision, feed.wait(first));
@@ -102,12 +117,12 @@
   const bool unavailable = changes.status == store_status::unavailable;
   if (feed.indicates_reachability())
     this->reachability.record_call(!unavailable, changes.error);
-  if (changes.status != store_status::ok) co_return false;
+  if (changes.status != store_status::ok) co_return changes.status;
   revision = std::max(revision, changes.revision);
   changes.revision = revision;
   const absl::Duration delay = feed.apply_changes(changes, sent);
   if (delay > absl::ZeroDuration()) co_await this->node.sleep(delay);
-  co_return true;
+  co_return store_status::ok;
 }
 
 net::awaitable<bool> store_sync::list(store_feed& feed, int64_t& revision) {
--- a/src/store-sync.h
+++ b/src/store-sync.h
@@ -58,13 +58,14 @@
  private:
   /// Lists a kind of object and follows its changes until the process ends.
   boost::asio::awaitable<void> follow(store_feed& feed);
-  /// Follows changes after a revision until the kind must be listed again.
-  /// Returns false if the reason is a failed watch.
-  boost::asio::awaitable<bool> follow_changes(store_feed& feed,
-                                              int64_t revision);
-  /// Makes one watch call. Returns false if it failed.
-  boost::asio::awaitable<bool> watch_once(store_feed& feed, int64_t& revision,
-                                          bool first);
+  /// Follows changes after `revision`, which advances with them, until the kind
+  /// must be listed again or a watch fails.
+  boost::asio::awaitable<store_status> follow_changes(store_feed& feed,
+                                                      int64_t& revision);
+  /// Makes one watch call.
+  boost::asio::awaitable<store_status> watch_once(store_feed& feed,
+                                                  int64_t& revision,
+                                                  bool first);
   boost::asio::awaitable<bool> list(store_feed& feed, int64_t& revision);
   /// Lists from a peer. Returns false if it lacks the requested revision.
   boost::asio::awaitable<bool> list_from_peer(store_feed& feed,
--- a/test/node-test.cc
+++ b/test/node-test.cc
@@ -384,10 +384,34 @@
   ASSERT_TRUE(this->wait_until(
       [this] { return !this->nodes[0]->context().sessions.empty(); }));
   this->on_loop([&] { return this->fleet->faults.store_silent = false; });
-  boost::beast::flat_buffer buffer;
-  fleet_standin::response in;
-  http::read(socket, buffer, in);
-  EXPECT_EQ(in.result_int(), 200U);
+  ASSERT_TRUE(
+      this->wait_until([this] { return this->nodes[0]->context().ready(); }));
+  EXPECT_EQ(this->send_request(request("r2", "/look/a")).result_int(), 200U);
+}
+
+/// A data hall that returns from a network partition: nodes continue where
+/// their last watch ended and do not list all servers again.
+TEST_F(node_test, continues_its_watches_after_an_outage_of_the_store) {
+  this->start(2);
+  const int lists =
+      this->on_loop([this] { return this->fleet->record.server_lists; });
+  this->on_loop([this] { return this->fleet->faults.store_silent = true; });
+  ASSERT_TRUE(this->wait_until([this] {
+    return std::none_of(
+        this->nodes.begin(), this->nodes.end(),
+        [](const auto& node) { return node->context().store_reachable; });
+  }));
+  this->on_loop([this] { return this->fleet->faults.store_silent = false; });
+  ASSERT_TRUE(this->wait_until([this] {
+    return std::all_of(this->nodes.begin(), this->nodes.end(),
+                       [](const auto& node) {
+                         const snapshot_age age = node->context().age();
+                         return node->context().store_reachable &&
+                                age.servers < absl::Seconds(1);
+                       });
+  }));
+  EXPECT_EQ(this->on_loop([this] { return this->fleet->record.server_lists; }),
+            lists);
 }
 
 TEST_F(node_test, completes_accepted_requests_before_it_stops) {
