Bound the requests of a node that looks for a fresh relay

In a hall without a store each node is as stale as all others, and went through them as fast as they answered: 41,739 requests of 111 nodes in 6.5 s, n * n in all.

--- a/src/store-relay.cc
+++ b/src/store-relay.cc
@@ -175,7 +175,7 @@
   const bool stale = relay_stale(age, this->node.settings.bounds);
   if (!update.store_reachable || stale) {
     this->exclude_relay(peer, stale_exclusion, "its own state is stale");
-    this->request_update();
+    if (this->search.try_next()) this->request_update();
     return false;
   }
   this->confirmed = true;
--- a/src/store-relay.h
+++ b/src/store-relay.h
@@ -11,6 +11,7 @@
 #include "peer-link.h"
 #include "spokesail/change-relay.h"
 #include "spokesail/relay-choice.h"
+#include "spokesail/relay-search.h"
 
 namespace spokesail {
 
@@ -116,6 +117,7 @@
   /// Whether the relay has sent a fresh update since it was chosen. Until then
   /// this node watches the store itself once its own data is stale.
   bool confirmed = false;
+  relay_search search;
   uint64_t nonce = 0;
   absl::Time requested_at = absl::InfinitePast();
   bool answered = true;
