--- a/include/spokesail/server-directory.h
+++ b/include/spokesail/server-directory.h
@@ -83,6 +83,8 @@
   const std::map<std::string, listed_server>& servers() const {
     return this->by_id;
   }
+  /// Ids of the live servers of a service.
+  const std::set<std::string>& servers_of(const std::string& service) const;
   /// Null if there is no such server.
   const server_entry* find(const std::string& id) const;
   /// All changes up to this revision are known.
@@ -104,6 +106,7 @@
 
  private:
   std::map<std::string, listed_server> by_id;
+  std::map<std::string, std::set<std::string>> by_service;
   /// Revisions at which servers were removed; guards against late updates.
   std::map<std::string, int64_t> removal_revisions;
   /// Servers, and removed servers, by revision.
--- a/src/node-context.cc
+++ b/src/node-context.cc
@@ -80,13 +80,11 @@
 }
 
 bool node_context::service_closed(const std::string& service) const {
-  bool any = false;
-  for (const auto& [id, server] : this->directory.servers()) {
-    if (server.entry.service != service) continue;
-    any = true;
-    if (!this->hall_closed(server.entry.hall)) return false;
-  }
-  return any;
+  const auto& servers = this->directory.servers_of(service);
+  return !servers.empty() &&
+         std::all_of(servers.begin(), servers.end(), [this](const auto& id) {
+           return this->hall_closed(this->directory.find(id)->hall);
+         });
 }
 
 bool node_context::ready() const {
--- a/src/request-routing.cc
+++ b/src/request-routing.cc
@@ -186,9 +186,9 @@
 std::optional<endpoint_target> request_handler::pick_server() {
   const absl::Time now = this->node.now();
   std::vector<const server_entry*> servers;
-  for (const auto& [id, server] : this->node.directory.servers()) {
-    const server_entry& entry = server.entry;
-    if (entry.service != this->service->name || entry.draining) continue;
+  for (const auto& id : this->node.directory.servers_of(this->service->name)) {
+    const server_entry& entry = *this->node.directory.find(id);
+    if (entry.draining) continue;
     if (this->tried_endpoints.count(id) != 0 || this->node.avoided(id))
       continue;
     if (!this->has_connection_slot(id)) continue;
--- a/src/server-directory.cc
+++ b/src/server-directory.cc
@@ -95,6 +95,7 @@
   }
   this->erase(id);
   this->by_id[id] = server;
+  this->by_service[server.entry.service].insert(id);
   this->changes.emplace(server.revision, id);
   this->latest_cold_until =
       std::max(this->latest_cold_until, server.cold_until);
@@ -106,6 +107,7 @@
   const auto known = this->by_id.find(id);
   if (known == this->by_id.end()) return;
   this->changes.erase({known->second.revision, id});
+  this->by_service[known->second.entry.service].erase(id);
   this->expiring.erase(id);
   this->by_id.erase(known);
 }
@@ -176,6 +178,13 @@
   return !expired.empty();
 }
 
+const std::set<std::string>& server_directory::servers_of(
+    const std::string& service) const {
+  static const std::set<std::string> none;
+  const auto found = this->by_service.find(service);
+  return found == this->by_service.end() ? none : found->second;
+}
+
 const server_entry* server_directory::find(const std::string& id) const {
   const auto found = this->by_id.find(id);
   return found == this->by_id.end() ? nullptr : &found->second.entry;
--- a/test/server-directory-test.cc
+++ b/test/server-directory-test.cc
@@ -1,5 +1,6 @@
 #include "spokesail/server-directory.h"
 
+#include <absl/strings/str_cat.h>
 #include <gtest/gtest.h>
 
 #include "server-changes.h"
@@ -52,6 +53,31 @@
   EXPECT_EQ(to.servers().at("s").cold_until, absl::InfinitePast());
 }
 
+/// A request for a plain service must not go through all model servers.
+TEST(server_directory, finds_the_servers_of_a_service_by_its_name) {
+  constexpr int model_servers = 5600;
+  constexpr int plain_servers = 18;
+  server_directory d;
+  for (int i = 0; i < model_servers; ++i) {
+    d.update(server(absl::StrCat("m", i), i + 1));
+  }
+  for (int i = 0; i < plain_servers; ++i) {
+    listed_server plain = server(absl::StrCat("p", i), model_servers + i + 1);
+    plain.entry.service = "ci";
+    d.update(plain);
+  }
+  EXPECT_EQ(d.servers_of("ci").size(), 18U);
+  EXPECT_EQ(d.servers_of("lm").size(), 5600U);
+  EXPECT_TRUE(d.servers_of("other").empty());
+  // A server that starts again under its id may be of another service.
+  listed_server moved = server("p0", model_servers + plain_servers + 1);
+  EXPECT_TRUE(d.update(moved));
+  EXPECT_EQ(d.servers_of("ci").size(), 17U);
+  EXPECT_EQ(d.servers_of("lm").size(), 5601U);
+  d.remove("p1", model_servers + plain_servers + 2, absl::InfinitePast());
+  EXPECT_EQ(d.servers_of("ci").count("p1"), 0U);
+}
+
 TEST(server_directory, keeps_the_newest_revision) {
   server_directory d;
   EXPECT_TRUE(d.update(server("s1", 5, 0, member_phase::open)));
