Refuse requests at once without a configuration

A node that had just started held them for up to 0.45 s. It answers 503 with the time in which a configuration is expected.

--- a/src/request-handler.cc
+++ b/src/request-handler.cc
@@ -78,8 +78,9 @@
 net::awaitable<void> request_handler::wait_until_ready() {
   const absl::Time until = this->arrived + startup_timeout;
   const auto is_ready = [this] {
-    return this->node.routes && this->node.directory_listed &&
-           this->node.evacuations_known();
+    // Without a configuration it is refused at once.
+    if (!this->node.routes) return true;
+    return this->node.directory_listed && this->node.evacuations_known();
   };
   while (!is_ready() && !this->session.disconnected &&
          this->node.now() < until) {
@@ -88,6 +89,13 @@
   this->table = this->node.routes;
 }
 
+absl::Duration request_handler::first_config_delay() const {
+  const absl::Duration left =
+      startup_timeout - (this->node.now() - this->node.started);
+  return left > absl::ZeroDuration() ? std::max(left, other_node_retry_delay)
+                                     : no_config_retry_delay;
+}
+
 std::optional<request_handler::refusal> request_handler::reason_to_refuse() {
   std::string fault;
   const auto parsed =
@@ -104,7 +112,7 @@
     return refusal{503, "node holds too much", other_node_retry_delay};
   }
   if (!this->table) {
-    return refusal{503, "no configuration yet", no_config_retry_delay};
+    return refusal{503, "no configuration yet", this->first_config_delay()};
   }
   if (!this->node.evacuations_known()) {
     return refusal{503, "evacuations are not known yet", no_config_retry_delay};
--- a/src/request-handler.h
+++ b/src/request-handler.h
@@ -64,9 +64,12 @@
   // Checks, attempts and refusals: request-handler.cc.
 
   /// Waits for a bounded time until a node that has just started has read the
-  /// configuration and the server list.
+  /// server list. Does not wait without a configuration.
   boost::asio::awaitable<void> wait_until_ready();
 
+  /// When a node without a configuration is expected to have one.
+  absl::Duration first_config_delay() const;
+
   /// Parses the request's head and finds its route, workspace, service and
   /// model. Returns the refusal, or nothing if the request can be served.
   std::optional<refusal> reason_to_refuse();
