Pace the steps of the group controller by their cost

The holder stepped 25 times a second over all servers, whatever a step cost or changed: 0.40 of a core with 2,793 servers, three times what a small host has.

--- a/src/group-controller-runner.cc
+++ b/src/group-controller-runner.cc
@@ -12,11 +12,11 @@
 
 namespace net = boost::asio;
 
-/// Period of the controller's steps while this node holds the lease.
-constexpr absl::Duration step_period = absl::Milliseconds(40);
+/// Interval at which the lease holder checks whether a step is due.
+constexpr absl::Duration step_check_period = absl::Milliseconds(20);
 
-/// Period at which other nodes check whether they hold it.
-constexpr absl::Duration idle_period = absl::Milliseconds(100);
+/// Period at which other nodes check whether they hold the lease.
+constexpr absl::Duration lease_check_period = absl::Milliseconds(100);
 
 /// Intervals at which demand is passed to the controller and logged.
 constexpr absl::Duration demand_period = absl::Milliseconds(500);
@@ -71,6 +71,7 @@
   const demand_view demand =
       this->node.demand.total(this->node.own_demand.rates(now), now);
   this->controller.update_demand(demand, now);
+  ++this->events;
   if (now - this->demand_logged < demand_log_period) return;
   this->demand_logged = now;
   for (const auto& item : demand.models) {
@@ -91,6 +92,7 @@
 
 void group_controller_runner::suspect(const std::string& server) {
   this->controller.suspect(server, this->node.now());
+  ++this->events;
 }
 
 void group_controller_runner::sync_with_lease() {
@@ -98,6 +100,7 @@
   if (holds_lease == this->term_active) return;
   this->term_active = holds_lease;
   if (holds_lease) {
+    ++this->events;
     this->controller.start_term(this->manager.fence(),
                                 this->known_earlier_loads(),
                                 this->known_shares());
@@ -128,6 +131,7 @@
   this->log_order(order, outcome,
                   conflict ? result.response.body() : result.error);
   this->controller.on_order_result(order, outcome, this->node.now());
+  ++this->events;
 }
 
 void group_controller_runner::log_order(const group_order& order,
@@ -163,6 +167,7 @@
                                 this->node.now());
   }
   this->controller.on_report(server, report, this->node.now());
+  ++this->events;
 }
 
 void group_controller_runner::log_events(
@@ -194,6 +199,19 @@
   }
 }
 
+step_pacer::inputs group_controller_runner::step_inputs() const {
+  return {this->node.directory.revision(), this->node.config_revision,
+          this->events};
+}
+
+void group_controller_runner::step_if_due() {
+  const absl::Time begun = this->node.now();
+  const step_pacer::inputs inputs = this->step_inputs();
+  if (!this->term_active || !this->pacer.due(inputs, begun)) return;
+  this->step();
+  this->pacer.on_step(inputs, begun, this->node.now());
+}
+
 void group_controller_runner::step() {
   if (!this->controller.active() || !this->node.routes) return;
   if (!this->node.evacuations_known()) return;
@@ -221,9 +239,9 @@
 net::awaitable<void> group_controller_runner::run() {
   for (;;) {
     this->sync_with_lease();
-    this->step();
-    const absl::Duration period = this->term_active ? step_period : idle_period;
-    co_await this->node.sleep(period);
+    this->step_if_due();
+    co_await this->node.sleep(this->term_active ? step_check_period
+                                                : lease_check_period);
   }
 }
 
--- a/src/group-controller-runner.h
+++ b/src/group-controller-runner.h
@@ -2,12 +2,14 @@
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
+#include <cstdint>
 #include <string>
 #include <vector>
 
 #include "lease-manager.h"
 #include "node-context.h"
 #include "spokesail/group-controller.h"
+#include "spokesail/step-pacer.h"
 
 namespace spokesail {
 
@@ -34,6 +36,10 @@
   std::vector<model_share> known_shares() const;
   /// Passes the current demand to the controller.
   void update_demand();
+  /// What the controller's next step works on.
+  step_pacer::inputs step_inputs() const;
+  /// Runs a step if one is due.
+  void step_if_due();
   /// Runs one step of the controller and carries out its result.
   void step();
   void log_summaries(const std::vector<model_summary>& models);
@@ -47,6 +53,9 @@
   node_context& node;
   lease_manager& manager;
   group_controller controller;
+  step_pacer pacer;
+  /// Counts what the controller was told since the start.
+  uint64_t events = 0;
   /// Whether the controller is in a term.
   bool term_active = false;
   /// The shares at the end of this node's last term, and when that was.
