Tie the expiry of load reports to the size of the hall

A node reports its load each n/160 s, but a report expired after 1.5 s and the node counted as dead after 3 s: from n = 240 on live nodes' requests vanished between two reports, from n = 480 on the nodes themselves. Both times now span several periods at any n.

--- a/include/spokesail/gossip-pacer.h
+++ b/include/spokesail/gossip-pacer.h
@@ -20,6 +20,28 @@
   /// second constant bounds messages that report new requests.
   static constexpr double messages_per_s = 160;
   static constexpr double new_request_messages_per_s = 600;
+  /// In a small hall, a node that died is noticed after this time at the
+  /// earliest: a process may be paused for a second.
+  static constexpr absl::Duration min_silence_timeout = absl::Seconds(3);
+  static constexpr absl::Duration min_report_lifetime =
+      absl::Milliseconds(1500);
+
+  /// Time between two messages without new requests, with this many other
+  /// nodes in the hall.
+  static absl::Duration period(int peers) {
+    return std::max(min_period, absl::Seconds(peers / messages_per_s));
+  }
+
+  /// How long a report counts. Spans two periods and the sender's delays, so
+  /// that one lost datagram has no effect, in a hall of any size.
+  static absl::Duration report_lifetime(int peers) {
+    return std::max(min_report_lifetime, 2.5 * period(peers));
+  }
+
+  /// A node that has sent nothing for this long does not count as alive.
+  static absl::Duration silence_timeout(int peers) {
+    return std::max(min_silence_timeout, 3.5 * period(peers));
+  }
 
   /// Whether a message is due. `begun` counts the requests that this node has
   /// sent so far, `peers` the other nodes of the hall.
@@ -34,8 +56,7 @@
   void on_sent(uint64_t begun, int peers, absl::Time now) {
     this->sent_begun = begun;
     this->sent_at = now;
-    this->next =
-        now + std::max(min_period, absl::Seconds(peers / messages_per_s));
+    this->next = now + period(peers);
   }
 
  private:
--- a/include/spokesail/load-table.h
+++ b/include/spokesail/load-table.h
@@ -26,10 +26,14 @@
 class load_table {
  public:
   /// A peer that reports nothing for this long is taken to have nothing in
-  /// flight. Spans several gossip periods, so that a lost datagram has no
-  /// effect.
+  /// flight, unless `set_local_lifetime` gives the peers of this hall longer.
+  /// Spans several gossip periods, so that a lost datagram has no effect.
   static constexpr absl::Duration peer_timeout = absl::Milliseconds(1500);
 
+  /// Sets how long the reports of peers in this hall count, which grows with
+  /// the time between them.
+  void set_local_lifetime(absl::Duration time) { this->local_lifetime = time; }
+
   /// Counts a request sent to an endpoint, with the prefill of its prompt
   /// pending.
   void begin(const std::string& endpoint, double prompt_tokens);
@@ -71,6 +75,8 @@
   void add_scaled(const peer_load& peer, int sign);
   /// Drops expired reports.
   void expire(absl::Time now);
+  /// When a report expires.
+  absl::Time expiry(const peer_load& peer) const;
 
   uint64_t started_count = 0;
   sums own_sums;
@@ -78,8 +84,9 @@
   sums local_sums;
   sums remote_sums;
   absl::flat_hash_map<std::string, peer_load> peers;
-  /// Time of the oldest report; none expires before it does.
-  absl::Time oldest_report = absl::InfiniteFuture();
+  absl::Duration local_lifetime = peer_timeout;
+  /// No report expires before this time.
+  absl::Time next_expiry = absl::InfiniteFuture();
 };
 
 }  // namespace spokesail
--- a/include/spokesail/speed-table.h
+++ b/include/spokesail/speed-table.h
@@ -52,8 +52,12 @@
   /// gets few requests, is tried again.
   static constexpr absl::Duration sample_ttl = absl::Seconds(12);
   /// A peer's report expires after this time, which spans several gossip
-  /// periods.
+  /// periods, unless `set_peer_lifetime` gives it longer.
   static constexpr absl::Duration peer_timeout = absl::Milliseconds(1500);
+
+  /// Sets how long peers' reports count, which grows with the time between
+  /// them.
+  void set_peer_lifetime(absl::Duration time) { this->peer_lifetime = time; }
   /// Maximum number of endpoints that one node reports, which bounds its
   /// datagrams.
   static constexpr size_t max_reported = 16;
@@ -120,6 +124,7 @@
   std::vector<endpoint_speed> select_reported(const speed_map& measured) const;
   void record_changes(const speed_map& next, absl::Time now);
 
+  absl::Duration peer_lifetime = peer_timeout;
   absl::flat_hash_map<std::string, record> records;
   absl::flat_hash_map<std::string, peer_report> peers;
   /// Results of the last refresh: the slow endpoints, and what is reported.
--- a/src/load-table.cc
+++ b/src/load-table.cc
@@ -49,7 +49,7 @@
   peer_load& entry = this->peers[peer];
   entry = {std::move(loads), now, remote};
   this->add_scaled(entry, 1);
-  this->oldest_report = std::min(this->oldest_report, now);
+  this->next_expiry = std::min(this->next_expiry, this->expiry(entry));
 }
 
 void load_table::remove_peer(const std::string& peer) {
@@ -59,15 +59,20 @@
   this->peers.erase(found);
 }
 
+absl::Time load_table::expiry(const peer_load& peer) const {
+  return peer.at + (peer.remote ? peer_timeout : this->local_lifetime);
+}
+
 void load_table::expire(absl::Time now) {
-  if (now - this->oldest_report <= peer_timeout) return;
+  if (now <= this->next_expiry) return;
   std::vector<std::string> expired;
-  this->oldest_report = absl::InfiniteFuture();
+  this->next_expiry = absl::InfiniteFuture();
   for (const auto& [name, peer] : this->peers) {
-    if (now - peer.at > peer_timeout) {
+    const absl::Time at = this->expiry(peer);
+    if (now > at) {
       expired.push_back(name);
     } else {
-      this->oldest_report = std::min(this->oldest_report, peer.at);
+      this->next_expiry = std::min(this->next_expiry, at);
     }
   }
   for (const auto& name : expired) this->remove_peer(name);
--- a/src/speed-table.cc
+++ b/src/speed-table.cc
@@ -108,7 +108,7 @@
   if (found == this->records.end() || found->second.epoch == id.epoch) return;
   found->second.epoch = id.epoch;
   found->second.samples.clear();
-  found->second.ignore_peers_until = now + 2 * peer_timeout;
+  found->second.ignore_peers_until = now + 2 * this->peer_lifetime;
   this->slow.erase(id.endpoint);
   this->last_refresh = absl::InfinitePast();
 }
@@ -133,7 +133,7 @@
     return item.second.samples.empty() && now >= item.second.ignore_peers_until;
   });
   absl::erase_if(this->peers, [&](const auto& item) {
-    return now - item.second.at > peer_timeout;
+    return now - item.second.at > this->peer_lifetime;
   });
 }
 
--- a/test/gossip-pacer-test.cc
+++ b/test/gossip-pacer-test.cc
@@ -155,6 +155,33 @@
   EXPECT_TRUE(pacer.due(0, peers, now + absl::Milliseconds(182)));
 }
 
+/// Halls of a fleet of 45, 490, 1,085, 2,500 and 5,000 nodes.
+TEST(gossip_pacer, reports_outlast_a_lost_datagram_in_a_hall_of_any_size) {
+  constexpr absl::Duration node_check_period = absl::Milliseconds(25);
+  for (const int peers : {8, 97, 216, 499, 999}) {
+    const absl::Duration period = gossip_pacer::period(peers);
+    const absl::Duration next_but_one = 2 * (period + node_check_period);
+    EXPECT_GT(gossip_pacer::report_lifetime(peers), next_but_one) << peers;
+    EXPECT_GT(gossip_pacer::silence_timeout(peers), period + next_but_one)
+        << peers;
+    EXPECT_LE(peers / absl::ToDoubleSeconds(period),
+              gossip_pacer::messages_per_s + 1e-6)
+        << peers;
+  }
+}
+
+TEST(gossip_pacer, a_hall_of_500_counts_the_requests_of_a_silent_node) {
+  constexpr int peers = 499;
+  const absl::Time now = absl::FromUnixSeconds(1000);
+  load_table table;
+  table.set_local_lifetime(gossip_pacer::report_lifetime(peers));
+  table.update_peer("n1", {{"g", 3, 0}}, now);
+  table.update_peer("far", {{"g", 2, 0}}, now, true);
+  const absl::Duration period = gossip_pacer::period(peers);
+  EXPECT_EQ(table.total("g", now + 2 * period).running, 3);
+  EXPECT_EQ(table.total("g", now + 3 * period).running, 0);
+}
+
 TEST(gossip_pacer, new_requests_are_reported_at_a_bounded_rate) {
   constexpr int peers = 300;
   gossip_pacer pacer;
