Find nodes by seeds and each other, not by the store's list

A node that starts now asks the seeds of its settings for a few nodes, one of these for the whole list, and its relay for the configuration. Only the top-ranked nodes of a hall keep an entry in the store and read those of others; nodes without seeds do as before.

--- a/src/config-feed.cc
+++ b/src/config-feed.cc
@@ -37,6 +37,11 @@
   return this->current_watch_wait;
 }
 
+bool config_feed::may_list() const {
+  return this->requested_revision > this->node.config_revision ||
+         !this->expected_from_relay();
+}
+
 bool config_feed::must_list() const {
   return this->requested_revision > this->node.config_revision &&
          this->node.now() - this->listed_at >= min_read_interval;
@@ -63,7 +68,6 @@
 
 absl::Duration config_feed::apply_changes(const object_changes& changes,
                                           absl::Time sent) {
-  // A watch that timed out verifies that nothing changed during its wait.
   const absl::Time verified_at =
       verified_by_watch(sent, this->current_watch_wait, this->node.now(),
                         !changes.objects.empty());
--- a/src/config-feed.h
+++ b/src/config-feed.h
@@ -24,9 +24,11 @@
 
   /// Called after a new configuration has been put in force.
   std::function<void()> on_change;
+  /// Whether a relay is expected to announce the first configuration.
+  std::function<bool()> expected_from_relay;
 
   absl::Duration wait(bool first) override;
-  bool may_list() const override { return true; }
+  bool may_list() const override;
   bool must_list() const override;
   int64_t known_revision() const override { return 0; }
   bool allows_stale_copy() const override;
--- a/src/node-gossip.cc
+++ b/src/node-gossip.cc
@@ -154,7 +154,12 @@
   }
 }
 
-void node_gossip::count_nodes(absl::Time now) {
+void node_gossip::update_hall_size(absl::Time now) {
+  const int peers = this->link.count_reachable_peers(false);
+  const absl::Duration lifetime = gossip_pacer::report_lifetime(peers);
+  this->node.loads.set_local_lifetime(lifetime);
+  this->node.speeds.set_peer_lifetime(lifetime);
+  this->link.table().set_silence_timeout(gossip_pacer::silence_timeout(peers));
   const auto local_nodes =
       static_cast<int>(this->link.live_local_peers().size());
   this->node.live_nodes = 1 + local_nodes + this->remote.nodes(now);
@@ -177,7 +182,7 @@
     this->log_speeds(now);
     if (now - last_count >= max_gossip_interval) {
       last_count = now;
-      this->count_nodes(now);
+      this->update_hall_size(now);
     }
     co_await this->node.sleep(check_period);
   }
--- a/src/node-gossip.h
+++ b/src/node-gossip.h
@@ -62,8 +62,9 @@
   /// Sends the suspected servers to the lease holder.
   void send_suspicions(absl::Time now);
   gossip make_gossip() const;
-  /// Counts the live nodes, and records them for the upper bound.
-  void count_nodes(absl::Time now);
+  /// Counts the live nodes, records them for the upper bound, and sets the
+  /// timeouts that follow from the size of the hall.
+  void update_hall_size(absl::Time now);
   /// Logs each endpoint that has become slow or is fast again.
   void log_speeds(absl::Time now);
 
--- a/src/node-message.capnp
+++ b/src/node-message.capnp
@@ -47,6 +47,10 @@
   loadsBegun @4 :UInt32;
   # The shares of models whose allocation differs from the configured one.
   shares @5 :List(ModelShare);
+  # `silent` holds this part of the servers, counted from 0.
+  part @6 :UInt32;
+  # Number of parts; 0 if `silent` is left out.
+  parts @7 :UInt32 = 1;
 }
 
 # A model's share of the hosts of its service.
@@ -85,6 +89,9 @@
   # If the sender received changes that it could not apply because earlier ones
   # are missing: the revision after which they start. 0 if it received none.
   serversToldAfter @2 :Int64;
+  # The state of the lease holder that the sender has; 0 if none.
+  holderLeaseVersion @3 :Int64;
+  holderSequence @4 :UInt64;
 }
 
 # One change of a server.
@@ -148,6 +155,10 @@
   serversAgeMs @12 :UInt32;
   # Set once the sender has read the evacuations, if it watches them.
   evacuations @13 :Evacuations;
+  # Data halls from which nothing is received any more, and the time since that
+  # was found; the largest age if the sender does not know.
+  silentHalls @14 :List(Text);
+  silentHallsAgeMs @15 :UInt32 = 4294967295;
 }
 
 # Reports unresponsive servers to the lease holder or to the nodes of the data
@@ -239,6 +250,48 @@
   count @2 :UInt32;
 }
 
+# Identifies the nodes that the sender knows in one data hall.
+struct HallDigest {
+  hall @0 :Text;
+  digest @1 :UInt64;
+  # Time since a node of the hall reported it; the largest for the sender's own
+  # hall.
+  ageMs @2 :UInt32;
+}
+
+# Asks a node which other nodes it knows.
+struct PeerQuery {
+  nonce @0 :UInt64;
+  # Whether a few nodes of each hall are enough.
+  sample @1 :Bool;
+  known @2 :List(HallDigest);
+}
+
+# Nodes of one data hall.
+struct HallReport {
+  hall @0 :Text;
+  # Time since a node of the hall knew them to be alive.
+  ageMs @1 :UInt32;
+  # Whether the asker knows the same nodes.
+  unchanged @2 :Bool;
+  nodes @3 :List(Peer);
+
+  struct Peer {
+    name @0 :Text;
+    address @1 :Text;
+    cores @2 :Float32;
+  }
+}
+
+# Response to a PeerQuery, or a part of one.
+struct PeerReport {
+  nonce @0 :UInt64;
+  # Whether the sender has run for long enough to know its hall.
+  settled @1 :Bool;
+  sample @2 :Bool;
+  halls @3 :List(HallReport);
+}
+
 # One datagram.
 struct NodeMessage {
   node @0 :Text;
@@ -256,6 +309,9 @@
     coldRequest @10 :ColdRequest;
     coldGrant @11 :ColdGrant;
     limitNews @12 :LimitNews;
+    peerQuery @13 :PeerQuery;
+    peerReport @14 :PeerReport;
+    holderPart @15 :HolderWord;
   }
   # Processor cores that the sender may use; below 1 for a part of one.
   cores @8 :Float32;
--- a/src/node-message.cc
+++ b/src/node-message.cc
@@ -24,6 +24,13 @@
       std::clamp<int64_t>(absl::ToInt64Milliseconds(time), 0, max_ms));
 }
 
+/// The reverse of `to_ms`, for ages of which the largest stands for any longer
+/// one.
+absl::Duration read_age(uint32_t ms) {
+  const bool unknown = ms == std::numeric_limits<uint32_t>::max();
+  return unknown ? absl::InfiniteDuration() : absl::Milliseconds(ms);
+}
+
 template <typename List>
 void write_texts(List list, const std::vector<std::string>& texts) {
   for (size_t i = 0; i < texts.size(); ++i) list.set(i, texts[i]);
@@ -350,6 +357,67 @@
   return out;
 }
 
+void write_query(rpc::PeerQuery::Builder out, const peer_query& q) {
+  out.setNonce(q.nonce);
+  out.setSample(q.sample);
+  auto known = out.initKnown(q.known.size());
+  for (size_t i = 0; i < q.known.size(); ++i) {
+    known[i].setHall(q.known[i].hall);
+    known[i].setDigest(q.known[i].digest);
+    known[i].setAgeMs(to_ms(q.known[i].age));
+  }
+}
+
+peer_query read_query(rpc::PeerQuery::Reader in) {
+  peer_query out{in.getNonce(), in.getSample(), {}};
+  for (const auto hall : in.getKnown()) {
+    out.known.push_back(
+        {hall.getHall().cStr(), hall.getDigest(), read_age(hall.getAgeMs())});
+  }
+  return out;
+}
+
+void write_hall(rpc::HallReport::Builder out, const hall_report& h) {
+  out.setHall(h.hall);
+  out.setAgeMs(to_ms(h.age));
+  out.setUnchanged(h.unchanged);
+  auto nodes = out.initNodes(h.nodes.size());
+  for (size_t i = 0; i < h.nodes.size(); ++i) {
+    nodes[i].setName(h.nodes[i].name);
+    nodes[i].setAddress(h.nodes[i].address);
+    nodes[i].setCores(h.nodes[i].cores);
+  }
+}
+
+hall_report read_hall(rpc::HallReport::Reader in) {
+  hall_report out;
+  out.hall = in.getHall().cStr();
+  out.age = absl::Milliseconds(in.getAgeMs());
+  out.unchanged = in.getUnchanged();
+  for (const auto node : in.getNodes()) {
+    out.nodes.push_back({node.getName().cStr(), node.getAddress().cStr(),
+                         out.hall, node.getCores()});
+  }
+  return out;
+}
+
+void write_report(rpc::PeerReport::Builder out, const peer_report& r) {
+  out.setNonce(r.nonce);
+  out.setSettled(r.settled);
+  out.setSample(r.sample);
+  auto halls = out.initHalls(r.halls.size());
+  for (size_t i = 0; i < r.halls.size(); ++i) write_hall(halls[i], r.halls[i]);
+}
+
+peer_report read_report(rpc::PeerReport::Reader in) {
+  peer_report out;
+  out.nonce = in.getNonce();
+  out.settled = in.getSettled();
+  out.sample = in.getSample();
+  for (const auto hall : in.getHalls()) out.halls.push_back(read_hall(hall));
+  return out;
+}
+
 }  // namespace
 
 std::string encode(const node_message& message) {
@@ -385,6 +453,10 @@
   } else if (const auto* l = std::get_if<limit_update>(&message.content)) {
     auto store_update = root.initLimitNews();
     write_limits(store_update.initReports(l->reports.size()), l->reports);
+  } else if (const auto* q = std::get_if<peer_query>(&message.content)) {
+    write_query(root.initPeerQuery(), *q);
+  } else if (const auto* p = std::get_if<peer_report>(&message.content)) {
+    write_report(root.initPeerReport(), *p);
   } else {
     const auto& report = std::get<suspicion>(message.content);
     auto out = root.initSuspicion();
@@ -441,6 +513,10 @@
     } else if (root.isLimitNews()) {
       message.content =
           limit_update{read_limits(root.getLimitNews().getReports())};
+    } else if (root.isPeerQuery()) {
+      message.content = read_query(root.getPeerQuery());
+    } else if (root.isPeerReport()) {
+      message.content = read_report(root.getPeerReport());
     } else {
       return;
     }
--- a/src/node-message.h
+++ b/src/node-message.h
@@ -16,6 +16,7 @@
 #include "spokesail/grant-messages.h"
 #include "spokesail/load-table.h"
 #include "spokesail/model-demand.h"
+#include "spokesail/peer-table.h"
 #include "spokesail/server-directory.h"
 #include "spokesail/server-limits.h"
 
@@ -154,7 +155,8 @@
 /// Content of a datagram.
 using message_content =
     std::variant<gossip, store_update_request, store_update, suspicion,
-                 crash_report, grant_request, grant_response, limit_update>;
+                 crash_report, grant_request, grant_response, limit_update,
+                 peer_query, peer_report>;
 
 /// One datagram.
 struct node_message {
--- a/src/node-process.cc
+++ b/src/node-process.cc
@@ -53,6 +53,7 @@
       state(node_settings_in, io, *adapter, *store, fetcher, logger),
       sync(state),
       link(state),
+      discovery(state, link),
       gossip(state, link),
       relay(state, link),
       crashes(state, link),
@@ -111,6 +112,13 @@
                                       const auto& message) {
     this->limits.handle_reports(peer, message);
   };
+  this->link.on_peer_query = [this](const std::string& peer,
+                                    const auto& query) {
+    this->discovery.handle_query(peer, query);
+  };
+  this->link.on_peer_report = [this](const auto& report) {
+    this->discovery.handle_report(report);
+  };
   this->link.on_suspicion = [this](const suspicion& message) {
     for (const auto& id : message.servers) this->group_runner.suspect(id);
     this->stalls.handle_suspicion(message);
@@ -152,6 +160,7 @@
     return this->relay.may_have_followers();
   };
   this->sync.on_change = [this] { this->relay.push(); };
+  this->sync.expects_config = [this] { return this->relay.expects_config(); };
   this->sync.expects_servers = [this] { return this->relay.expects_servers(); };
   this->sync.expects_evacuations = [this] {
     return this->relay.expects_evacuations();
@@ -160,6 +169,9 @@
     const std::string source = this->relay.config_source();
     return this->config.fetch_from(this->link.address_of(source));
   };
+  this->discovery.top_ranked = [this] {
+    return this->relay.may_have_followers();
+  };
   this->sync.low_latency_needed = [this] { return this->lease.holds(); };
 }
 
@@ -172,7 +184,7 @@
   if (this->settings.bounds.evacuate_deadline) {
     this->spawn(this->sync.follow_evacuations());
   }
-  this->spawn(this->link.maintain_peers());
+  this->spawn(this->discovery.run());
   this->spawn(this->link.receive());
   this->spawn(this->config.serve());
   this->spawn(this->gossip.run());
--- a/src/node-process.h
+++ b/src/node-process.h
@@ -20,6 +20,7 @@
 #include "lease-manager.h"
 #include "limit-gossip.h"
 #include "node-context.h"
+#include "node-discovery.h"
 #include "node-gossip.h"
 #include "peer-config-service.h"
 #include "peer-link.h"
@@ -102,6 +103,7 @@
   node_context state;
   store_sync sync;
   peer_link link;
+  node_discovery discovery;
   node_gossip gossip;
   store_relay relay;
   crash_gossip crashes;
--- a/src/node-settings.cc
+++ b/src/node-settings.cc
@@ -87,6 +87,7 @@
   out.peer_address = listen.address("peers", true);
   listen.check_unknown_keys();
   out.platform_address = root.address("platform", true);
+  out.seeds = root.string_list("seeds", {});
   // Narrowed to float as in messages, so that equal nodes compare equal.
   out.cores = static_cast<float>(root.number("cores", out.cores, 0.001, 1024));
   out.max_sockets = static_cast<int>(
--- a/src/node-settings.h
+++ b/src/node-settings.h
@@ -6,6 +6,7 @@
 #include <boost/leaf.hpp>
 #include <cstddef>
 #include <string>
+#include <vector>
 
 #include "spokesail/group-controller.h"
 #include "spokesail/lease.h"
@@ -29,6 +30,9 @@
   /// Address for datagrams and configuration reads of other nodes.
   std::string peer_address;
   std::string platform_address;
+  /// Addresses of nodes that know others. Only their IP numbers count, since
+  /// all nodes receive messages at the same port. They may be out of date.
+  std::vector<std::string> seeds;
   /// Number of processor cores, which may be a fraction. Nodes with more cores
   /// are preferred as relays and as lease holder.
   float cores = 1;
--- a/src/store-relay.cc
+++ b/src/store-relay.cc
@@ -45,9 +45,12 @@
 /// Number of changes that one datagram holds, about 20 KB.
 constexpr size_t max_changes_per_message = 200;
 
+/// Ages above this are sent as this one, for a node that knows nothing.
+constexpr absl::Duration max_wire_age = absl::Hours(1);
+
 /// An age as sent in messages: in whole milliseconds, rounded up.
 absl::Duration wire_age(absl::Duration age) {
-  return std::min(age, absl::Hours(1)) + absl::Milliseconds(1);
+  return std::min(age, max_wire_age) + absl::Milliseconds(1);
 }
 
 }  // namespace
@@ -87,6 +90,12 @@
          this->may_have_followers();
 }
 
+bool store_relay::expects_config() const {
+  if (this->node.config_revision != 0) return false;
+  const bool has_relay = this->relay != this->node.settings.node;
+  return this->awaits_first_update() || (this->confirmed && has_relay);
+}
+
 bool store_relay::expects_servers() const {
   return !this->node.directory_listed && this->awaits_first_update();
 }
@@ -177,6 +186,9 @@
       update.servers.empty()) {
     return false;
   }
+  // Nor does one that has not read the configuration yet.
+  if (this->awaits_first_update() && update.config_age > max_wire_age)
+    return false;
   snapshot_age age = {update.config_age, update.servers_age};
   if (update.evacuations) age.evacuations = update.evacuations->age;
   const bool stale = relay_stale(age, this->node.settings.bounds);
--- a/src/store-relay.h
+++ b/src/store-relay.h
@@ -33,6 +33,9 @@
   /// Whether this node has to watch the store itself.
   bool watches_store() const;
 
+  /// Whether this node has no configuration yet and its relay is expected to
+  /// announce one.
+  bool expects_config() const;
   /// Whether this node has just started and expects to receive all servers from
   /// its relay.
   bool expects_servers() const;
--- a/src/store-sync.cc
+++ b/src/store-sync.cc
@@ -31,6 +31,7 @@
       servers(state, this->reachability),
       evacuations(state) {
   this->config.on_change = [this] { this->on_change(); };
+  this->config.expected_from_relay = [this] { return this->expects_config(); };
   this->servers.on_change = [this] { this->on_change(); };
   this->servers.low_latency_needed = [this] {
     return this->low_latency_needed();
--- a/src/store-sync.h
+++ b/src/store-sync.h
@@ -41,6 +41,8 @@
   /// Whether this node watches the store itself; otherwise a relay sends it the
   /// changes.
   std::function<bool()> watches_directly;
+  /// Whether a relay is about to announce the first configuration.
+  std::function<bool()> expects_config;
   /// Whether a relay is about to send all servers.
   std::function<bool()> expects_servers;
   /// Whether a relay is about to send the evacuations.
--- a/test/node-fixture.h
+++ b/test/node-fixture.h
@@ -66,6 +66,18 @@
     this->fleet.release();
   }
 
+  /// Nodes receive messages at the same port of different IP numbers.
+  std::string peer_address(size_t node) const {
+    const auto id = static_cast<unsigned>(getpid());
+    return absl::StrCat("127.", 100 + node, ".", (id >> 8) % 256, ".", id % 256,
+                        ":", this->peer_port);
+  }
+  static int next_peer_port() {
+    static int port = 19000;
+    return ++port;
+  }
+  const int peer_port = next_peer_port();
+
   void add_node(const std::string& name) {
     auto s = std::make_unique<node_settings>();
     s->node = name;
@@ -73,7 +85,8 @@
     s->caller_address = free_address();
     s->ready_address = free_address();
     s->metrics_address = free_address();
-    s->peer_address = free_address();
+    s->peer_address = this->peer_address(this->nodes.size());
+    s->seeds = this->seeds;
     s->platform_address = this->fleet->store_address();
     s->bounds.revoke_deadline = absl::Seconds(3);
     s->bounds.evacuate_deadline = this->evacuate_deadline;
@@ -239,6 +252,7 @@
   std::unique_ptr<fleet_standin> fleet;
   std::vector<std::unique_ptr<node_settings>> settings;
   /// Settings for nodes that are added later.
+  std::vector<std::string> seeds;
   bool keys_fail_closed = true;
   node_policy policy;
   size_t memory = 0;
--- a/test/node-message-test.cc
+++ b/test/node-message-test.cc
@@ -100,6 +100,24 @@
   EXPECT_EQ(*decoded, sample(store_update_request{3, {11, 14}}));
 }
 
+TEST(node_message, peer_queries_and_reports_round_trip) {
+  const hall_report changed = {
+      "hall",
+      absl::Milliseconds(40),
+      false,
+      {{"n1", "10.0.0.1:7", "hall", 0.125F}, {"n2", "10.0.0.2:7", "hall", 1}}};
+  const std::vector<message_content> contents = {
+      peer_query{7, true, {}},
+      peer_query{8, false, {{"hall", 99}, {"h2", 0, absl::Seconds(3)}}},
+      peer_report{8, true, false, {changed, {"h2", {}, true, {}}}}};
+  for (const auto& content : contents) {
+    const auto bytes = encode(sample(content));
+    const auto decoded = decode_message(bytes.data(), bytes.size());
+    ASSERT_TRUE(decoded);
+    EXPECT_EQ(*decoded, sample(content));
+  }
+}
+
 TEST(node_message, suspicion_round_trip) {
   const auto bytes = encode(sample(suspicion{{"s1", "s2"}, "large.7"}));
   const auto decoded = decode_message(bytes.data(), bytes.size());
--- a/test/node-test.cc
+++ b/test/node-test.cc
@@ -537,6 +537,46 @@
             0);
 }
 
+/// A fleet of any size starts without one call to the store for each node.
+TEST_F(node_test, node_with_a_seed_starts_without_calls_to_the_store) {
+  this->start(1);
+  ASSERT_TRUE(this->wait_until([this] {
+    return this->nodes[0]->context().now() - this->nodes[0]->context().started >
+           absl::Seconds(2);
+  }));
+  this->seeds = {this->settings[0]->peer_address};
+  // The first node of a hall by rank reads the store for the others.
+  std::string name = "node-1";
+  while (relay_order({{"node-0", 1}, {name, 1}}).front() == name) name += "x";
+  this->on_loop([&] {
+    this->add_node(name);
+    return 0;
+  });
+  node_context& state = this->nodes.back()->context();
+  ASSERT_TRUE(this->wait_until([&] { return state.ready(); }));
+  this->on_loop([&] {
+    for (const auto& [verb, count] : state.metrics.store_calls_by_verb()) {
+      ADD_FAILURE() << verb << " " << count;
+    }
+    return 0;
+  });
+  EXPECT_EQ(this->send_request(request("r1", "/look/a"), 1).result_int(), 200U);
+}
+
+/// Seeds may be out of date; the store is then the way in.
+TEST_F(node_test, node_with_a_dead_seed_finds_the_others_in_the_store) {
+  this->start(1);
+  this->seeds = {free_address()};
+  this->on_loop([this] {
+    this->add_node("node-1");
+    return 0;
+  });
+  ASSERT_TRUE(this->wait_until(
+      [this] { return this->nodes.back()->context().ready(); }));
+  EXPECT_TRUE(this->wait_until(
+      [this] { return this->nodes[0]->context().live_nodes == 2; }));
+}
+
 TEST_F(node_test, new_node_enrolls_once) {
   this->start(1);
   EXPECT_EQ(this->on_loop(
