Send the holder's list of unresponsive servers in parts

It was in each gossip of the holder and each update of each relay, 20 bytes a server: from about 2,900 servers on the datagram is larger than what a node reads, exactly when a hall has failed. It goes in parts of 256, and is left out for a follower that has the state.

--- a/src/node-gossip.cc
+++ b/src/node-gossip.cc
@@ -35,7 +35,7 @@
                                 const gossip& message) {
   const absl::Time now = this->node.now();
   if (message.requests_seen) this->node.requests_seen = true;
-  if (message.holder) this->apply_holder_state(*message.holder);
+  if (message.holder) this->apply_holder_part(*message.holder);
   const bool is_local = this->link.hall_of(peer) == this->node.settings.hall;
   if (is_local) {
     this->node.loads.update_peer(peer, message.places, now);
@@ -53,14 +53,17 @@
 
 void node_gossip::apply_relayed(const store_update& update) {
   if (update.requests_seen) this->node.requests_seen = true;
-  if (update.holder) this->apply_holder_state(*update.holder);
+  if (update.holder) this->apply_holder_part(*update.holder);
   // Only responses carry the load of remote halls.
   if (update.nonce == 0) return;
   this->remote.apply_relayed(update.remote_places, update.remote_nodes,
                              this->node.now());
 }
 
-void node_gossip::apply_holder_state(const holder_state& state) {
+void node_gossip::apply_holder_part(const holder_part& part) {
+  const auto assembled = this->received_holder.add(part);
+  if (!assembled) return;
+  const holder_state& state = *assembled;
   const auto& last_state = this->node.last_holder_state;
   if (last_state && !(state == *last_state) && !state.newer_than(*last_state))
     return;
@@ -79,7 +82,6 @@
 
 void node_gossip::fill_update(store_update& out) const {
   const absl::Time now = this->node.now();
-  out.holder = this->current_holder_state();
   out.requests_seen = this->node.requests_seen;
   if (out.nonce == 0) return;
   out.remote_places = this->node.loads.hall_sum(true, now);
@@ -89,7 +91,8 @@
 gossip node_gossip::make_gossip() const {
   gossip out;
   out.places = this->node.loads.own_loads();
-  out.holder = this->own_holder_state();
+  const auto own = this->own_holder_state();
+  if (own) out.holder = inline_holder_state(*own);
   out.requests_seen = this->node.requests_seen;
   return out;
 }
--- a/src/node-gossip.h
+++ b/src/node-gossip.h
@@ -31,8 +31,8 @@
   /// Applies the parts of a relay's message that do not come from the store.
   void apply_relayed(const store_update& update);
 
-  /// Applies the holder's state unless a later one is known.
-  void apply_holder_state(const holder_state& state);
+  /// Applies a part of the holder's state unless a later one is known.
+  void apply_holder_part(const holder_part& part);
 
   /// The holder's current state: this node's own while it holds the lease, or
   /// the last one received.
@@ -70,6 +70,7 @@
 
   node_context& node;
   peer_link& link;
+  holder_assembler received_holder;
   remote_gossip remote;
   /// The last message sent to this data hall.
   gossip last_local_gossip;
--- a/src/node-message.cc
+++ b/src/node-message.cc
@@ -165,7 +165,10 @@
   return out;
 }
 
-void write_holder(rpc::HolderWord::Builder out, const holder_state& h) {
+void write_holder(rpc::HolderWord::Builder out, const holder_part& p) {
+  const holder_state& h = p.state;
+  out.setPart(p.part);
+  out.setParts(p.parts);
   out.setLeaseVersion(h.lease.version);
   out.setLeaseRecord(h.lease.record);
   out.setSequence(h.sequence);
@@ -179,8 +182,11 @@
   }
 }
 
-holder_state read_holder(rpc::HolderWord::Reader in) {
-  holder_state out;
+holder_part read_holder(rpc::HolderWord::Reader in) {
+  holder_part part;
+  part.part = static_cast<int>(in.getPart());
+  part.parts = static_cast<int>(in.getParts());
+  holder_state& out = part.state;
   out.lease = {in.getLeaseVersion(), in.getLeaseRecord().cStr()};
   out.sequence = in.getSequence();
   out.unresponsive = read_texts(in.getSilent());
@@ -189,7 +195,7 @@
     out.shares.push_back(
         {share.getService().cStr(), share.getModel().cStr(), share.getShare()});
   }
-  return out;
+  return part;
 }
 
 void write_gossip(rpc::Gossip::Builder out, const gossip& g) {
@@ -436,6 +442,8 @@
     request.setNonce(r->nonce);
     request.setServersRevision(r->servers.known);
     request.setServersToldAfter(r->servers.unapplied_after);
+    request.setHolderLeaseVersion(r->holder.lease_version);
+    request.setHolderSequence(r->holder.sequence);
   } else if (const auto* n = std::get_if<store_update>(&message.content)) {
     write_store_update(root.initNews(), *n);
   } else if (const auto* c = std::get_if<crash_report>(&message.content)) {
@@ -457,6 +465,8 @@
     write_query(root.initPeerQuery(), *q);
   } else if (const auto* p = std::get_if<peer_report>(&message.content)) {
     write_report(root.initPeerReport(), *p);
+  } else if (const auto* h = std::get_if<holder_part>(&message.content)) {
+    write_holder(root.initHolderPart(), *h);
   } else {
     const auto& report = std::get<suspicion>(message.content);
     auto out = root.initSuspicion();
@@ -491,7 +501,8 @@
       const auto request = root.getNewsRequest();
       message.content = store_update_request{
           request.getNonce(),
-          {request.getServersRevision(), request.getServersToldAfter()}};
+          {request.getServersRevision(), request.getServersToldAfter()},
+          {request.getHolderLeaseVersion(), request.getHolderSequence()}};
     } else if (root.isNews()) {
       message.content = read_store_update(root.getNews());
     } else if (root.isSuspicion()) {
@@ -517,6 +528,8 @@
       message.content = read_query(root.getPeerQuery());
     } else if (root.isPeerReport()) {
       message.content = read_report(root.getPeerReport());
+    } else if (root.isHolderPart()) {
+      message.content = read_holder(root.getHolderPart());
     } else {
       return;
     }
--- a/src/node-message.h
+++ b/src/node-message.h
@@ -9,6 +9,7 @@
 #include <variant>
 #include <vector>
 
+#include "holder-state.h"
 #include "spokesail/change-relay.h"
 #include "spokesail/crash-evidence.h"
 #include "spokesail/endpoint-speed.h"
@@ -22,42 +23,12 @@
 
 namespace spokesail {
 
-/// The lease as last written by its holder.
-struct lease_snapshot {
-  int64_t version = 0;
-  std::string record;
-  bool operator==(const lease_snapshot&) const = default;
-};
-
-/// State published by the lease holder. Nodes forward it to each other.
-struct holder_state {
-  lease_snapshot lease;
-  /// Grows with each change under one version of the lease.
-  uint64_t sequence = 0;
-  /// Unresponsive servers.
-  std::vector<std::string> unresponsive;
-  /// Weight loads that the holder started within its load window.
-  int loads_begun = 0;
-  /// The holder's allocation of hosts to models, where it differs from the
-  /// configured shares.
-  std::vector<model_share> shares;
-  bool operator==(const holder_state&) const = default;
-
-  /// Whether this state was published after `other`.
-  bool newer_than(const holder_state& other) const {
-    if (this->lease.version != other.lease.version) {
-      return this->lease.version > other.lease.version;
-    }
-    return this->sequence > other.sequence;
-  }
-};
-
 /// A node's periodic message to its peers, sent at a bounded rate.
 struct gossip {
   /// Load on endpoints from the sender, or from its whole data hall.
   std::vector<endpoint_load> places;
   /// Set by the lease holder only.
-  std::optional<holder_state> holder;
+  std::optional<holder_part> holder;
   /// Whether the sender or a peer of it has received requests.
   bool requests_seen = false;
   /// Number of live nodes in the sender's data hall if the message summarizes
@@ -78,6 +49,8 @@
   uint64_t nonce = 0;
   /// The server changes that the sender already has.
   follower_position servers;
+  /// The holder's state that the sender has.
+  holder_position holder;
   bool operator==(const store_update_request&) const = default;
 };
 
@@ -114,7 +87,7 @@
   /// them.
   bool all_servers = false;
   /// The holder's state as last received by the sender.
-  std::optional<holder_state> holder;
+  std::optional<holder_part> holder;
   /// Requests in flight from remote halls.
   std::vector<endpoint_load> remote_places;
   /// Number of live nodes in remote halls.
@@ -156,7 +129,7 @@
 using message_content =
     std::variant<gossip, store_update_request, store_update, suspicion,
                  crash_report, grant_request, grant_response, limit_update,
-                 peer_query, peer_report>;
+                 peer_query, peer_report, holder_part>;
 
 /// One datagram.
 struct node_message {
--- a/src/node-process.cc
+++ b/src/node-process.cc
@@ -119,6 +119,9 @@
   this->link.on_peer_report = [this](const auto& report) {
     this->discovery.handle_report(report);
   };
+  this->link.on_holder_part = [this](const holder_part& part) {
+    this->gossip.apply_holder_part(part);
+  };
   this->link.on_suspicion = [this](const suspicion& message) {
     for (const auto& id : message.servers) this->group_runner.suspect(id);
     this->stalls.handle_suspicion(message);
@@ -145,6 +148,9 @@
 
 void node_process::connect_store() {
   this->relay.holder = [this] { return this->lease.holder(); };
+  this->relay.holder_state_known = [this] {
+    return this->gossip.current_holder_state();
+  };
   this->relay.fill_update = [this](store_update& out) {
     this->gossip.fill_update(out);
   };
--- a/src/peer-link.cc
+++ b/src/peer-link.cc
@@ -131,6 +131,8 @@
     this->on_peer_query(message.node, *q);
   } else if (const auto* p = std::get_if<peer_report>(&message.content)) {
     this->on_peer_report(*p);
+  } else if (const auto* h = std::get_if<holder_part>(&message.content)) {
+    this->on_holder_part(*h);
   } else {
     this->on_suspicion(std::get<suspicion>(message.content));
   }
--- a/src/peer-link.h
+++ b/src/peer-link.h
@@ -72,6 +72,7 @@
       on_limit_update;
   std::function<void(const std::string& peer, const peer_query&)> on_peer_query;
   std::function<void(const peer_report&)> on_peer_report;
+  std::function<void(const holder_part&)> on_holder_part;
 
  private:
   /// Identifies the start of a peer's process, and the last message from it.
--- a/src/store-relay.cc
+++ b/src/store-relay.cc
@@ -121,7 +121,8 @@
 }
 
 void store_relay::send_update(const std::string& peer, int64_t from,
-                              uint64_t nonce) {
+                              uint64_t nonce,
+                              const holder_position& has_state) {
   store_update out;
   out.nonce = nonce;
   out.config_revision = this->node.config_revision;
@@ -135,6 +136,16 @@
   // A node that does not watch the store learns its state only from relays.
   out.store_reachable = this->node.store_reachable || !this->watches_store();
   this->fill_update(out);
+  std::vector<holder_part> parts;
+  const auto state = this->holder_state_known();
+  if (state && state->position() == has_state) {
+    parts = {without_servers(*state)};
+  } else if (state) {
+    parts = split_holder_state(*state);
+    this->follower_states[peer] = state->position();
+  }
+  if (!parts.empty()) out.holder = parts.front();
+  for (size_t i = 1; i < parts.size(); ++i) this->link.send(peer, parts[i]);
   auto changes =
       server_changes_since(this->node.directory, from, this->node.now());
   const int64_t last_revision = this->node.directory.revision();
@@ -148,6 +159,8 @@
     this->link.send(peer, out);
     this->sender.on_sent(peer, out.from_revision, out.to_revision,
                          out.config_revision, this->node.now());
+    // Further messages of the same update need not repeat it.
+    if (state) out.holder = without_servers(*state);
   }
 }
 
@@ -159,7 +172,8 @@
                                  const store_update_request& request) {
   const int64_t from =
       this->sender.on_request(peer, request.servers, this->node.now());
-  this->send_update(peer, from, request.nonce);
+  this->follower_states[peer] = request.holder;
+  this->send_update(peer, from, request.nonce, request.holder);
 }
 
 void store_relay::record_config_verified() {
@@ -172,7 +186,8 @@
   this->record_config_verified();
   for (const auto& next :
        this->sender.pending_updates(this->known(), this->node.now())) {
-    this->send_update(next.follower, next.from, 0);
+    this->send_update(next.follower, next.from, 0,
+                      this->follower_states[next.follower]);
   }
 }
 
@@ -300,8 +315,10 @@
 
 void store_relay::send_request() {
   const int64_t known_revision = this->node.directory.revision();
-  const store_update_request request{this->nonce,
-                                     this->receiver.position(known_revision)};
+  const auto state = this->holder_state_known();
+  const store_update_request request{
+      this->nonce, this->receiver.position(known_revision),
+      state ? state->position() : holder_position{}};
   this->link.send(this->relay, request);
 }
 
--- a/src/store-relay.h
+++ b/src/store-relay.h
@@ -6,6 +6,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "peer-link.h"
@@ -57,6 +58,8 @@
 
   /// Name of the node that holds the controller's lease; empty if unknown.
   std::function<std::string()> holder;
+  /// Returns the holder's state as known here.
+  std::function<std::optional<holder_state>()> holder_state_known;
   /// Adds what a relay forwards beside the changes of the store.
   std::function<void(store_update& out)> fill_update;
   /// Called with each update received.
@@ -104,8 +107,10 @@
   /// Logs and counts changes that do not follow on this node's revision.
   void report_gap(const std::string& peer, const store_update& update);
   /// Sends a peer all changes of servers after `from` and the rest of the
-  /// update, in response to a request or unrequested (0).
-  void send_update(const std::string& peer, int64_t from, uint64_t nonce);
+  /// update, in response to a request or unrequested (0). The peer has the
+  /// holder's state `has_state`.
+  void send_update(const std::string& peer, int64_t from, uint64_t nonce,
+                   const holder_position& has_state);
   /// Excludes a relay for a while.
   void exclude_relay(const std::string& peer, absl::Duration time,
                      const char* why);
@@ -114,6 +119,8 @@
   peer_link& link;
   /// The nodes that use this one as their relay, and what they were sent.
   change_sender sender;
+  /// The holder's state that each follower was last sent or reported.
+  std::map<std::string, holder_position> follower_states;
   /// What the relay said of configurations.
   config_announcements announced;
   /// What this node has missed.
--- a/test/node-message-test.cc
+++ b/test/node-message-test.cc
@@ -27,7 +27,7 @@
 TEST(node_message, gossip_round_trip) {
   gossip g;
   g.places = {{"large.7", 3, 512}, {"p0", 1, 0}};
-  g.holder = sample_holder();
+  g.holder = inline_holder_state(sample_holder());
   g.requests_seen = true;
   g.hall_nodes = 60;
   g.hall_contacts = {"node-1", "node-2"};
@@ -82,7 +82,7 @@
   n.to_revision = 12;
   n.servers = {{sample_server(), false, absl::Milliseconds(30)},
                {sample_server(), true, absl::ZeroDuration()}};
-  n.holder = sample_holder();
+  n.holder = inline_holder_state(sample_holder());
   n.remote_places = {{"small.9", 12, 256}};
   n.remote_nodes = 240;
   n.all_servers = true;
@@ -94,10 +94,10 @@
 }
 
 TEST(node_message, store_update_request_round_trip) {
-  const auto bytes = encode(sample(store_update_request{3, {11, 14}}));
+  const auto bytes = encode(sample(store_update_request{3, {11, 14}, {5, 8}}));
   const auto decoded = decode_message(bytes.data(), bytes.size());
   ASSERT_TRUE(decoded);
-  EXPECT_EQ(*decoded, sample(store_update_request{3, {11, 14}}));
+  EXPECT_EQ(*decoded, sample(store_update_request{3, {11, 14}, {5, 8}}));
 }
 
 TEST(node_message, peer_queries_and_reports_round_trip) {
@@ -109,7 +109,8 @@
   const std::vector<message_content> contents = {
       peer_query{7, true, {}},
       peer_query{8, false, {{"hall", 99}, {"h2", 0, absl::Seconds(3)}}},
-      peer_report{8, true, false, {changed, {"h2", {}, true, {}}}}};
+      peer_report{8, true, false, {changed, {"h2", {}, true, {}}}},
+      holder_part{sample_holder(), 2, 5}};
   for (const auto& content : contents) {
     const auto bytes = encode(sample(content));
     const auto decoded = decode_message(bytes.data(), bytes.size());
