Let a relay that is fresh again say so

Followers exclude a stale relay for 1.2 s and looked for the store themselves: a hall had it back 1.3 to 3 s after a cut had ended.

--- a/include/spokesail/change-relay.h
+++ b/include/spokesail/change-relay.h
@@ -51,6 +51,10 @@
   void on_sent(const std::string& follower, int64_t from, int64_t to,
                int64_t config, absl::Time now);
 
+  /// All followers, with the revision after which changes are to be sent to
+  /// each. Drops followers that have sent no request for a while.
+  std::vector<pending_update> all_followers(absl::Time now);
+
   /// Returns the followers that lack something of `current`. Drops followers
   /// that have sent no request for a while.
   std::vector<pending_update> pending_updates(const known_revisions& current,
@@ -63,6 +67,7 @@
     int64_t to = 0;
     absl::Time at;
   };
+  void drop_silent_followers(absl::Time now);
   /// Whether a message counts as lost, judged by the follower's request.
   static bool is_lost(const message& sent, const follower_position& position,
                       absl::Time now);
--- a/src/change-relay.cc
+++ b/src/change-relay.cc
@@ -59,11 +59,25 @@
   if (to > from) f.unconfirmed.push_back({from, to, now});
 }
 
-std::vector<change_sender::pending_update> change_sender::pending_updates(
-    const known_revisions& current, absl::Time now) {
+void change_sender::drop_silent_followers(absl::Time now) {
   std::erase_if(this->followers, [&](const auto& item) {
     return now - item.second.last_request > follower_timeout;
   });
+}
+
+std::vector<change_sender::pending_update> change_sender::all_followers(
+    absl::Time now) {
+  this->drop_silent_followers(now);
+  std::vector<pending_update> out;
+  for (const auto& [name, f] : this->followers) {
+    out.push_back({name, f.sent_up_to.servers});
+  }
+  return out;
+}
+
+std::vector<change_sender::pending_update> change_sender::pending_updates(
+    const known_revisions& current, absl::Time now) {
+  this->drop_silent_followers(now);
   std::vector<pending_update> out;
   for (const auto& [name, f] : this->followers) {
     const bool behind = f.sent_up_to.servers < current.servers ||
--- a/src/node-process.cc
+++ b/src/node-process.cc
@@ -165,6 +165,7 @@
   this->sync.may_have_followers = [this] {
     return this->relay.may_have_followers();
   };
+  this->sync.on_answer = [this] { this->relay.announce_recovery(); };
   this->sync.on_change = [this] { this->relay.push(); };
   this->sync.expects_config = [this] { return this->relay.expects_config(); };
   this->sync.expects_servers = [this] { return this->relay.expects_servers(); };
--- a/src/store-relay.cc
+++ b/src/store-relay.cc
@@ -191,6 +191,36 @@
   }
 }
 
+bool store_relay::is_fresh() const {
+  const bool reachable = this->node.store_reachable || !this->watches_store();
+  return reachable &&
+         !relay_stale(this->node.age(), this->node.settings.bounds);
+}
+
+void store_relay::announce_recovery() {
+  const bool fresh = this->is_fresh();
+  if (fresh == this->announced_fresh) return;
+  this->announced_fresh = fresh;
+  if (!fresh) return;
+  for (const auto& next : this->sender.all_followers(this->node.now())) {
+    this->send_update(next.follower, next.from, 0,
+                      this->follower_states[next.follower]);
+  }
+}
+
+void store_relay::readmit_relay(const std::string& peer,
+                                const store_update& update) {
+  const auto excluded = this->excluded_until.find(peer);
+  const bool stale = relay_stale({update.config_age, update.servers_age},
+                                 this->node.settings.bounds);
+  if (excluded == this->excluded_until.end() || !update.store_reachable ||
+      stale || this->is_fresh()) {
+    return;
+  }
+  this->excluded_until.erase(excluded);
+  if (this->search.try_next()) this->request_update();
+}
+
 bool store_relay::accept_response(const std::string& peer,
                                   const store_update& update) {
   if (peer != this->relay || update.nonce != this->nonce) return false;
@@ -224,12 +254,14 @@
   const bool requested = update.nonce != 0;
   this->on_update(update);
   this->apply_evacuated_halls(peer, update);
+  if (!requested) this->readmit_relay(peer, update);
   if (requested && !this->accept_response(peer, update)) return;
   if (update.config_revision > this->node.config_revision) {
     this->config_peer = peer;
     this->on_config(update.config_revision);
   }
   this->apply_servers(peer, update);
+  this->announce_recovery();
 }
 
 bool store_relay::answers_last_request(const std::string& peer,
@@ -348,6 +380,8 @@
     if (!this->answered && !loop_late && ++this->missed >= max_missed) {
       this->exclude_relay(this->relay, silent_exclusion, "does not answer");
     }
+    this->search.begin_period();
+    this->announce_recovery();
     this->request_update();
   }
 }
--- a/src/store-relay.h
+++ b/src/store-relay.h
@@ -52,6 +52,11 @@
   /// Sends new changes to followers.
   void push();
 
+  /// Sends an update to all followers once this node's data is fresh again.
+  /// They may have excluded it as a relay, and would otherwise find out one by
+  /// one, or read the store themselves.
+  void announce_recovery();
+
   void handle_request(const std::string& peer,
                       const store_update_request& request);
   void handle_update(const std::string& peer, const store_update& update);
@@ -111,6 +116,10 @@
   /// holder's state `has_state`.
   void send_update(const std::string& peer, int64_t from, uint64_t nonce,
                    const holder_position& has_state);
+  /// Whether this node would be used as a relay.
+  bool is_fresh() const;
+  /// Uses a relay again that says that its data is fresh.
+  void readmit_relay(const std::string& peer, const store_update& update);
   /// Excludes a relay for a while.
   void exclude_relay(const std::string& peer, absl::Duration time,
                      const char* why);
@@ -138,6 +147,8 @@
   absl::Time requested_at = absl::InfinitePast();
   bool answered = true;
   int missed = 0;
+  /// Whether followers were last told that this node's data is fresh.
+  bool announced_fresh = true;
 };
 
 }  // namespace spokesail
--- a/src/store-sync.cc
+++ b/src/store-sync.cc
@@ -122,6 +122,7 @@
   revision = std::max(revision, changes.revision);
   changes.revision = revision;
   const absl::Duration delay = feed.apply_changes(changes, sent);
+  this->on_answer();
   if (delay > absl::ZeroDuration()) co_await this->node.sleep(delay);
   co_return store_status::ok;
 }
--- a/src/store-sync.h
+++ b/src/store-sync.h
@@ -34,6 +34,8 @@
   /// Follows evacuations until the process ends.
   boost::asio::awaitable<void> follow_evacuations();
 
+  /// Called whenever a watch was answered.
+  std::function<void()> on_answer;
   /// Called whenever the servers or the configuration have changed.
   std::function<void()> on_change;
   /// Whether changes of servers are needed without delay.
