Send nothing to halls that have fallen silent

A node in or beside a hall that is cut off chose among servers of all halls and lost 80 ms for each that it could not reach, up to four times, and then refused. The nodes that receive the other halls' sums now tell their hall which have stopped (hall-contact, tested at 3 to 500 nodes); others are tried once, if nothing else is left.

--- a/src/node-context.h
+++ b/src/node-context.h
@@ -26,6 +26,7 @@
 #include "spokesail/engine-model.h"
 #include "spokesail/fleet-size.h"
 #include "spokesail/grant-client.h"
+#include "spokesail/hall-contact.h"
 #include "spokesail/hall-evacuations.h"
 #include "spokesail/limit-share.h"
 #include "spokesail/load-table.h"
@@ -104,6 +105,8 @@
   hall_evacuations evacuations;
 
   load_table loads;
+  /// Data halls from which nothing is received any more.
+  hall_contact remote_halls;
   /// Bytes of requests and answers that are buffered for callers.
   byte_budget held;
   /// Speeds of groups and servers; empty unless the policy enables learning.
--- a/src/node-gossip.cc
+++ b/src/node-gossip.cc
@@ -56,8 +56,10 @@
   if (update.holder) this->apply_holder_part(*update.holder);
   // Only responses carry the load of remote halls.
   if (update.nonce == 0) return;
-  this->remote.apply_relayed(update.remote_places, update.remote_nodes,
-                             this->node.now());
+  const absl::Time now = this->node.now();
+  this->node.remote_halls.on_relayed(
+      {update.silent_halls, now - update.silent_halls_age});
+  this->remote.apply_relayed(update.remote_places, update.remote_nodes, now);
 }
 
 void node_gossip::apply_holder_part(const holder_part& part) {
@@ -86,6 +88,9 @@
   if (out.nonce == 0) return;
   out.remote_places = this->node.loads.hall_sum(true, now);
   out.remote_nodes = this->remote.nodes(now);
+  const silent_halls silent = this->node.remote_halls.silent(now);
+  out.silent_halls = silent.halls;
+  out.silent_halls_age = now - silent.as_of;
 }
 
 gossip node_gossip::make_gossip() const {
--- a/src/node-message.cc
+++ b/src/node-message.cc
@@ -290,6 +290,9 @@
   out.setFarNodes(n.remote_nodes);
   out.setRequestsSeen(n.requests_seen);
   out.setAllServers(n.all_servers);
+  write_texts(out.initSilentHalls(n.silent_halls.size()),
+              {n.silent_halls.begin(), n.silent_halls.end()});
+  out.setSilentHallsAgeMs(to_ms(n.silent_halls_age));
   if (n.evacuations) {
     write_evacuations(out.initEvacuations(), *n.evacuations);
   }
@@ -316,6 +319,10 @@
   out.remote_nodes = static_cast<int>(in.getFarNodes());
   out.requests_seen = in.getRequestsSeen();
   out.all_servers = in.getAllServers();
+  for (const auto hall : in.getSilentHalls()) {
+    out.silent_halls.insert(hall.cStr());
+  }
+  out.silent_halls_age = read_age(in.getSilentHallsAgeMs());
   if (in.hasEvacuations()) {
     out.evacuations = read_evacuations(in.getEvacuations());
   }
--- a/src/node-message.h
+++ b/src/node-message.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -94,6 +95,10 @@
   int remote_nodes = 0;
   /// Whether the sender or a peer of it has received requests.
   bool requests_seen = false;
+  /// Data halls from which nothing is received any more, and the time since
+  /// that was found; infinite if the sender does not know.
+  std::set<std::string> silent_halls;
+  absl::Duration silent_halls_age = absl::InfiniteDuration();
   /// The evacuated data halls; nullopt if the sender does not know them.
   std::optional<evacuation_snapshot> evacuations;
   bool operator==(const store_update&) const = default;
--- a/src/remote-gossip.cc
+++ b/src/remote-gossip.cc
@@ -80,20 +80,29 @@
   return fresh ? summary->second.contacts : top_ranked(relay_order(known));
 }
 
+absl::Duration remote_gossip::receive_period(
+    bool mesh, const std::vector<std::string>& contacts) const {
+  if (mesh) return std::max(this->mesh_period(), max_silence);
+  const bool is_contact = std::find(contacts.begin(), contacts.end(),
+                                    this->node.settings.node) != contacts.end();
+  return is_contact ? summary_period : absl::InfiniteDuration();
+}
+
 void remote_gossip::send_due(const gossip& own, absl::Time now) {
   if (now < this->next) return;
   const bool mesh = this->meshed();
   const absl::Duration period = mesh ? this->mesh_period() : summary_period;
   this->next = now + period;
   this->node.remote_update_period = mesh ? period : relayed_age;
-  if (!mesh &&
-      this->link.hall_relay_order().front() != this->node.settings.node) {
-    return;
-  }
+  const std::vector<std::string> contacts =
+      top_ranked(this->link.hall_relay_order());
+  this->node.remote_halls.set_period(this->receive_period(mesh, contacts), now);
+  if (!mesh && contacts.front() != this->node.settings.node) return;
   gossip report = mesh ? own : this->summarize_hall(own, now);
   const bool sends_demand = this->node.settings.groups.follow_demand &&
                             now - this->demand_sent >= demand_period;
-  if (!sends_demand && report == this->last_gossip &&
+  // A hall's summary also shows that the hall can be reached.
+  if (mesh && !sends_demand && report == this->last_gossip &&
       now - this->last_sent < max_silence) {
     return;
   }
@@ -117,6 +126,7 @@
 void remote_gossip::handle_gossip(const std::string& peer, const gossip& report,
                                   absl::Time now) {
   const std::string hall = this->link.hall_of(peer);
+  this->node.remote_halls.on_heard(hall, now);
   if (report.hall_nodes == 0) {
     this->node.loads.update_peer(peer, report.places, now, true);
     this->node.demand.update_node(peer, hall, report.demand, now);
--- a/src/remote-gossip.h
+++ b/src/remote-gossip.h
@@ -49,6 +49,10 @@
   /// Whether each node sends to each node of the remote halls (full mesh).
   bool meshed() const;
   absl::Duration mesh_period() const;
+  /// Period at which this node receives messages of each remote hall, if it is
+  /// one of its hall's `contacts`; infinite if it receives none.
+  absl::Duration receive_period(bool mesh,
+                                const std::vector<std::string>& contacts) const;
   /// This hall's summary, from this node's view of it.
   gossip summarize_hall(const gossip& own, absl::Time now) const;
   /// Callers' demand at this node, or in its hall when it sends the hall's
--- a/src/request-routing.cc
+++ b/src/request-routing.cc
@@ -142,12 +142,22 @@
 std::vector<const group_view*> request_handler::candidate_groups() {
   std::vector<const group_view*> out;
   std::vector<const group_view*> remote;
+  std::vector<const group_view*> unreachable;
+  const auto silent = this->node.remote_halls.silent(this->node.now()).halls;
   for (const auto& group : this->node.groups(this->service->name)) {
     if (!this->is_eligible(group)) continue;
     if (!this->may_send(group.head(), group.members)) continue;
     const server_entry* head = this->node.directory.find(group.head());
-    (this->is_local(*head) ? out : remote).push_back(&group);
+    if (silent.count(head->hall) != 0) {
+      unreachable.push_back(&group);
+    } else {
+      (this->is_local(*head) ? out : remote).push_back(&group);
+    }
   }
+  // One attempt, in case only the messages of that hall are lost.
+  const bool may_try =
+      out.empty() && remote.empty() && this->attempts_made == 0;
+  if (may_try) remote = std::move(unreachable);
   // Reports from other data halls are old, so the emptiest group there would
   // attract the requests of all nodes at once.
   for (size_t drawn = 0; drawn < remote_choices && !remote.empty(); ++drawn) {
@@ -186,6 +196,8 @@
 std::optional<endpoint_target> request_handler::pick_server() {
   const absl::Time now = this->node.now();
   std::vector<const server_entry*> servers;
+  std::vector<const server_entry*> unreachable;
+  const auto silent = this->node.remote_halls.silent(now).halls;
   for (const auto& id : this->node.directory.servers_of(this->service->name)) {
     const server_entry& entry = *this->node.directory.find(id);
     if (entry.draining) continue;
@@ -194,7 +206,11 @@
     if (!this->has_connection_slot(id)) continue;
     if (this->node.hall_closed(entry.hall)) continue;
     if (!this->may_send(id, {id})) continue;
-    servers.push_back(&entry);
+    (silent.count(entry.hall) == 0 ? servers : unreachable).push_back(&entry);
+  }
+  // One attempt, in case only the messages of that hall are lost.
+  if (servers.empty() && this->attempts_made == 0) {
+    servers = std::move(unreachable);
   }
   const std::vector<double> slowness = this->server_slowness(servers);
   size_t best = servers.size();
--- /dev/null
+++ b/test/hall-contact-test.cc
@@ -0,0 +1,106 @@
+// Callers in and beside a data hall that is cut off from the others.
+#include "spokesail/hall-contact.h"
+
+#include <absl/strings/str_cat.h>
+#include <gtest/gtest.h>
+
+#include <vector>
+
+namespace spokesail {
+namespace {
+
+constexpr absl::Duration request_period = absl::Milliseconds(180);
+constexpr absl::Duration message_period = absl::Milliseconds(200);
+constexpr absl::Duration step = absl::Milliseconds(20);
+const absl::Time began = absl::FromUnixSeconds(1000);
+
+/// One hall of `size` nodes in a relay tree; the first node receives the
+/// messages of another hall, "far", while the link is up.
+class hall {
+ public:
+  explicit hall(int size, int fan_out) : nodes(static_cast<size_t>(size)) {
+    this->fan_out = fan_out;
+    this->nodes.front().set_period(message_period, began);
+  }
+
+  void run_until(absl::Time until, bool connected) {
+    for (; this->now < until; this->now += step) {
+      const absl::Duration since = this->now - began;
+      if (connected && since % message_period == absl::ZeroDuration()) {
+        this->nodes.front().on_heard("far", this->now);
+      }
+      for (size_t i = 1; i < this->nodes.size(); ++i) {
+        const absl::Duration offset = step * static_cast<double>(i % 9);
+        if ((since + offset) % request_period != absl::ZeroDuration()) continue;
+        const size_t parent = (i - 1) / static_cast<size_t>(this->fan_out);
+        this->nodes[i].on_relayed(this->nodes[parent].silent(this->now));
+      }
+    }
+  }
+
+  /// Number of nodes that find the other hall silent.
+  size_t count_silent() const {
+    size_t count = 0;
+    for (const auto& node : this->nodes) {
+      count += node.silent(this->now).halls.count("far");
+    }
+    return count;
+  }
+
+ private:
+  std::vector<hall_contact> nodes;
+  int fan_out = 0;
+  absl::Time now = began;
+};
+
+class hall_contact_size : public testing::TestWithParam<int> {};
+
+TEST_P(hall_contact_size, all_nodes_learn_of_a_cut_and_of_its_end) {
+  hall nodes(GetParam(), 6);
+  nodes.run_until(began + absl::Seconds(6), true);
+  EXPECT_EQ(nodes.count_silent(), 0U);
+  // Four levels of relays at 500 nodes, a request period each.
+  const absl::Duration bound =
+      (1 + hall_contact::max_missed_periods) * message_period +
+      4 * request_period + step;
+  nodes.run_until(began + absl::Seconds(6) + bound, false);
+  EXPECT_EQ(nodes.count_silent(), static_cast<size_t>(GetParam()));
+  nodes.run_until(began + absl::Seconds(12), false);
+  nodes.run_until(
+      began + absl::Seconds(12) + message_period + 4 * request_period + step,
+      true);
+  EXPECT_EQ(nodes.count_silent(), 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(sizes, hall_contact_size,
+                         testing::Values(3, 98, 217, 500));
+
+TEST(hall_contact, silence_counts_from_when_the_node_began_to_listen) {
+  hall_contact node;
+  node.set_period(message_period, began);
+  node.on_heard("far", began);
+  node.set_period(absl::InfiniteDuration(), began);
+  const absl::Time again = began + absl::Seconds(30);
+  EXPECT_TRUE(node.silent(again).halls.empty());
+  node.set_period(message_period, again);
+  EXPECT_TRUE(node.silent(again + 3 * message_period).halls.empty());
+  EXPECT_EQ(node.silent(again + 4 * message_period).halls.count("far"), 1U);
+}
+
+TEST(hall_contact, older_findings_do_not_replace_later_ones) {
+  hall_contact node;
+  node.on_relayed({{}, began + absl::Seconds(2)});
+  node.on_relayed({{"far"}, began + absl::Seconds(1)});
+  EXPECT_TRUE(node.silent(began + absl::Seconds(2)).halls.empty());
+}
+
+/// If no relay answers any more, nothing is held against a hall.
+TEST(hall_contact, findings_end) {
+  hall_contact node;
+  node.on_relayed({{"far"}, began});
+  EXPECT_EQ(node.silent(began + absl::Seconds(1)).halls.size(), 1U);
+  EXPECT_TRUE(node.silent(began + absl::Seconds(2)).halls.empty());
+}
+
+}  // namespace
+}  // namespace spokesail
--- a/test/node-message-test.cc
+++ b/test/node-message-test.cc
@@ -86,6 +86,8 @@
   n.remote_places = {{"small.9", 12, 256}};
   n.remote_nodes = 240;
   n.all_servers = true;
+  n.silent_halls = {"hall-3"};
+  n.silent_halls_age = absl::Milliseconds(30);
   n.requests_seen = true;
   const auto bytes = encode(sample(n));
   const auto decoded = decode_message(bytes.data(), bytes.size());
