Wait for the holder's state before competing for the lease on return

A hall that was cut off from the holder knows only a lease that has long expired: on its return each of its 210 nodes wrote it, twice. A node now waits by its rank, as at a start, once its configuration is current again.

--- a/src/lease-manager.cc
+++ b/src/lease-manager.cc
@@ -88,13 +88,24 @@
   return absl::FDivDuration(wait, this->node.settings.lease.takeover_jitter);
 }
 
+void lease_manager::update_current_since() {
+  if (this->node.config_age() >= max_config_age) {
+    this->current_since = absl::InfiniteFuture();
+  } else {
+    this->current_since = std::min(this->current_since, this->node.now());
+  }
+}
+
 bool lease_manager::may_call_store() const {
   const absl::Time now = this->node.now();
   if (now < this->backoff_until) return false;
   if (this->holds()) return true;
   if (now < this->stepped_down_until) return false;
   if (!this->node.routes || !this->node.directory_listed) return false;
-  return this->node.config_age() < max_config_age;
+  const absl::Duration current_for = now - this->current_since;
+  // A rank takes a look at all candidates.
+  if (current_for >= max_return_delay) return true;
+  return current_for >= return_delay(this->rank(), this->read_jitter);
 }
 
 bool lease_manager::may_read() {
@@ -167,6 +178,7 @@
 
 net::awaitable<void> lease_manager::run() {
   for (;;) {
+    this->update_current_since();
     co_await this->renew_or_take_over();
     co_await this->node.sleep(lease_check_period);
   }
--- a/src/lease-manager.h
+++ b/src/lease-manager.h
@@ -54,6 +54,8 @@
   boost::asio::awaitable<void> renew_or_take_over();
   /// Whether this node may call the store for the lease now.
   bool may_call_store() const;
+  /// Records since when the configuration is current.
+  void update_current_since();
   /// Whether the lease is to be read now, since no peer has reported it.
   bool may_read();
   /// This node's rank among the first candidates; nothing if it is not among
@@ -81,6 +83,8 @@
   /// Drawn once, from 0 to 1: share of the random delay with which a node that
   /// is no candidate reads the lease.
   double read_jitter;
+  /// Since when the configuration is current enough to compete for the lease.
+  absl::Time current_since = absl::InfiniteFuture();
   /// Until when the store is not called for the lease, after a failed call.
   absl::Time backoff_until = absl::InfinitePast();
   backoff retry_backoff;
--- a/src/lease-takeover.cc
+++ b/src/lease-takeover.cc
@@ -38,6 +38,11 @@
   return steps * takeover_step;
 }
 
+absl::Duration return_delay(std::optional<int> rank, double random_unit) {
+  if (rank) return *rank * takeover_step;
+  return unranked_read + random_unit * unranked_read_jitter;
+}
+
 absl::Duration first_read_delay(std::optional<int> rank, double random_unit) {
   if (rank) return earliest_read + *rank * read_step;
   return unranked_read + random_unit * unranked_read_jitter;
--- a/test/lease-takeover-test.cc
+++ b/test/lease-takeover-test.cc
@@ -22,6 +22,23 @@
   EXPECT_EQ(lease_rank({}, "n0"), std::nullopt);
 }
 
+/// A data hall that was cut off from the holder returns: its nodes learn of the
+/// holder, or of the next one, within a few relay hops.
+TEST(lease_takeover, few_nodes_of_a_returning_hall_compete_for_the_lease) {
+  const absl::Duration informed_after = absl::Milliseconds(720);
+  for (const int size : {9, 98, 217, 500}) {
+    const auto order = candidates(size);
+    int competing = 0;
+    for (const auto& name : order) {
+      const auto rank = lease_rank(order, name);
+      if (return_delay(rank, 0) < informed_after) ++competing;
+    }
+    EXPECT_LE(competing, 12) << size;
+  }
+  EXPECT_EQ(return_delay(0, 0.5), absl::ZeroDuration());
+  EXPECT_LE(return_delay(std::nullopt, 1), max_return_delay);
+}
+
 TEST(lease_takeover, delays_grow_with_rank_and_are_longest_without_one) {
   for (int rank = 1; rank < 12; ++rank) {
     EXPECT_GT(takeover_delay(rank, 0), takeover_delay(rank - 1, 1));
