Keep a hall from falling silent with the node that summarizes it

The other top-ranked nodes of a hall send an empty message to the same nodes of other halls at the same period; otherwise the loss of one node made its hall look cut off for the three to five seconds until the next one sends its sums.

--- a/src/remote-gossip.cc
+++ b/src/remote-gossip.cc
@@ -97,7 +97,10 @@
   const std::vector<std::string> contacts =
       top_ranked(this->link.hall_relay_order());
   this->node.remote_halls.set_period(this->receive_period(mesh, contacts), now);
-  if (!mesh && contacts.front() != this->node.settings.node) return;
+  if (!mesh && contacts.front() != this->node.settings.node) {
+    this->send_sign_of_life(contacts, now);
+    return;
+  }
   gossip report = mesh ? own : this->summarize_hall(own, now);
   const bool sends_demand = this->node.settings.groups.follow_demand &&
                             now - this->demand_sent >= demand_period;
@@ -114,8 +117,12 @@
   }
   if (mesh) {
     this->link.send_all(report, true);
-    return;
+  } else {
+    this->send_to_contacts(report, now);
   }
+}
+
+void remote_gossip::send_to_contacts(const gossip& report, absl::Time now) {
   for (const auto& [hall, known] : this->link.remote_hall_peers()) {
     for (const auto& name : this->top_ranked_of(hall, known, now)) {
       this->link.send(name, report);
@@ -123,10 +130,19 @@
   }
 }
 
+void remote_gossip::send_sign_of_life(const std::vector<std::string>& contacts,
+                                      absl::Time now) {
+  const bool is_contact = std::find(contacts.begin(), contacts.end(),
+                                    this->node.settings.node) != contacts.end();
+  if (is_contact) this->send_to_contacts(gossip{}, now);
+}
+
 void remote_gossip::handle_gossip(const std::string& peer, const gossip& report,
                                   absl::Time now) {
   const std::string hall = this->link.hall_of(peer);
   this->node.remote_halls.on_heard(hall, now);
+  const bool sign_of_life = !this->meshed() && report == gossip{};
+  if (sign_of_life) return;
   if (report.hall_nodes == 0) {
     this->node.loads.update_peer(peer, report.places, now, true);
     this->node.demand.update_node(peer, hall, report.demand, now);
--- a/src/remote-gossip.h
+++ b/src/remote-gossip.h
@@ -53,6 +53,12 @@
   /// one of its hall's `contacts`; infinite if it receives none.
   absl::Duration receive_period(bool mesh,
                                 const std::vector<std::string>& contacts) const;
+  /// Sends to the nodes of other halls that receive this hall's summary.
+  void send_to_contacts(const gossip& report, absl::Time now);
+  /// Sends an empty message if this node is one of its hall's `contacts`, so
+  /// that the hall does not fall silent when the node that summarizes it fails.
+  void send_sign_of_life(const std::vector<std::string>& contacts,
+                         absl::Time now);
   /// This hall's summary, from this node's view of it.
   gossip summarize_hall(const gossip& own, absl::Time now) const;
   /// Callers' demand at this node, or in its hall when it sends the hall's
--- a/test/hall-contact-test.cc
+++ b/test/hall-contact-test.cc
@@ -87,6 +87,21 @@
   EXPECT_EQ(node.silent(again + 4 * message_period).halls.count("far"), 1U);
 }
 
+/// The node that summarizes a hall fails; the others of its top-ranked nodes
+/// send signs of life at the same period.
+TEST(hall_contact, a_hall_is_not_silent_while_any_of_its_senders_lives) {
+  hall_contact node;
+  node.set_period(message_period, began);
+  absl::Time now = began;
+  for (int i = 0; i < 20; ++i) {
+    const bool first_lives = i < 5;
+    if (first_lives) node.on_heard("far", now);
+    node.on_heard("far", now + message_period / 3);
+    now += message_period;
+    EXPECT_TRUE(node.silent(now).halls.empty()) << i;
+  }
+}
+
 TEST(hall_contact, older_findings_do_not_replace_later_ones) {
   hall_contact node;
   node.on_relayed({{}, began + absl::Seconds(2)});
