--- a/include/spokesail/hall-contact.h
+++ b/include/spokesail/hall-reachability.h
@@ -22,7 +22,7 @@
 /// node has too few requests to find out by itself, so the nodes that receive
 /// the periodic messages of other halls tell the others of their hall which of
 /// them have stopped. Callers of this class supply the time.
-class hall_contact {
+class hall_reachability {
  public:
   /// A hall that sent nothing for this many of its message periods is silent;
   /// two lost messages do not make it so.
--- a/src/node-context.h
+++ b/src/node-context.h
@@ -26,8 +26,8 @@
 #include "spokesail/engine-model.h"
 #include "spokesail/fleet-size.h"
 #include "spokesail/grant-client.h"
-#include "spokesail/hall-contact.h"
 #include "spokesail/hall-evacuations.h"
+#include "spokesail/hall-reachability.h"
 #include "spokesail/limit-share.h"
 #include "spokesail/load-table.h"
 #include "spokesail/object-store.h"
@@ -106,7 +106,7 @@
 
   load_table loads;
   /// Data halls from which nothing is received any more.
-  hall_contact remote_halls;
+  hall_reachability remote_halls;
   /// Bytes of requests and answers that are buffered for callers.
   byte_budget held;
   /// Speeds of groups and servers; empty unless the policy enables learning.
--- a/src/node-discovery.cc
+++ b/src/node-discovery.cc
@@ -188,6 +188,8 @@
       this->exchange(known);
     } else if (!known.empty() && step % 2 == 1) {
       this->request_sample(this->link.address_of(known));
+    } else if (step > 0) {
+      this->request_sample(seeds[this->node.random.below(seeds.size())]);
     } else {
       for (const auto& seed : seeds) this->request_sample(seed);
     }
--- a/src/peer-link.cc
+++ b/src/peer-link.cc
@@ -152,6 +152,7 @@
       this->handle_message(*message, from);
       continue;
     }
+    this->node.metrics.count_update_event("unreadable");
     this->node.log.state_change(
         "message_unreadable",
         {{"from", from.address().to_string()}, {"bytes", absl::StrCat(size)}},
--- a/src/remote-gossip.cc
+++ b/src/remote-gossip.cc
@@ -98,7 +98,7 @@
       top_ranked(this->link.hall_relay_order());
   this->node.remote_halls.set_period(this->receive_period(mesh, contacts), now);
   if (!mesh && contacts.front() != this->node.settings.node) {
-    this->send_sign_of_life(contacts, now);
+    this->send_keep_alive(contacts, now);
     return;
   }
   gossip report = mesh ? own : this->summarize_hall(own, now);
@@ -130,8 +130,8 @@
   }
 }
 
-void remote_gossip::send_sign_of_life(const std::vector<std::string>& contacts,
-                                      absl::Time now) {
+void remote_gossip::send_keep_alive(const std::vector<std::string>& contacts,
+                                    absl::Time now) {
   const bool is_contact = std::find(contacts.begin(), contacts.end(),
                                     this->node.settings.node) != contacts.end();
   if (is_contact) this->send_to_contacts(gossip{}, now);
@@ -141,8 +141,8 @@
                                   absl::Time now) {
   const std::string hall = this->link.hall_of(peer);
   this->node.remote_halls.on_heard(hall, now);
-  const bool sign_of_life = !this->meshed() && report == gossip{};
-  if (sign_of_life) return;
+  const bool is_keep_alive = !this->meshed() && report == gossip{};
+  if (is_keep_alive) return;
   if (report.hall_nodes == 0) {
     this->node.loads.update_peer(peer, report.places, now, true);
     this->node.demand.update_node(peer, hall, report.demand, now);
--- a/src/remote-gossip.h
+++ b/src/remote-gossip.h
@@ -57,8 +57,8 @@
   void send_to_contacts(const gossip& report, absl::Time now);
   /// Sends an empty message if this node is one of its hall's `contacts`, so
   /// that the hall does not fall silent when the node that summarizes it fails.
-  void send_sign_of_life(const std::vector<std::string>& contacts,
-                         absl::Time now);
+  void send_keep_alive(const std::vector<std::string>& contacts,
+                       absl::Time now);
   /// This hall's summary, from this node's view of it.
   gossip summarize_hall(const gossip& own, absl::Time now) const;
   /// Callers' demand at this node, or in its hall when it sends the hall's
--- a/src/request-handler.h
+++ b/src/request-handler.h
@@ -191,6 +191,8 @@
   /// Whether a server is in this node's data hall.
   bool is_local(const server_entry& entry) const;
   std::optional<endpoint_target> pick_server();
+  /// The servers of a plain service to which the request may be sent.
+  std::vector<const server_entry*> candidate_servers();
   /// The rate limit in effect for a server, if any.
   std::optional<limit_report> effective_limit(const server_entry& entry) const;
   /// Whether a group could take the request, regardless of its load.
--- a/src/request-routing.cc
+++ b/src/request-routing.cc
@@ -193,11 +193,10 @@
              absl::ToDoubleMilliseconds(this->node.remote_update_period);
 }
 
-std::optional<endpoint_target> request_handler::pick_server() {
-  const absl::Time now = this->node.now();
-  std::vector<const server_entry*> servers;
+std::vector<const server_entry*> request_handler::candidate_servers() {
+  std::vector<const server_entry*> out;
   std::vector<const server_entry*> unreachable;
-  const auto silent = this->node.remote_halls.silent(now).halls;
+  const auto silent = this->node.remote_halls.silent(this->node.now()).halls;
   for (const auto& id : this->node.directory.servers_of(this->service->name)) {
     const server_entry& entry = *this->node.directory.find(id);
     if (entry.draining) continue;
@@ -206,12 +205,16 @@
     if (!this->has_connection_slot(id)) continue;
     if (this->node.hall_closed(entry.hall)) continue;
     if (!this->may_send(id, {id})) continue;
-    (silent.count(entry.hall) == 0 ? servers : unreachable).push_back(&entry);
+    (silent.count(entry.hall) == 0 ? out : unreachable).push_back(&entry);
   }
   // One attempt, in case only the messages of that hall are lost.
-  if (servers.empty() && this->attempts_made == 0) {
-    servers = std::move(unreachable);
-  }
+  if (out.empty() && this->attempts_made == 0) return unreachable;
+  return out;
+}
+
+std::optional<endpoint_target> request_handler::pick_server() {
+  const absl::Time now = this->node.now();
+  const std::vector<const server_entry*> servers = this->candidate_servers();
   const std::vector<double> slowness = this->server_slowness(servers);
   size_t best = servers.size();
   double min_cost = 0;
--- a/src/store-relay.cc
+++ b/src/store-relay.cc
@@ -120,6 +120,17 @@
                               this->node.now());
 }
 
+std::optional<holder_part> store_relay::send_holder_state(
+    const std::string& peer, const holder_position& has_state) {
+  const auto state = this->holder_state_known();
+  if (!state) return std::nullopt;
+  if (state->position() == has_state) return without_servers(*state);
+  this->follower_holder_positions[peer] = state->position();
+  const std::vector<holder_part> parts = split_holder_state(*state);
+  for (size_t i = 1; i < parts.size(); ++i) this->link.send(peer, parts[i]);
+  return parts.front();
+}
+
 void store_relay::send_update(const std::string& peer, int64_t from,
                               uint64_t nonce,
                               const holder_position& has_state) {
@@ -136,16 +147,7 @@
   // A node that does not watch the store learns its state only from relays.
   out.store_reachable = this->node.store_reachable || !this->watches_store();
   this->fill_update(out);
-  std::vector<holder_part> parts;
-  const auto state = this->holder_state_known();
-  if (state && state->position() == has_state) {
-    parts = {without_servers(*state)};
-  } else if (state) {
-    parts = split_holder_state(*state);
-    this->follower_states[peer] = state->position();
-  }
-  if (!parts.empty()) out.holder = parts.front();
-  for (size_t i = 1; i < parts.size(); ++i) this->link.send(peer, parts[i]);
+  out.holder = this->send_holder_state(peer, has_state);
   auto changes =
       server_changes_since(this->node.directory, from, this->node.now());
   const int64_t last_revision = this->node.directory.revision();
@@ -160,7 +162,7 @@
     this->sender.on_sent(peer, out.from_revision, out.to_revision,
                          out.config_revision, this->node.now());
     // Further messages of the same update need not repeat it.
-    if (state) out.holder = without_servers(*state);
+    if (out.holder) out.holder = without_servers(out.holder->state);
   }
 }
 
@@ -172,7 +174,7 @@
                                  const store_update_request& request) {
   const int64_t from =
       this->sender.on_request(peer, request.servers, this->node.now());
-  this->follower_states[peer] = request.holder;
+  this->follower_holder_positions[peer] = request.holder;
   this->send_update(peer, from, request.nonce, request.holder);
 }
 
@@ -187,7 +189,7 @@
   for (const auto& next :
        this->sender.pending_updates(this->known(), this->node.now())) {
     this->send_update(next.follower, next.from, 0,
-                      this->follower_states[next.follower]);
+                      this->follower_holder_positions[next.follower]);
   }
 }
 
@@ -204,7 +206,7 @@
   if (!fresh) return;
   for (const auto& next : this->sender.all_followers(this->node.now())) {
     this->send_update(next.follower, next.from, 0,
-                      this->follower_states[next.follower]);
+                      this->follower_holder_positions[next.follower]);
   }
 }
 
--- a/src/store-relay.h
+++ b/src/store-relay.h
@@ -116,6 +116,10 @@
   /// holder's state `has_state`.
   void send_update(const std::string& peer, int64_t from, uint64_t nonce,
                    const holder_position& has_state);
+  /// Sends a follower the parts of the holder's state but the first, which it
+  /// returns, or names the state if the follower has it.
+  std::optional<holder_part> send_holder_state(
+      const std::string& peer, const holder_position& has_state);
   /// Whether this node would be used as a relay.
   bool is_fresh() const;
   /// Uses a relay again that says that its data is fresh.
@@ -129,7 +133,7 @@
   /// The nodes that use this one as their relay, and what they were sent.
   change_sender sender;
   /// The holder's state that each follower was last sent or reported.
-  std::map<std::string, holder_position> follower_states;
+  std::map<std::string, holder_position> follower_holder_positions;
   /// What the relay said of configurations.
   config_announcements announced;
   /// What this node has missed.
--- a/test/hall-contact-test.cc
+++ b/test/hall-reachability-test.cc
@@ -1,5 +1,5 @@
 // Callers in and beside a data hall that is cut off from the others.
-#include "spokesail/hall-contact.h"
+#include "spokesail/hall-reachability.h"
 
 #include <absl/strings/str_cat.h>
 #include <gtest/gtest.h>
@@ -48,20 +48,20 @@
   }
 
  private:
-  std::vector<hall_contact> nodes;
+  std::vector<hall_reachability> nodes;
   int fan_out = 0;
   absl::Time now = began;
 };
 
-class hall_contact_size : public testing::TestWithParam<int> {};
+class hall_reachability_size : public testing::TestWithParam<int> {};
 
-TEST_P(hall_contact_size, all_nodes_learn_of_a_cut_and_of_its_end) {
+TEST_P(hall_reachability_size, all_nodes_learn_of_a_cut_and_of_its_end) {
   hall nodes(GetParam(), 6);
   nodes.run_until(began + absl::Seconds(6), true);
   EXPECT_EQ(nodes.count_silent(), 0U);
   // Four levels of relays at 500 nodes, a request period each.
   const absl::Duration bound =
-      (1 + hall_contact::max_missed_periods) * message_period +
+      (1 + hall_reachability::max_missed_periods) * message_period +
       4 * request_period + step;
   nodes.run_until(began + absl::Seconds(6) + bound, false);
   EXPECT_EQ(nodes.count_silent(), static_cast<size_t>(GetParam()));
@@ -72,11 +72,11 @@
   EXPECT_EQ(nodes.count_silent(), 0U);
 }
 
-INSTANTIATE_TEST_SUITE_P(sizes, hall_contact_size,
+INSTANTIATE_TEST_SUITE_P(sizes, hall_reachability_size,
                          testing::Values(3, 98, 217, 500));
 
-TEST(hall_contact, silence_counts_from_when_the_node_began_to_listen) {
-  hall_contact node;
+TEST(hall_reachability, silence_counts_from_when_the_node_began_to_listen) {
+  hall_reachability node;
   node.set_period(message_period, began);
   node.on_heard("far", began);
   node.set_period(absl::InfiniteDuration(), began);
@@ -88,9 +88,9 @@
 }
 
 /// The node that summarizes a hall fails; the others of its top-ranked nodes
-/// send signs of life at the same period.
-TEST(hall_contact, a_hall_is_not_silent_while_any_of_its_senders_lives) {
-  hall_contact node;
+/// send keep-alives at the same period.
+TEST(hall_reachability, a_hall_is_not_silent_while_any_of_its_senders_lives) {
+  hall_reachability node;
   node.set_period(message_period, began);
   absl::Time now = began;
   for (int i = 0; i < 20; ++i) {
@@ -102,16 +102,16 @@
   }
 }
 
-TEST(hall_contact, older_findings_do_not_replace_later_ones) {
-  hall_contact node;
+TEST(hall_reachability, older_findings_do_not_replace_later_ones) {
+  hall_reachability node;
   node.on_relayed({{}, began + absl::Seconds(2)});
   node.on_relayed({{"far"}, began + absl::Seconds(1)});
   EXPECT_TRUE(node.silent(began + absl::Seconds(2)).halls.empty());
 }
 
 /// If no relay answers any more, nothing is held against a hall.
-TEST(hall_contact, findings_end) {
-  hall_contact node;
+TEST(hall_reachability, findings_end) {
+  hall_reachability node;
   node.on_relayed({{"far"}, began});
   EXPECT_EQ(node.silent(began + absl::Seconds(1)).halls.size(), 1U);
   EXPECT_TRUE(node.silent(began + absl::Seconds(2)).halls.empty());
