Tighten a test of the step pacer, and say what was verified

With each mend taken out or broken, its test was run: all failed but that of the step pacer, whose bound was taken from the constant that it is to check. It is now the stated target, a quarter of the time, and fails too.

--- a/include/spokesail/lease-takeover.h
+++ b/include/spokesail/lease-takeover.h
@@ -31,8 +31,8 @@
 /// How long a node whose configuration was out of date waits, once it is
 /// current again, before it competes for the lease. The lease that it knows has
 /// long expired, and so it has for all nodes of a data hall that was cut off:
-/// without a wait each of them would try to take it before it hears of the
-/// holder.
+/// without a wait each of them would try to take it before it receives the
+/// holder's state.
 absl::Duration return_delay(std::optional<int> rank, double random_unit);
 
 /// Upper bound of `return_delay`.
--- a/src/group-controller-runner.h
+++ b/src/group-controller-runner.h
@@ -54,7 +54,7 @@
   lease_manager& manager;
   group_controller controller;
   step_pacer pacer;
-  /// Counts what the controller was told since the start.
+  /// Counts the controller's inputs since the start.
   uint64_t events = 0;
   /// Whether the controller is in a term.
   bool term_active = false;
--- a/src/store-relay.h
+++ b/src/store-relay.h
@@ -151,7 +151,7 @@
   absl::Time requested_at = absl::InfinitePast();
   bool answered = true;
   int missed = 0;
-  /// Whether followers were last told that this node's data is fresh.
+  /// Whether the data was fresh when that was last checked for followers.
   bool announced_fresh = true;
 };
 
--- a/test/change-relay-test.cc
+++ b/test/change-relay-test.cc
@@ -9,6 +9,7 @@
 // seconds.
 #include "spokesail/change-relay.h"
 
+#include <absl/strings/str_cat.h>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -232,5 +233,18 @@
   EXPECT_EQ(receiver.position(6), (follower_position{6, 0}));
 }
 
+/// A data hall returns from a network partition: its first relay that is fresh
+/// again sends an update to all nodes that still look for one.
+TEST(change_relay, names_all_followers_that_asked_it_lately) {
+  change_sender sender;
+  const absl::Time now = absl::FromUnixSeconds(1000);
+  sender.on_request("long_ago", {3, 0}, now - absl::Seconds(3));
+  for (int i = 0; i < 32; ++i) {
+    sender.on_request(absl::StrCat("n", i), {5, 0}, now - absl::Seconds(1));
+  }
+  EXPECT_TRUE(sender.pending_updates({0, 0}, now).empty());
+  EXPECT_EQ(sender.all_followers(now).size(), 32U);
+}
+
 }  // namespace
 }  // namespace spokesail
--- a/test/step-pacer-test.cc
+++ b/test/step-pacer-test.cc
@@ -9,6 +9,10 @@
 const absl::Time began = absl::FromUnixSeconds(1000);
 constexpr absl::Duration check_period = absl::Milliseconds(10);
 
+/// Share of its time that a holder leaves to its callers and messages at the
+/// least.
+constexpr double time_for_callers = 0.75;
+
 /// The outcome of ten seconds.
 struct outcome {
   int steps = 0;
@@ -43,7 +47,7 @@
   for (const int step_ms : {2, 16, 128, 256}) {
     const outcome result =
         run(absl::Milliseconds(step_ms), absl::Milliseconds(20));
-    EXPECT_LE(result.busy, step_pacer::max_load * absl::Seconds(10.5))
+    EXPECT_LE(result.busy, (1 - time_for_callers) * absl::Seconds(10.5))
         << step_ms;
     EXPECT_GE(result.steps, 9) << step_ms;
   }
