Let the stand-in turn requests away and announce departures

Servers of the small fleet can turn all requests away with 503, with any Retry-After headers, marked as not run or not, and can announce in all their answers that they are leaving while their entries stay unchanged. Which servers, from when and for how long are settings of tests, flags and control calls.

--- a/standin/fleet-control.cc
+++ b/standin/fleet-control.cc
@@ -45,6 +45,13 @@
   f.limit.service = body.value("limit_service", f.limit.service);
   f.limit.share = body.value("limit_share", f.limit.share);
   f.limit.strict = body.value("limit_strict", f.limit.strict);
+  f.rejection.active = body.value("reject", f.rejection.active);
+  f.rejection.retry_after =
+      body.value("reject_retry_after", f.rejection.retry_after);
+  f.rejection.service = body.value("reject_service", f.rejection.service);
+  f.rejection.share = body.value("reject_share", f.rejection.share);
+  f.departure.active = body.value("leaving", f.departure.active);
+  f.departure.share = body.value("leaving_share", f.departure.share);
   f.break_after_events = body.value("break_after_events", f.break_after_events);
   order_faults& orders = this->fleet.engines().faults;
   orders.late = body.value("late_orders", orders.late);
--- a/standin/fleet-main.cc
+++ b/standin/fleet-main.cc
@@ -28,6 +28,26 @@
 ABSL_FLAG(absl::Duration, limit_for, absl::InfiniteDuration(),
           "how long the limit is advertised");
 ABSL_FLAG(bool, limit_strict, false, "reject requests above the limit");
+ABSL_FLAG(double, reject_share, 0,
+          "fraction of the servers that turn all requests away with 503");
+ABSL_FLAG(std::string, reject_service, "",
+          "service whose servers turn requests away; empty for all");
+ABSL_FLAG(std::string, reject_retry_after, "",
+          "Retry-After of these answers, in seconds; empty for none");
+ABSL_FLAG(bool, reject_marked, true,
+          "state in these answers that the request has not run");
+ABSL_FLAG(absl::Duration, reject_from, absl::ZeroDuration(),
+          "delay from startup until requests are turned away");
+ABSL_FLAG(absl::Duration, reject_for, absl::InfiniteDuration(),
+          "how long requests are turned away");
+ABSL_FLAG(double, leaving_share, 0,
+          "fraction of the servers that announce in answers that they leave");
+ABSL_FLAG(std::string, leaving_service, "",
+          "service whose servers announce it; empty for all");
+ABSL_FLAG(absl::Duration, leaving_from, absl::ZeroDuration(),
+          "delay from startup until it is announced");
+ABSL_FLAG(absl::Duration, leaving_for, absl::InfiniteDuration(),
+          "how long it is announced");
 
 namespace spokesail::standin {
 namespace {
@@ -64,30 +84,66 @@
   }
 }
 
+void set_selection(server_selection& out, const std::string& service,
+                   double share, absl::Duration from, absl::Duration length) {
+  out.service = service;
+  out.share = share;
+  out.from = absl::Now() + from;
+  out.until = out.from + length;
+}
+
+limit_settings limit_from_flags() {
+  limit_settings out;
+  set_selection(
+      out, absl::GetFlag(FLAGS_limit_service), absl::GetFlag(FLAGS_limit_share),
+      absl::GetFlag(FLAGS_limit_from), absl::GetFlag(FLAGS_limit_for));
+  out.per_s = absl::GetFlag(FLAGS_limit);
+  out.strict = absl::GetFlag(FLAGS_limit_strict);
+  return out;
+}
+
+rejection_settings rejection_from_flags() {
+  rejection_settings out;
+  set_selection(out, absl::GetFlag(FLAGS_reject_service),
+                absl::GetFlag(FLAGS_reject_share),
+                absl::GetFlag(FLAGS_reject_from),
+                absl::GetFlag(FLAGS_reject_for));
+  out.active = out.share > 0;
+  const std::string retry_after = absl::GetFlag(FLAGS_reject_retry_after);
+  if (!retry_after.empty()) out.retry_after = {retry_after};
+  out.marked = absl::GetFlag(FLAGS_reject_marked);
+  return out;
+}
+
+departure_settings departure_from_flags() {
+  departure_settings out;
+  set_selection(out, absl::GetFlag(FLAGS_leaving_service),
+                absl::GetFlag(FLAGS_leaving_share),
+                absl::GetFlag(FLAGS_leaving_from),
+                absl::GetFlag(FLAGS_leaving_for));
+  out.active = out.share > 0;
+  return out;
+}
+
 }  // namespace
 }  // namespace spokesail::standin
 
 int main(int argc, char** argv) {
   absl::ParseCommandLine(argc, argv);
-  using spokesail::standin::fleet_standin;
+  using namespace spokesail::standin;
   boost::asio::io_context loop;
   fleet_standin fleet(loop, absl::GetFlag(FLAGS_domains),
                       absl::GetFlag(FLAGS_hosts));
   fleet.configure(fleet.sample_config({"key-1", "key-2"}));
-  const absl::Time limit_start = absl::Now() + absl::GetFlag(FLAGS_limit_from);
-  fleet.faults.limit = {absl::GetFlag(FLAGS_limit),
-                        absl::GetFlag(FLAGS_limit_service),
-                        absl::GetFlag(FLAGS_limit_share),
-                        limit_start,
-                        limit_start + absl::GetFlag(FLAGS_limit_for),
-                        absl::GetFlag(FLAGS_limit_strict)};
+  fleet.faults.limit = limit_from_flags();
+  fleet.faults.rejection = rejection_from_flags();
+  fleet.faults.departure = departure_from_flags();
   fleet.start();
-  spokesail::standin::fleet_control control(fleet);
+  fleet_control control(fleet);
   boost::asio::ip::tcp::acceptor acceptor(
       loop, {boost::asio::ip::make_address(absl::GetFlag(FLAGS_address)),
              static_cast<uint16_t>(absl::GetFlag(FLAGS_port))});
-  boost::asio::co_spawn(loop,
-                        spokesail::standin::accept(loop, control, acceptor),
+  boost::asio::co_spawn(loop, accept(loop, control, acceptor),
                         boost::asio::detached);
   loop.run();
   return 0;
--- a/standin/fleet-standin.cc
+++ b/standin/fleet-standin.cc
@@ -242,16 +242,50 @@
   this->record.requests_by_hall[h.hall]++;
 }
 
-std::string fleet_standin::advertised_limit(const host& h) const {
-  const limit_settings& settings = this->faults.limit;
+bool fleet_standin::is_selected(const host& h,
+                                const server_selection& selection) {
   const absl::Time now = absl::Now();
-  if (now < settings.from || now >= settings.until) return "";
-  const bool is_engine = settings.service == engine_service_name;
-  if (!settings.service.empty() && is_engine == h.plain) return "";
+  if (now < selection.from || now >= selection.until) return false;
+  if (!selection.servers.empty()) return selection.servers.count(h.id) != 0;
+  const bool is_engine = selection.service == engine_service_name;
+  if (!selection.service.empty() && is_engine == h.plain) return false;
   constexpr uint64_t buckets = 1000;
-  const bool selected = static_cast<double>(stable_hash(h.id) % buckets) <
-                        settings.share * buckets;
-  return selected ? settings.per_s : "";
+  return static_cast<double>(stable_hash(h.id) % buckets) <
+         selection.share * buckets;
+}
+
+std::string fleet_standin::advertised_limit(const host& h) const {
+  const limit_settings& settings = this->faults.limit;
+  return is_selected(h, settings) ? settings.per_s : "";
+}
+
+bool fleet_standin::is_leaving(const host& h) const {
+  const departure_settings& settings = this->faults.departure;
+  return settings.active && is_selected(h, settings);
+}
+
+bool fleet_standin::rejects(const host& h) const {
+  const rejection_settings& settings = this->faults.rejection;
+  return settings.active && is_selected(h, settings);
+}
+
+void fleet_standin::add_state_headers(const host& h, response& out) const {
+  const std::string limit = this->advertised_limit(h);
+  if (!limit.empty()) out.set("Server-Limit", limit);
+  if (this->is_leaving(h)) out.set("Server-Leaving", "1");
+}
+
+fleet_standin::response fleet_standin::make_rejection(const host& h,
+                                                      const std::string& id) {
+  const rejection_settings& settings = this->faults.rejection;
+  response out = make_response(503, "");
+  out.set("X-Response-Stamp", "stamp-" + h.id);
+  if (settings.marked) out.set("X-Not-Executed", "1");
+  for (const auto& value : settings.retry_after) {
+    out.insert("Retry-After", value);
+  }
+  this->record.rejections.push_back({id, absl::Now(), h.id});
+  return out;
 }
 
 bool fleet_standin::over_limit(const host& h) const {
@@ -281,6 +315,8 @@
     out = this->handle_report(h);
   } else if (in.target() == "/spokesail/order") {
     out = this->handle_order(h, in);
+  } else if (this->rejects(h)) {
+    out = this->make_rejection(h, id);
   } else if (this->over_limit(h)) {
     out = make_response(503, "");
     out.set("X-Not-Executed", "1");
@@ -305,8 +341,7 @@
   if (h.plain) out.body().append(this->faults.plain_answer_bytes, '.');
   const bool wrong_id = this->faults.cross_plain_answers && h.plain;
   if (!id.empty()) out.set("X-Request-Id", wrong_id ? "another" : id);
-  const std::string limit = this->advertised_limit(h);
-  if (!limit.empty()) out.set("Server-Limit", limit);
+  this->add_state_headers(h, out);
   out.prepare_payload();
   auto [error, size] = co_await http::async_write(*socket, out, use_tuple);
   co_return !error;
@@ -342,7 +377,7 @@
       "X-Response-Stamp: stamp-",
       h.id, "\r\nX-Request-Id: ", id, "\r\nTransfer-Encoding: chunked\r\n",
       limit.empty() ? "" : absl::StrCat("Server-Limit: ", limit, "\r\n"),
-      "\r\n");
+      this->is_leaving(h) ? "Server-Leaving: 1\r\n" : "", "\r\n");
   auto [error, size] =
       co_await net::async_write(*socket, net::buffer(response_head), use_tuple);
   if (error) co_return false;
--- a/standin/fleet-standin.h
+++ b/standin/fleet-standin.h
@@ -21,21 +21,42 @@
 
 namespace spokesail::standin {
 
-/// The rate limit that servers advertise in their answers.
-struct limit_settings {
-  /// Header value, in requests per second; no header is sent if empty.
-  std::string per_s;
-  /// The service whose servers advertise the limit; empty for all.
+/// Selects servers and a period of time.
+struct server_selection {
+  /// Ids of the servers; empty to select by `service` and `share`.
+  std::set<std::string> servers;
+  /// The service of the servers; empty for all.
   std::string service;
-  /// Fraction of these servers, selected by a hash of their ids.
+  /// Fraction of the servers, selected by a hash of their ids.
   double share = 1;
-  /// The limit is advertised from `from` up to, but not including, `until`.
+  /// From `from` up to, but not including, `until`.
   absl::Time from = absl::InfinitePast();
   absl::Time until = absl::InfiniteFuture();
+};
+
+/// The rate limit that servers advertise in their answers.
+struct limit_settings : server_selection {
+  /// Header value, in requests per second; no header is sent if empty.
+  std::string per_s;
   /// Whether servers reject requests above the limit.
   bool strict = false;
 };
 
+/// Servers that turn all requests away with 503.
+struct rejection_settings : server_selection {
+  bool active = false;
+  /// Values of the Retry-After headers; none are sent if empty.
+  std::vector<std::string> retry_after;
+  /// Whether the answers state that the request has not run.
+  bool marked = true;
+};
+
+/// Servers that announce in all answers that they are leaving. Their entries do
+/// not change, as if the store could not be reached.
+struct departure_settings : server_selection {
+  bool active = false;
+};
+
 /// Faults of the fleet. `fail_plain_calls` and `break_after_events` end by
 /// themselves; the others stay in effect until they are changed.
 struct fleet_faults {
@@ -71,6 +92,8 @@
   /// they run it, and are replaced a second later.
   bool end_on_reused_connection = false;
   limit_settings limit;
+  rejection_settings rejection;
+  departure_settings departure;
 };
 
 /// A request that a server has started to run, or that has arrived there.
@@ -88,6 +111,8 @@
   /// Requests that reached their intended server, whether run or rejected, in
   /// order of arrival.
   std::vector<server_run> arrivals;
+  /// Requests that a server turned away because of `rejection`, in order.
+  std::vector<server_run> rejections;
   /// Number of runs by request id.
   std::map<std::string, int> runs;
   /// Number of streams by server.
@@ -192,8 +217,18 @@
                                             const request& in);
   /// Records that a server starts to run a request.
   void record_run(const host& h, const std::string& id);
+  /// Whether a host is selected at the current time.
+  static bool is_selected(const host& h, const server_selection& selection);
+  /// Adds the headers by which a host reports its own state.
+  void add_state_headers(const host& h, response& out) const;
   /// The limit that a host currently advertises; empty if none.
   std::string advertised_limit(const host& h) const;
+  /// Whether a host announces that it is leaving.
+  bool is_leaving(const host& h) const;
+  /// Whether a host turns all requests away.
+  bool rejects(const host& h) const;
+  /// Records that a host turns a request away, and returns its answer.
+  response make_rejection(const host& h, const std::string& id);
   /// Whether a host enforces its limit and has reached it in the last second.
   /// Limits below one request per second are enforced as one.
   bool over_limit(const host& h) const;
