Read and log the rest and the departure that servers announce

The nodes' lines could not tell whether a node knew of a rest when it sent. A server's Retry-After on a 503 and its Server-Leaving header are now read and checked in platform/, kept for each start of a server, and logged: server_rest with the time asked for and what was left of an earlier one, attempt_ended with the rest left, server_leaving with what the list of servers says. No decision uses them yet.

--- a/include/spokesail/platform-adapter.h
+++ b/include/spokesail/platform-adapter.h
@@ -89,6 +89,13 @@
   std::optional<double> limit_per_s;
   /// Whether the limit header is present but invalid.
   bool limit_invalid = false;
+  /// Time for which the server wants no requests from this node; nothing if the
+  /// header is missing or invalid. Only set in a response that refuses.
+  std::optional<absl::Duration> rest;
+  /// Whether the header of the rest is present but invalid.
+  bool rest_invalid = false;
+  /// Whether the server announces that it is about to end.
+  bool leaving = false;
   bool operator==(const answer_head&) const = default;
 };
 
--- a/src/node-context.h
+++ b/src/node-context.h
@@ -36,6 +36,7 @@
 #include "spokesail/retry-budget.h"
 #include "spokesail/server-directory.h"
 #include "spokesail/server-limits.h"
+#include "spokesail/server-rests.h"
 #include "spokesail/speed-table.h"
 #include "spokesail/staleness.h"
 
@@ -128,6 +129,8 @@
   server_limits limits;
   /// This node's share of these limits, which needs no grant.
   limit_share limit_shares;
+  /// Rests that servers have asked this node for.
+  server_rests rests;
   /// Number of nodes known to be alive, including this one.
   int live_nodes = 1;
   /// Upper bound on the number of nodes, including unreachable ones.
--- a/src/request-handler.cc
+++ b/src/request-handler.cc
@@ -257,6 +257,7 @@
   const answer_head head =
       this->node.adapter.read_response_head(ex.head().result_int(), ex.head());
   this->update_server_limit(ex, head);
+  this->record_server_state(ex, head);
   const std::optional<attempt_result> result = this->classify_head(ex, head);
   if (result) co_return *result;
   co_return co_await this->relay_response(ex, head);
@@ -321,6 +322,19 @@
                   before, after);
 }
 
+void request_handler::record_server_state(const exchange& ex,
+                                          const answer_head& head) {
+  const bool other_request =
+      !head.request_id.empty() && head.request_id != this->info.id;
+  if (other_request) return;
+  if (head.leaving) this->log_leaving(ex, head);
+  if (head.rest_invalid) this->log_rest("server_rest_unreadable", ex, head);
+  if (!head.rest) return;
+  this->log_rest("server_rest", ex, head);
+  this->node.rests.note({ex.endpoint.server, ex.endpoint.incarnation},
+                        *head.rest, this->node.now());
+}
+
 std::optional<attempt_result> request_handler::classify_head(
     const exchange& ex, const answer_head& head) {
   const bool known_id = head.request_id == this->info.id;
--- a/src/request-handler.h
+++ b/src/request-handler.h
@@ -98,6 +98,9 @@
   /// Updates the server's rate limit from a response, and logs changes and
   /// invalid headers.
   void update_server_limit(const exchange& ex, const answer_head& head);
+  /// Records what a response says about the server's own state: that it wants
+  /// rest, or that it is leaving.
+  void record_server_state(const exchange& ex, const answer_head& head);
   /// Whether the request may be sent again after an attempt with this result.
   bool may_retry(attempt_result result);
   /// Reserves a retry in the budget; the reservation is held while the endpoint
@@ -123,6 +126,12 @@
   /// Logs that a server's rate limit changed, ended or is invalid.
   void log_limit(const char* event, const exchange& ex,
                  std::optional<double> before, std::optional<double> after);
+  /// Logs a server's rest, or that its header is invalid.
+  void log_rest(const char* event, const exchange& ex, const answer_head& head);
+  /// Logs a response of a server that announces its end.
+  void log_leaving(const exchange& ex, const answer_head& head);
+  /// Remaining rest of the server, in ms for the log; empty if it has none.
+  std::string rest_left_ms(const exchange& ex) const;
   /// Logs that a retry was sent or refused, with the state of the budget.
   void log_retry(const char* event);
   /// Current usage of the service's retry budget.
--- a/test/fleet-adapter-test.cc
+++ b/test/fleet-adapter-test.cc
@@ -314,6 +314,52 @@
   EXPECT_FALSE(adapter->read_response_head(421, head).limit_per_s);
 }
 
+answer_head read_refusal(unsigned status,
+                         const std::vector<const char*>& retry_after) {
+  http_fields head;
+  for (const char* value : retry_after) head.insert("Retry-After", value);
+  return adapter->read_response_head(status, head);
+}
+
+TEST(fleet_adapter, reads_rest_of_refusal) {
+  EXPECT_EQ(read_refusal(503, {"3"}).rest, absl::Seconds(3));
+  EXPECT_EQ(read_refusal(503, {"0.25"}).rest, absl::Milliseconds(250));
+  EXPECT_EQ(read_refusal(503, {"0"}).rest, absl::ZeroDuration());
+  EXPECT_EQ(read_refusal(503, {"86400"}).rest, absl::Hours(24));
+  EXPECT_FALSE(read_refusal(503, {}).rest);
+  EXPECT_FALSE(read_refusal(503, {}).rest_invalid);
+  for (const char* value : {"", "soon", "-1", "nan", "inf", "1e999", "3s",
+                            "Wed, 02 Dec 2026 10:00:00 GMT"}) {
+    EXPECT_FALSE(read_refusal(503, {value}).rest) << value;
+    EXPECT_TRUE(read_refusal(503, {value}).rest_invalid) << value;
+  }
+}
+
+TEST(fleet_adapter, reads_longest_of_repeated_rests) {
+  EXPECT_EQ(read_refusal(503, {"3", "1"}).rest, absl::Seconds(3));
+  const answer_head mixed = read_refusal(503, {"soon", "2"});
+  EXPECT_EQ(mixed.rest, absl::Seconds(2));
+  EXPECT_TRUE(mixed.rest_invalid);
+}
+
+TEST(fleet_adapter, ignores_rest_of_other_answers) {
+  for (const unsigned status : {200U, 421U, 429U, 500U}) {
+    EXPECT_FALSE(read_refusal(status, {"3"}).rest) << status;
+    EXPECT_FALSE(read_refusal(status, {"soon"}).rest_invalid) << status;
+  }
+}
+
+TEST(fleet_adapter, reads_announced_end_of_server) {
+  http_fields head;
+  EXPECT_FALSE(adapter->read_response_head(200, head).leaving);
+  head.set("Server-Leaving", "0");
+  EXPECT_FALSE(adapter->read_response_head(200, head).leaving);
+  head.set("Server-Leaving", "1");
+  for (const unsigned status : {200U, 421U, 503U}) {
+    EXPECT_TRUE(adapter->read_response_head(status, head).leaving) << status;
+  }
+}
+
 TEST(fleet_adapter, reads_callers_request_head) {
   http_fields head;
   head.set("X-Request-Id", "r1");
