--- /dev/null
+++ b/test/server-rest-test.cc
@@ -0,0 +1,137 @@
+// Nodes in front of servers that turn requests away and ask for rest.
+#include <atomic>
+
+#include "node-fixture.h"
+
+namespace spokesail {
+namespace {
+
+constexpr int node_count = 2;
+constexpr int callers = 6;
+
+/// Time after a server's answer in which requests that are already under way
+/// may still arrive.
+constexpr absl::Duration notice_period = absl::Milliseconds(500);
+/// Requests from one node that may reach a server in the remaining rest.
+constexpr int max_arrivals = 2;
+
+/// The node that a request of `send_load` was sent to.
+std::string node_of(const std::string& id) { return id.substr(0, 2); }
+
+class server_rest_test : public node_test {
+ protected:
+  server_rest_test() { this->keys_fail_closed = false; }
+
+  /// Makes servers turn requests away; `retry_after` is in seconds.
+  void reject(const std::set<std::string>& servers,
+              const std::vector<std::string>& retry_after, bool marked = true) {
+    this->on_loop([=, this] {
+      auto& rejection = this->fleet->faults.rejection;
+      rejection.servers = servers;
+      rejection.retry_after = retry_after;
+      rejection.marked = marked;
+      rejection.active = true;
+    });
+  }
+
+  void stop_rejecting() {
+    this->on_loop([this] { this->fleet->faults.rejection.active = false; });
+  }
+
+  std::string serving_head() {
+    return this->on_loop([this] { return this->fleet->serving_head("large"); });
+  }
+
+  /// Sends requests from concurrent callers, each in a closed loop, to all
+  /// nodes in turn.
+  template <typename Request>
+  void send_load(absl::Duration length, Request request) {
+    const absl::Time until = boot_now() + length;
+    const auto call = [&] {
+      while (boot_now() < until) {
+        const int number = this->sent++;
+        const int node = number % node_count;
+        const auto answer = this->send_request(
+            request(absl::StrCat("n", node, "-", number)), node);
+        (answer.result_int() == 200 ? this->served : this->not_served)++;
+      }
+    };
+    std::vector<std::thread> threads;
+    for (int i = 0; i < callers; ++i) threads.emplace_back(call);
+    for (auto& thread : threads) thread.join();
+  }
+
+  /// Largest number of requests that reached a server from one node within a
+  /// rest that the server had asked this node for.
+  int max_arrivals_in_a_rest(absl::Duration rest) {
+    const auto record = this->on_loop([this] { return this->fleet->record; });
+    int most = 0;
+    for (const auto& asked : record.rejections) {
+      const auto in_rest = [&](const auto& arrival) {
+        return arrival.server == asked.server &&
+               node_of(arrival.id) == node_of(asked.id) &&
+               arrival.at > asked.at + notice_period &&
+               arrival.at < asked.at + rest;
+      };
+      const auto& arrivals = record.arrivals;
+      const auto count =
+          std::count_if(arrivals.begin(), arrivals.end(), in_rest);
+      most = std::max(most, static_cast<int>(count));
+    }
+    return most;
+  }
+
+  static fleet_request plain_request(const std::string& id) {
+    return request(id, "/look/now");
+  }
+
+  size_t rejections() {
+    return this->on_loop(
+        [this] { return this->fleet->record.rejections.size(); });
+  }
+
+  std::atomic<int> sent = 0;
+  std::atomic<int> served = 0;
+  std::atomic<int> not_served = 0;
+};
+
+// Guards against sends to a group whose head has asked this node for rest.
+TEST_F(server_rest_test, a_resting_head_gets_no_more_requests) {
+  this->start(node_count);
+  this->reject({this->serving_head()}, {"4"});
+  this->send_load(absl::Seconds(5), stream_request);
+  EXPECT_GT(this->rejections(), 0);
+  EXPECT_LE(this->max_arrivals_in_a_rest(absl::Seconds(4)), max_arrivals);
+  EXPECT_EQ(this->not_served, 0);
+}
+
+// Guards against sends to a plain server that has asked this node for rest.
+TEST_F(server_rest_test, a_resting_plain_server_gets_no_more_requests) {
+  this->start(node_count);
+  this->reject({"p0"}, {"4"});
+  this->send_load(absl::Seconds(5), plain_request);
+  EXPECT_GT(this->rejections(), 0);
+  EXPECT_LE(this->max_arrivals_in_a_rest(absl::Seconds(4)), max_arrivals);
+  EXPECT_EQ(this->not_served, 0);
+}
+
+// Guards against rests that count only if the answer states "not run".
+TEST_F(server_rest_test, a_rest_counts_in_an_unmarked_refusal) {
+  this->start(node_count);
+  this->reject({this->serving_head()}, {"4"}, false);
+  this->send_load(absl::Seconds(5), stream_request);
+  EXPECT_GT(this->rejections(), 0);
+  EXPECT_LE(this->max_arrivals_in_a_rest(absl::Seconds(4)), max_arrivals);
+}
+
+// Guards against a shorter rest that ends a longer one.
+TEST_F(server_rest_test, the_longest_of_repeated_headers_counts) {
+  this->start(node_count);
+  this->reject({this->serving_head()}, {"0.1", "4"});
+  this->send_load(absl::Seconds(5), stream_request);
+  EXPECT_GT(this->rejections(), 0);
+  EXPECT_LE(this->max_arrivals_in_a_rest(absl::Seconds(4)), max_arrivals);
+}
+
+}  // namespace
+}  // namespace spokesail
