Leave servers alone for as long as they ask for rest

server_rests keeps the rest of each start of a server, longest end first, for this node only. A resting server is no candidate for any attempt: first sends, retries, resumed streams, and those that need a grant. It is checked again after connecting, before the request is written. No cost where no server rests.

--- a/include/spokesail/server-rests.h
+++ b/include/spokesail/server-rests.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 
+#include "spokesail/hash.h"
 #include "spokesail/server-limits.h"
 
 namespace spokesail {
@@ -14,10 +15,17 @@
 struct server_rest {
   /// When the server first asked for it.
   absl::Time since = absl::InfinitePast();
+  /// When this node sends to the server again.
   absl::Time until = absl::InfinitePast();
   auto operator<=>(const server_rest&) const = default;
 };
 
+/// Delay after which a caller should return that is refused at `now` because
+/// all servers rest; `first` is the rest that ends first. Callers return after
+/// its end, in the order in which they were refused, spread over a fraction of
+/// the rest.
+absl::Duration rest_retry_delay(const server_rest& first, absl::Time now);
+
 /// Tracks the rest that each server instance has asked this node for. Unlike a
 /// rate limit, a rest applies to one node only, so it is not shared with peers.
 class server_rests {
@@ -28,8 +36,10 @@
 
   /// Records a rest of `length` that an answer received at `now` asked for.
   /// Each answer binds on its own, so a shorter one does not end a longer one.
+  /// The rest is extended by a random fraction, so that nodes which were turned
+  /// away together do not return together.
   void note(const server_instance& server, absl::Duration length,
-            absl::Time now);
+            absl::Time now, random_stream& random);
 
   /// The current rest of a server; nothing if it has none.
   std::optional<server_rest> find(const server_instance& server,
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -97,6 +97,8 @@
   abort_cause aborted = abort_cause::none;
   /// Whether earlier attempts of the request had lost their servers.
   bool after_server_loss = false;
+  /// Whether it connected, but the request was then not sent.
+  bool withheld = false;
   /// Whether a response head was received.
   bool head_received = false;
   /// Whether its server ended it prematurely, by a break or by silence.
--- a/src/request-handler.cc
+++ b/src/request-handler.cc
@@ -30,6 +30,8 @@
 /// Upper bound on the retry delay for rate limits: a low limit may end before
 /// the computed delay has passed.
 constexpr absl::Duration max_limit_retry_delay = absl::Seconds(3);
+/// Upper bound on the retry delay for rests: servers may be added meanwhile.
+constexpr absl::Duration max_rest_retry_delay = absl::Seconds(10);
 /// Retry delay if only this node refuses: another node can take the request at
 /// once.
 constexpr absl::Duration other_node_retry_delay = absl::Milliseconds(20);
@@ -269,9 +271,11 @@
   // connection shows whether the server is alive.
   const bool reuse = this->route->repeatable && !this->server_lost_before;
   const std::string error = co_await ex.connect(reuse);
-  if (error.empty() && this->node.now() < ex.endpoint.send_by) co_return true;
   if (error.empty()) {
-    this->log_attempt(ex, "not_sent", "connected after the grant expired");
+    const char* reason = this->reason_to_withhold(ex);
+    if (reason == nullptr) co_return true;
+    ex.withheld = true;
+    this->log_attempt(ex, "not_sent", reason);
     co_return false;
   }
   this->log_attempt(ex, "not_connected", error);
@@ -280,6 +284,14 @@
   co_return false;
 }
 
+const char* request_handler::reason_to_withhold(const exchange& ex) const {
+  const absl::Time now = this->node.now();
+  if (now >= ex.endpoint.send_by) return "connected after the grant expired";
+  const server_instance server{ex.endpoint.server, ex.endpoint.incarnation};
+  if (this->node.rests.find(server, now)) return "server wants rest";
+  return nullptr;
+}
+
 net::awaitable<bool> request_handler::send_and_read_head(exchange& ex) {
   if (this->reserved) this->count_retry();
   if (this->chosen.limit) this->node.metrics.count_limited("sent");
@@ -332,7 +344,7 @@
   if (!head.rest) return;
   this->log_rest("server_rest", ex, head);
   this->node.rests.note({ex.endpoint.server, ex.endpoint.incarnation},
-                        *head.rest, this->node.now());
+                        *head.rest, this->node.now(), this->node.random);
 }
 
 std::optional<attempt_result> request_handler::classify_head(
@@ -393,6 +405,10 @@
   if (not_run && this->node.service_closed(this->service->name)) {
     return {503, "data halls are evacuated", evacuation_retry_delay};
   }
+  if (not_run) {
+    const auto rest = this->common_rest();
+    if (rest) return this->rest_refusal(*rest);
+  }
   const bool not_admitted =
       this->last_decision &&
       this->last_decision->action != admission_action::send;
@@ -414,6 +430,13 @@
   return {502, "server broke off", {}};
 }
 
+request_handler::refusal request_handler::rest_refusal(
+    const server_rest& first) const {
+  const absl::Duration delay = rest_retry_delay(first, this->node.now());
+  return {503, "servers want rest",
+          std::clamp(delay, other_node_retry_delay, max_rest_retry_delay)};
+}
+
 request_handler::refusal request_handler::no_grant_refusal() const {
   const absl::Duration grant_lifetime = this->node.cold.times().grant_lifetime;
   if (this->skipped_per_s <= 0) {
--- a/src/request-handler.h
+++ b/src/request-handler.h
@@ -87,8 +87,12 @@
   http_request attempt_request(const endpoint_target& endpoint) const;
   /// Priority rank of the request; 0 is the most urgent.
   int rank() const;
-  /// Connects to the server. Returns false if no connection was made in time.
+  /// Connects to the server. Returns false if no connection was made in time,
+  /// or if the request must not be sent any more.
   boost::asio::awaitable<bool> connect(exchange& ex);
+  /// Why a request must not be sent over a connection that was just made; null
+  /// if it may be. The endpoint was chosen before connecting.
+  const char* reason_to_withhold(const exchange& ex) const;
   /// Sends the request and reads the response head. Returns false if none came.
   boost::asio::awaitable<bool> send_and_read_head(exchange& ex);
   /// The result of an attempt whose response head settles it; nothing if the
@@ -112,6 +116,9 @@
   /// the connection can be reused.
   boost::asio::awaitable<bool> finish_unserved(attempt_result result);
   refusal final_refusal(attempt_result result) const;
+  /// The refusal of a request whose servers all rest; `first` is the rest that
+  /// ends first.
+  refusal rest_refusal(const server_rest& first) const;
   /// The refusal of a request for which no server could be used without a
   /// grant.
   refusal no_grant_refusal() const;
@@ -182,7 +189,8 @@
   /// Draws a service of the route by weight; null if it is not configured.
   void choose_service();
   /// Chooses the endpoint of the next attempt; nothing if there is none. Waits
-  /// for an endpoint only if the request was sent before or a grant may arrive.
+  /// for an endpoint only if the request was sent before, or if a grant or the
+  /// end of a rest is due.
   boost::asio::awaitable<std::optional<endpoint_target>> find_endpoint();
   std::optional<endpoint_target> pick();
   std::optional<endpoint_target> pick_group();
@@ -204,8 +212,23 @@
   std::vector<const server_entry*> candidate_servers();
   /// The rate limit in effect for a server, if any.
   std::optional<limit_report> effective_limit(const server_entry& entry) const;
+  /// Whether a group is able to serve the request, regardless of its load and
+  /// of what this node knows from its own attempts.
+  bool is_able(const group_view& group) const;
   /// Whether a group could take the request, regardless of its load.
   bool is_eligible(const group_view& group) const;
+  /// The current rest of a server; nothing if it has none.
+  std::optional<server_rest> rest_of(const server_entry& entry) const;
+  /// The servers to which the request could be sent if none rested: heads of
+  /// groups, or plain servers; without the endpoints in `excluded`.
+  std::vector<const server_entry*> able_servers(
+      const std::set<std::string>& excluded) const;
+  /// If all these servers rest, the rest that ends first.
+  std::optional<server_rest> common_rest(
+      const std::set<std::string>& excluded = {}) const;
+  /// How long the request waits for an endpoint when there is none; zero if it
+  /// is refused at once.
+  absl::Duration max_endpoint_wait() const;
   /// Whether this node may open one more connection to an endpoint.
   bool has_connection_slot(const std::string& endpoint) const;
   /// Prompt and answer tokens: as given by the caller, or the service's mean.
--- a/src/request-routing.cc
+++ b/src/request-routing.cc
@@ -36,6 +36,10 @@
 /// round trip between data halls plus the tick that sends the grant request.
 constexpr absl::Duration grant_wait = absl::Milliseconds(60);
 
+/// How long a request waits for a rest to end if all servers rest; its caller
+/// would take longer to return.
+constexpr absl::Duration rest_wait = absl::Milliseconds(60);
+
 /// Interval at which a waiting request retries the choice.
 constexpr absl::Duration endpoint_poll_interval = absl::Milliseconds(15);
 
@@ -61,12 +65,17 @@
 }
 
 bool request_handler::is_eligible(const group_view& group) const {
-  if (!group.serving() || group.model != this->model->name) return false;
+  if (!this->is_able(group)) return false;
   if (this->tried_endpoints.count(group.name) != 0) return false;
   if (this->node.avoided(group.name)) return false;
+  if (!this->has_connection_slot(group.name)) return false;
+  return !this->rest_of(*this->node.directory.find(group.head()));
+}
+
+bool request_handler::is_able(const group_view& group) const {
+  if (!group.serving() || group.model != this->model->name) return false;
   const server_entry* head = this->node.directory.find(group.head());
   if (head == nullptr || head->draining) return false;
-  if (!this->has_connection_slot(group.name)) return false;
   if (this->node.hall_closed(head->hall)) return false;
   return std::none_of(group.members.begin(), group.members.end(),
                       [&](const auto& id) {
@@ -74,6 +83,42 @@
                       });
 }
 
+std::optional<server_rest> request_handler::rest_of(
+    const server_entry& entry) const {
+  if (this->node.rests.empty()) return std::nullopt;
+  return this->node.rests.find({entry.id, entry.incarnation}, this->node.now());
+}
+
+std::vector<const server_entry*> request_handler::able_servers(
+    const std::set<std::string>& excluded) const {
+  std::vector<const server_entry*> out;
+  if (this->service->engine) {
+    for (const auto& group : this->node.groups(this->service->name)) {
+      if (!this->is_able(group) || excluded.count(group.name) != 0) continue;
+      out.push_back(this->node.directory.find(group.head()));
+    }
+    return out;
+  }
+  for (const auto& id : this->node.directory.servers_of(this->service->name)) {
+    const server_entry* entry = this->node.directory.find(id);
+    if (entry->draining || this->node.hall_closed(entry->hall)) continue;
+    if (excluded.count(id) == 0) out.push_back(entry);
+  }
+  return out;
+}
+
+std::optional<server_rest> request_handler::common_rest(
+    const std::set<std::string>& excluded) const {
+  if (this->node.rests.empty()) return std::nullopt;
+  std::optional<server_rest> first;
+  for (const server_entry* entry : this->able_servers(excluded)) {
+    const auto rest = this->rest_of(*entry);
+    if (!rest) return std::nullopt;
+    if (!first || rest->until < first->until) first = rest;
+  }
+  return first;
+}
+
 bool request_handler::has_connection_slot(const std::string& endpoint) const {
   return this->node.loads.own_running(endpoint) <
          connection_share(this->service->max_connections,
@@ -203,7 +248,7 @@
     if (this->tried_endpoints.count(id) != 0 || this->node.avoided(id))
       continue;
     if (!this->has_connection_slot(id)) continue;
-    if (this->node.hall_closed(entry.hall)) continue;
+    if (this->node.hall_closed(entry.hall) || this->rest_of(entry)) continue;
     if (!this->may_send(id, {id})) continue;
     (silent.count(entry.hall) == 0 ? out : unreachable).push_back(&entry);
   }
@@ -242,27 +287,42 @@
                          0,        {entry.id},    entry.incarnation};
 }
 
+absl::Duration request_handler::max_endpoint_wait() const {
+  // Evacuations last longer than a request may wait.
+  if (this->node.service_closed(this->service->name)) {
+    return absl::ZeroDuration();
+  }
+  const auto rest = this->common_rest(this->tried_endpoints);
+  // A request for which there is no capacity is refused at once: its caller can
+  // still return in time, whereas a waiting request would be served late.
+  absl::Duration wait = absl::ZeroDuration();
+  if (this->attempts_made > 0) {
+    wait = retry_wait;
+  } else if (this->ungranted_count > 0) {
+    wait = grant_wait;
+  } else if (rest) {
+    wait = rest_wait;
+  }
+  wait = std::min(wait, this->time_left() / 2);
+  // A stream that has begun cannot be refused; another group may open for it.
+  const bool rests_too_long = rest && rest->until > this->node.now() + wait;
+  return rests_too_long && !this->head_sent ? absl::ZeroDuration() : wait;
+}
+
 net::awaitable<std::optional<endpoint_target>>
 request_handler::find_endpoint() {
-  if (this->attempts_made == 0 && this->node.settings.policy.admit_in_time &&
-      this->service->engine) {
+  const bool admits = this->attempts_made == 0 && this->service->engine &&
+                      this->node.settings.policy.admit_in_time;
+  // Admission cannot place a request while all groups rest.
+  if (admits && !this->common_rest()) {
     const auto admitted = co_await this->admit();
     if (admitted || this->ungranted_count == 0) co_return admitted;
     // A grant for a group that was skipped may arrive shortly.
     this->last_decision.reset();
   }
   auto endpoint = this->pick();
-  // A request for which there is no capacity is refused at once: its caller can
-  // still return in time, whereas a waiting request would be served late.
-  const bool may_be_granted =
-      this->attempts_made == 0 && this->ungranted_count > 0;
-  if (endpoint || (this->attempts_made == 0 && !may_be_granted))
-    co_return endpoint;
-  // Evacuations last longer than a request may wait.
-  if (this->node.service_closed(this->service->name)) co_return endpoint;
-  const absl::Duration max_wait = may_be_granted ? grant_wait : retry_wait;
-  const absl::Time until =
-      this->node.now() + std::min(max_wait, this->time_left() / 2);
+  if (endpoint) co_return endpoint;
+  const absl::Time until = this->node.now() + this->max_endpoint_wait();
   while (!endpoint && !this->session.disconnected && this->node.now() < until) {
     co_await this->node.sleep(endpoint_poll_interval);
     endpoint = this->pick();
--- a/src/request-speed.cc
+++ b/src/request-speed.cc
@@ -33,9 +33,8 @@
 
 void request_handler::record_failure(const exchange& ex) {
   if (!this->node.settings.policy.learn_speeds) return;
+  if (ex.caller_not_reading || ex.withheld) return;
   const absl::Time now = this->node.now();
-  const bool not_sent = ex.sent_at > now && now >= ex.endpoint.send_by;
-  if (ex.caller_not_reading || not_sent) return;
   if (this->service->engine) {
     const bool waited =
         !ex.events_started && ex.sent_at <= now && ex.expected_ms > 0;
--- a/test/server-rest-test.cc
+++ b/test/server-rest-test.cc
@@ -124,6 +124,51 @@
   EXPECT_LE(this->max_arrivals_in_a_rest(absl::Seconds(4)), max_arrivals);
 }
 
+// Guards against requests that wait, or run, while all servers rest.
+TEST_F(server_rest_test, refused_while_all_servers_rest) {
+  this->start(1);
+  this->reject({}, {"4"});
+  for (int i = 0; i < 10; ++i) {
+    const auto id = absl::StrCat("n0-", i);
+    const auto answer = this->send_request(stream_request(id));
+    EXPECT_EQ(answer.result_int(), 503U);
+    EXPECT_EQ(answer.body(), "servers want rest");
+    const double seconds = std::stod(std::string(answer["Retry-After"]));
+    EXPECT_GT(seconds, 2);
+    EXPECT_LE(seconds, 5.5);
+    EXPECT_EQ(this->runs(id), 0);
+  }
+  std::set<std::string> servers;
+  const auto record = this->on_loop([this] { return this->fleet->record; });
+  for (const auto& rejection : record.rejections) {
+    EXPECT_TRUE(servers.insert(rejection.server).second);
+  }
+}
+
+// Guards against servers that are not used again after a rest.
+TEST_F(server_rest_test, a_server_serves_again_after_its_rest) {
+  this->start(node_count);
+  const std::string head = this->serving_head();
+  this->reject({head}, {"0.5"});
+  this->send_load(absl::Seconds(1), stream_request);
+  this->stop_rejecting();
+  this->send_load(absl::Seconds(2), stream_request);
+  EXPECT_GT(this->on_loop([&] { return this->fleet->record.streams[head]; }),
+            0);
+}
+
+// Guards against servers that are lost because of a malformed header.
+TEST_F(server_rest_test, a_malformed_rest_does_not_last) {
+  this->start(node_count);
+  const std::string head = this->serving_head();
+  this->reject({head}, {"soon", "-1"});
+  this->send_load(absl::Seconds(1), stream_request);
+  this->stop_rejecting();
+  this->send_load(absl::Seconds(2), stream_request);
+  EXPECT_GT(this->on_loop([&] { return this->fleet->record.streams[head]; }),
+            0);
+}
+
 // Guards against a shorter rest that ends a longer one.
 TEST_F(server_rest_test, the_longest_of_repeated_headers_counts) {
   this->start(node_count);
