Stop sending to servers that announce their end in an answer

A node learned that a server leaves from the store alone.

Cause: the Server-Leaving header of answers was read nowhere. The announcement now marks the server in the directory, where its entry counts as draining from then on, whatever the store says, until it starts again. All that looks at entries follows: the choice of endpoints, groups, and the group controller if this node holds the lease. Kept connections to the server are closed, and a request that was connecting is not sent. A mark outlives the entry, which may return, by an hour.

--- a/include/spokesail/server-directory.h
+++ b/include/spokesail/server-directory.h
@@ -1,4 +1,5 @@
-// The live backend servers, according to the platform's store.
+// The live backend servers, according to the platform's store and to the
+// servers themselves.
 #pragma once
 
 #include <absl/time/time.h>
@@ -11,6 +12,7 @@
 #include <vector>
 
 #include "spokesail/server-entry.h"
+#include "spokesail/server-limits.h"
 
 namespace spokesail {
 
@@ -73,6 +75,15 @@
   /// live until then.
   bool remove(const std::string& id, int64_t revision, absl::Time keep_until);
 
+  /// Records at `now` that a server has announced its end to this node or to a
+  /// peer. Its entry counts as draining from then on, whatever the store says,
+  /// until it starts again. Returns whether this was not yet known.
+  bool mark_leaving(const server_instance& server, absl::Time now);
+  /// Whether a server has announced its end.
+  bool is_leaving(const server_instance& server) const {
+    return this->leaving_since.count(server) != 0;
+  }
+
   /// Removes servers whose entries are missing and have expired. The directory
   /// must be current as of a time after the expiry, which `known_at` gives: the
   /// entry may have returned without this node's knowledge. Returns whether any
@@ -115,6 +126,12 @@
   revisions removals;
   std::set<std::string> expiring;
 
+  /// Servers that announced their end, and when this became known. They are
+  /// kept after their removal, since their entries may return.
+  std::map<server_instance, absl::Time> leaving_since;
+  /// Forgets announcements of servers that are no longer listed.
+  void forget_departed(absl::Time now);
+
   /// Sets the revision of a server's removal.
   void mark_removed(const std::string& id, int64_t revision);
   void erase(const std::string& id);
--- a/src/connection-pool.h
+++ b/src/connection-pool.h
@@ -27,6 +27,9 @@
   void put(const std::string& server, boost::asio::ip::tcp::socket socket,
            absl::Time expires_at);
 
+  /// Closes all connections to a server.
+  void close(const std::string& server) { this->by_server.erase(server); }
+
   /// Closes expired connections.
   void expire(absl::Time now);
 
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -129,6 +129,7 @@
 }
 
 void exchange::keep_connection(const answer_head& answer) {
+  if (answer.leaving) return;
   // Surplus bytes belong to no request.
   if (!this->parser->is_done() || !this->parser->keep_alive() ||
       this->buffer.size() != 0 || this->aborted != abort_cause::none) {
--- a/src/node-context.cc
+++ b/src/node-context.cc
@@ -106,6 +106,13 @@
   return std::max(this->live_nodes, this->fleet.peak(this->now()).value_or(1));
 }
 
+bool node_context::mark_leaving(const server_instance& server) {
+  if (!this->directory.mark_leaving(server, this->now())) return false;
+  this->pool.close(server.server);
+  this->invalidate_group_cache();
+  return true;
+}
+
 void node_context::suspect_server(const std::string& server) {
   this->suspected_servers[server] = this->now();
 }
--- a/src/node-context.h
+++ b/src/node-context.h
@@ -200,6 +200,9 @@
   /// Excludes an endpoint for a while.
   void avoid_endpoint(const std::string& endpoint);
   bool avoided(const std::string& endpoint) const;
+  /// Records that a server is about to end. Returns whether this was not yet
+  /// known.
+  bool mark_leaving(const server_instance& server);
   /// Records that a server did not answer.
   void suspect_server(const std::string& server);
 
--- a/src/request-handler.cc
+++ b/src/request-handler.cc
@@ -289,6 +289,7 @@
   if (now >= ex.endpoint.send_by) return "connected after the grant expired";
   const server_instance server{ex.endpoint.server, ex.endpoint.incarnation};
   if (this->node.rests.find(server, now)) return "server wants rest";
+  if (this->node.directory.is_leaving(server)) return "server is leaving";
   return nullptr;
 }
 
@@ -339,12 +340,16 @@
   const bool other_request =
       !head.request_id.empty() && head.request_id != this->info.id;
   if (other_request) return;
-  if (head.leaving) this->log_leaving(ex, head);
+  const server_instance server{ex.endpoint.server, ex.endpoint.incarnation};
+  if (head.leaving) {
+    this->log_leaving(ex, head);
+    this->node.mark_leaving(server);
+  }
   if (head.rest_invalid) this->log_rest("server_rest_unreadable", ex, head);
   if (!head.rest) return;
   this->log_rest("server_rest", ex, head);
-  this->node.rests.note({ex.endpoint.server, ex.endpoint.incarnation},
-                        *head.rest, this->node.now(), this->node.random);
+  this->node.rests.note(server, *head.rest, this->node.now(),
+                        this->node.random);
 }
 
 std::optional<attempt_result> request_handler::classify_head(
--- a/src/server-directory.cc
+++ b/src/server-directory.cc
@@ -12,6 +12,9 @@
 /// arrive any more, since the store's history is shorter.
 constexpr int64_t remembered_revisions = 100000;
 
+/// How long an announced end is remembered after the server was removed.
+constexpr absl::Duration departure_memory = absl::Hours(1);
+
 /// Maximum size of a group, above that of any model; higher ranks are ignored.
 constexpr int max_group_size = 1024;
 
@@ -94,7 +97,8 @@
       return false;
   }
   this->erase(id);
-  this->by_id[id] = server;
+  server_entry& entry = (this->by_id[id] = server).entry;
+  if (this->is_leaving({id, entry.incarnation})) entry.draining = true;
   this->by_service[server.entry.service].insert(id);
   this->changes.emplace(server.revision, id);
   this->latest_cold_until =
@@ -103,6 +107,26 @@
   return true;
 }
 
+bool server_directory::mark_leaving(const server_instance& server,
+                                    absl::Time now) {
+  if (!this->leaving_since.emplace(server, now).second) return false;
+  const auto known = this->by_id.find(server.server);
+  if (known != this->by_id.end() &&
+      known->second.entry.incarnation == server.incarnation) {
+    known->second.entry.draining = true;
+  }
+  return true;
+}
+
+void server_directory::forget_departed(absl::Time now) {
+  std::erase_if(this->leaving_since, [&](const auto& item) {
+    const server_entry* entry = this->find(item.first.server);
+    const bool listed =
+        entry != nullptr && entry->incarnation == item.first.incarnation;
+    return !listed && now - item.second >= departure_memory;
+  });
+}
+
 void server_directory::erase(const std::string& id) {
   const auto known = this->by_id.find(id);
   if (known == this->by_id.end()) return;
@@ -170,6 +194,7 @@
     this->mark_removed(id, this->by_id.at(id).revision);
     this->erase(id);
   }
+  this->forget_departed(now);
   const int64_t oldest = this->known_revision - remembered_revisions;
   while (!this->removals.empty() && this->removals.begin()->first < oldest) {
     this->removal_revisions.erase(this->removals.begin()->second);
--- a/test/server-directory-test.cc
+++ b/test/server-directory-test.cc
@@ -207,6 +207,56 @@
   EXPECT_EQ(directory.find("a")->incarnation, 0);
 }
 
+// Guards against sends to a server that has announced its end while the store
+// still lists it as ready.
+TEST(server_directory, announced_end_outweighs_the_entry) {
+  server_directory d;
+  d.update(server("a", 1));
+  EXPECT_TRUE(d.mark_leaving({"a", 0}, start));
+  EXPECT_FALSE(d.mark_leaving({"a", 0}, start));
+  EXPECT_TRUE(d.find("a")->draining);
+  d.update(server("a", 2));
+  EXPECT_TRUE(d.find("a")->draining);
+  d.remove("a", 3, absl::InfinitePast());
+  d.update(server("a", 4));
+  EXPECT_TRUE(d.find("a")->draining);
+}
+
+TEST(server_directory, announced_end_may_come_before_the_entry) {
+  server_directory d;
+  EXPECT_TRUE(d.mark_leaving({"a", 0}, start));
+  d.update(server("a", 1));
+  EXPECT_TRUE(d.find("a")->draining);
+}
+
+// Guards against servers that stay unused after a restart under the same id.
+TEST(server_directory, announced_end_does_not_apply_to_a_new_incarnation) {
+  server_directory d;
+  listed_server entry = server("a", 1);
+  entry.entry.incarnation = 5;
+  d.update(entry);
+  d.mark_leaving({"a", 5}, start);
+  entry.entry.incarnation = 6;
+  entry.revision = 2;
+  d.update(entry);
+  EXPECT_FALSE(d.find("a")->draining);
+  EXPECT_FALSE(d.is_leaving({"a", 6}));
+}
+
+TEST(server_directory, announced_ends_of_removed_servers_are_forgotten) {
+  server_directory d;
+  d.update(server("a", 1));
+  d.update(server("b", 2));
+  d.mark_leaving({"a", 0}, start);
+  d.mark_leaving({"b", 0}, start);
+  d.remove("a", 3, absl::InfinitePast());
+  d.expire(start + absl::Minutes(59), start);
+  EXPECT_TRUE(d.is_leaving({"a", 0}));
+  d.expire(start + absl::Hours(1), start);
+  EXPECT_FALSE(d.is_leaving({"a", 0}));
+  EXPECT_TRUE(d.is_leaving({"b", 0}));
+}
+
 TEST(collect_groups, out_of_range_rank_is_ignored) {
   EXPECT_EQ(group_of({server("a", 1, -1, member_phase::open)}).name, "");
   EXPECT_EQ(group_of({server("a", 1, 1 << 30, member_phase::open)}).name, "");
