Separate the rounds of push gossip from what is sent

limit_spread counts rounds per server and draws peers; the announcements of leaving servers need the same. push_rounds has it once. limit-fleet passes unchanged.

--- a/include/spokesail/limit-spread.h
+++ b/include/spokesail/limit-spread.h
@@ -1,11 +1,11 @@
 // Selects the reports of rate limits to gossip and the nodes to send them to.
 #pragma once
 
-#include <map>
 #include <string>
 #include <vector>
 
 #include "spokesail/hash.h"
+#include "spokesail/push-rounds.h"
 #include "spokesail/server-limits.h"
 
 namespace spokesail {
@@ -15,11 +15,8 @@
 /// not wait.
 class limit_spread {
  public:
-  /// Messages per round, each to a random peer.
-  static constexpr size_t fanout = 3;
-  /// Rounds in which a change is sent, in addition to the bit width of the
-  /// number of peers.
-  static constexpr int base_rounds = 4;
+  /// Messages per round.
+  static constexpr size_t fanout = push_rounds<server_instance>::fanout;
   /// Maximum number of reports in a message.
   static constexpr size_t max_reports = 60;
 
@@ -37,8 +34,7 @@
                                   random_stream& random, absl::Time now);
 
  private:
-  /// Remaining rounds by server.
-  std::map<server_instance, int> rounds_left;
+  push_rounds<server_instance> rounds;
 };
 
 }  // namespace spokesail
--- a/src/limit-spread.cc
+++ b/src/limit-spread.cc
@@ -1,7 +1,5 @@
 #include "spokesail/limit-spread.h"
 
-#include <bit>
-
 namespace spokesail {
 
 std::vector<limit_spread::message> limit_spread::next_round(
@@ -9,23 +7,18 @@
     random_stream& random, absl::Time now) {
   if (peers.empty()) return {};
   for (const auto& server : limits.take_changes()) {
-    this->rounds_left[server] =
-        base_rounds + static_cast<int>(std::bit_width(peers.size()));
+    this->rounds.add(server, peers.size());
   }
   std::vector<limit_report> reports;
-  for (auto& [server, left] : this->rounds_left) {
-    if (reports.size() >= max_reports) break;
-    --left;
+  for (const auto& server : this->rounds.next_round(max_reports)) {
     if (const auto report = limits.report(server, now)) {
       reports.push_back(*report);
     }
   }
-  std::erase_if(this->rounds_left,
-                [](const auto& item) { return item.second <= 0; });
   std::vector<message> out;
   if (reports.empty()) return out;
-  for (size_t i = 0; i < fanout; ++i) {
-    out.push_back({peers[random.below(peers.size())], reports});
+  for (auto& peer : push_rounds<server_instance>::draw_peers(peers, random)) {
+    out.push_back({std::move(peer), reports});
   }
   return out;
 }
