Tell other nodes which servers have announced their end

Only the node that relayed such an answer knew.

One that hears of it marks its directory, so that the group is wound up as for a draining entry.

--- a/include/spokesail/server-directory.h
+++ b/include/spokesail/server-directory.h
@@ -84,6 +84,11 @@
     return this->leaving_since.count(server) != 0;
   }
 
+  /// Whether `take_departures` would return any.
+  bool has_departures() const { return !this->new_departures.empty(); }
+  /// Returns and clears the announcements that are new since the last call.
+  std::set<server_instance> take_departures();
+
   /// Removes servers whose entries are missing and have expired. The directory
   /// must be current as of a time after the expiry, which `known_at` gives: the
   /// entry may have returned without this node's knowledge. Returns whether any
@@ -129,6 +134,8 @@
   /// Servers that announced their end, and when this became known. They are
   /// kept after their removal, since their entries may return.
   std::map<server_instance, absl::Time> leaving_since;
+  /// Those that `take_departures` has not returned yet.
+  std::set<server_instance> new_departures;
   /// Forgets announcements of servers that are no longer listed.
   void forget_departed(absl::Time now);
 
--- a/src/node-message.capnp
+++ b/src/node-message.capnp
@@ -242,6 +242,18 @@
   reports @0 :List(LimitReport);
 }
 
+# One start of a server.
+struct ServerInstance {
+  server @0 :Text;
+  # Distinguishes restarts under the same id; 0 if unknown.
+  incarnation @1 :Int64;
+}
+
+# Reports servers that have announced their end.
+struct Departures {
+  servers @0 :List(ServerInstance);
+}
+
 # A number of requests to one server instance.
 struct ServerCount {
   server @0 :Text;
@@ -312,6 +324,7 @@
     peerQuery @13 :PeerQuery;
     peerReport @14 :PeerReport;
     holderPart @15 :HolderWord;
+    departures @16 :Departures;
   }
   # Processor cores that the sender may use; below 1 for a part of one.
   cores @8 :Float32;
--- a/src/node-message.cc
+++ b/src/node-message.cc
@@ -431,6 +431,23 @@
   return out;
 }
 
+void write_departures(rpc::Departures::Builder out,
+                      const departure_update& update) {
+  auto servers = out.initServers(update.servers.size());
+  for (size_t i = 0; i < update.servers.size(); ++i) {
+    servers[i].setServer(update.servers[i].server);
+    servers[i].setIncarnation(update.servers[i].incarnation);
+  }
+}
+
+departure_update read_departures(rpc::Departures::Reader in) {
+  departure_update out;
+  for (const auto server : in.getServers()) {
+    out.servers.push_back({server.getServer().cStr(), server.getIncarnation()});
+  }
+  return out;
+}
+
 }  // namespace
 
 std::string encode(const node_message& message) {
@@ -474,6 +491,8 @@
     write_report(root.initPeerReport(), *p);
   } else if (const auto* h = std::get_if<holder_part>(&message.content)) {
     write_holder(root.initHolderPart(), *h);
+  } else if (const auto* d = std::get_if<departure_update>(&message.content)) {
+    write_departures(root.initDepartures(), *d);
   } else {
     const auto& report = std::get<suspicion>(message.content);
     auto out = root.initSuspicion();
@@ -537,6 +556,8 @@
       message.content = read_report(root.getPeerReport());
     } else if (root.isHolderPart()) {
       message.content = read_holder(root.getHolderPart());
+    } else if (root.isDepartures()) {
+      message.content = read_departures(root.getDepartures());
     } else {
       return;
     }
--- a/src/node-message.h
+++ b/src/node-message.h
@@ -130,11 +130,17 @@
   bool operator==(const limit_update&) const = default;
 };
 
+/// Reports servers that have announced their end.
+struct departure_update {
+  std::vector<server_instance> servers;
+  bool operator==(const departure_update&) const = default;
+};
+
 /// Content of a datagram.
 using message_content =
     std::variant<gossip, store_update_request, store_update, suspicion,
                  crash_report, grant_request, grant_response, limit_update,
-                 peer_query, peer_report, holder_part>;
+                 peer_query, peer_report, holder_part, departure_update>;
 
 /// One datagram.
 struct node_message {
--- a/src/node-process.cc
+++ b/src/node-process.cc
@@ -62,6 +62,7 @@
       group_runner(state, lease),
       cold(state, link, lease),
       limits(state, link),
+      departures(state, link),
       stalls(state) {}
 
 bool node_process::listen() {
@@ -112,6 +113,10 @@
                                       const auto& message) {
     this->limits.handle_reports(peer, message);
   };
+  this->link.on_departures = [this](const std::string& peer,
+                                    const auto& message) {
+    this->departures.handle_update(peer, message);
+  };
   this->link.on_peer_query = [this](const std::string& peer,
                                     const auto& query) {
     this->discovery.handle_query(peer, query);
@@ -198,6 +203,7 @@
   this->spawn(this->relay.run());
   this->spawn(this->crashes.run());
   this->spawn(this->limits.run());
+  this->spawn(this->departures.run());
   this->spawn(this->lease.run());
   this->spawn(this->group_runner.run());
   this->spawn(this->accept_callers());
--- a/src/node-process.h
+++ b/src/node-process.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "crash-gossip.h"
+#include "departure-gossip.h"
 #include "grant-coordinator.h"
 #include "group-controller-runner.h"
 #include "http-fetch.h"
@@ -112,6 +113,7 @@
   group_controller_runner group_runner;
   grant_coordinator cold;
   limit_gossip limits;
+  departure_gossip departures;
   stall_detector stalls;
   boost::asio::ip::tcp::acceptor callers{loop};
   boost::asio::ip::tcp::acceptor readiness{loop};
--- a/src/peer-link.cc
+++ b/src/peer-link.cc
@@ -133,6 +133,8 @@
     this->on_peer_report(*p);
   } else if (const auto* h = std::get_if<holder_part>(&message.content)) {
     this->on_holder_part(*h);
+  } else if (const auto* d = std::get_if<departure_update>(&message.content)) {
+    this->on_departures(message.node, *d);
   } else {
     this->on_suspicion(std::get<suspicion>(message.content));
   }
--- a/src/peer-link.h
+++ b/src/peer-link.h
@@ -73,6 +73,8 @@
   std::function<void(const std::string& peer, const peer_query&)> on_peer_query;
   std::function<void(const peer_report&)> on_peer_report;
   std::function<void(const holder_part&)> on_holder_part;
+  std::function<void(const std::string& peer, const departure_update&)>
+      on_departures;
 
  private:
   /// Identifies the start of a peer's process, and the last message from it.
--- a/src/server-directory.cc
+++ b/src/server-directory.cc
@@ -110,6 +110,7 @@
 bool server_directory::mark_leaving(const server_instance& server,
                                     absl::Time now) {
   if (!this->leaving_since.emplace(server, now).second) return false;
+  this->new_departures.insert(server);
   const auto known = this->by_id.find(server.server);
   if (known != this->by_id.end() &&
       known->second.entry.incarnation == server.incarnation) {
@@ -118,6 +119,10 @@
   return true;
 }
 
+std::set<server_instance> server_directory::take_departures() {
+  return std::exchange(this->new_departures, {});
+}
+
 void server_directory::forget_departed(absl::Time now) {
   std::erase_if(this->leaving_since, [&](const auto& item) {
     const server_entry* entry = this->find(item.first.server);
--- a/test/node-message-test.cc
+++ b/test/node-message-test.cc
@@ -102,7 +102,7 @@
   EXPECT_EQ(*decoded, sample(store_update_request{3, {11, 14}, {5, 8}}));
 }
 
-TEST(node_message, peer_queries_and_reports_round_trip) {
+TEST(node_message, messages_between_peers_round_trip) {
   const hall_report changed = {
       "hall",
       absl::Milliseconds(40),
@@ -112,7 +112,8 @@
       peer_query{7, true, {}},
       peer_query{8, false, {{"hall", 99}, {"h2", 0, absl::Seconds(3)}}},
       peer_report{8, true, false, {changed, {"h2", {}, true, {}}}},
-      holder_part{sample_holder(), 2, 5}};
+      holder_part{sample_holder(), 2, 5},
+      departure_update{{{"s1", 4}, {"s2", 0}}}};
   for (const auto& content : contents) {
     const auto bytes = encode(sample(content));
     const auto decoded = decode_message(bytes.data(), bytes.size());
--- a/test/server-leaving-test.cc
+++ b/test/server-leaving-test.cc
@@ -82,5 +82,24 @@
   EXPECT_EQ(this->arrivals_at("p0", announced + drain_time), 0U);
 }
 
+// Guards against a departure that only the node knows which has seen it: the
+// lease holder, which replaces the group, may send the server no requests.
+TEST_F(server_leaving_test, peers_learn_and_the_group_is_replaced) {
+  this->start(3);
+  const std::string head = this->serving_head();
+  this->announce_departure(head);
+  this->send_until_run_by(head, stream_request);
+  EXPECT_TRUE(this->wait_until([&, this] {
+    return std::all_of(this->nodes.begin(), this->nodes.end(),
+                       [&](const auto& node) {
+                         const auto& directory = node->context().directory;
+                         const server_entry* entry = directory.find(head);
+                         return entry != nullptr && entry->draining;
+                       });
+  }));
+  EXPECT_TRUE(this->wait_until(
+      [&, this] { return !this->fleet->engines().is_open_head(head); }));
+}
+
 }  // namespace
 }  // namespace spokesail
