Do not pass a server's Retry-After on to callers

Where a 503 of a server is relayed, since its request may not be sent again, the caller got the server's own Retry-After: told to stay away for 4 s from a service whose other servers were idle. The header addresses this node. It is now replaced: 20 ms if another server can take the next request, else the time until the first of the servers is back.

server_rest.callers_do_not_get_a_servers_retry_after failed before (4 s) and passes.

--- a/src/request-answer.cc
+++ b/src/request-answer.cc
@@ -25,6 +25,9 @@
 /// Interval at which a response that lacks memory checks for it again.
 constexpr absl::Duration memory_poll_interval = absl::Milliseconds(20);
 
+/// Retry delay if one server turned a request away and others can take it.
+constexpr absl::Duration other_server_retry_delay = absl::Milliseconds(20);
+
 /// A server may break off a response that was not read for some seconds.
 constexpr absl::Duration slow_read_threshold = absl::Seconds(1);
 
@@ -63,6 +66,13 @@
   ex.waiting_for_caller = false;
 }
 
+void request_handler::replace_retry_after(http_response& out) const {
+  const auto rest = this->common_rest();
+  const absl::Duration delay =
+      rest ? this->rest_refusal(*rest).retry_after : other_server_retry_delay;
+  this->node.adapter.write_refusal(this->info.id, delay, out);
+}
+
 net::awaitable<attempt_result> request_handler::relay_buffered(
     exchange& ex, const answer_head& head) {
   std::string body;
@@ -96,6 +106,7 @@
   copy_end_to_end_headers(ex.head(), out);
   const bool no_body = this->request.method() == http::verb::head;
   if (!no_body) out.body() = std::move(body);
+  if (head.rest || head.rest_invalid) this->replace_retry_after(out);
   out.keep_alive(this->keep_alive && !this->node.stopping());
   this->record_response(ex);
   this->log_attempt(ex, "whole", "");
--- a/src/request-handler.h
+++ b/src/request-handler.h
@@ -283,6 +283,10 @@
   /// Relays a plain response after its whole body was read.
   boost::asio::awaitable<attempt_result> relay_buffered(
       exchange& ex, const answer_head& head);
+  /// Replaces the server's Retry-After in a response that is relayed: the
+  /// server addresses this node, not its callers, whom other servers may serve
+  /// sooner.
+  void replace_retry_after(http_response& out) const;
   /// Whether a response with this status is dropped and the request retried.
   bool retry_instead(unsigned status);
   /// Relays a stream event by event.
--- a/test/server-rest-test.cc
+++ b/test/server-rest-test.cc
@@ -145,6 +145,21 @@
   }
 }
 
+// Guards against callers that wait for one server's rest.
+TEST_F(server_rest_test, callers_do_not_get_a_servers_retry_after) {
+  this->start(1);
+  this->reject({"p0"}, {"4"}, false);
+  for (int i = 0; i < 50 && this->rejections() == 0; ++i) {
+    const auto answer =
+        this->send_request(request(absl::StrCat("n0-", i), "/file/one"));
+    if (answer.result_int() == 200) continue;
+    EXPECT_EQ(answer.result_int(), 503U);
+    EXPECT_EQ(answer.count("Retry-After"), 1U);
+    EXPECT_LE(std::stod(std::string(answer["Retry-After"])), 0.5);
+  }
+  EXPECT_EQ(this->rejections(), 1U);
+}
+
 // Guards against servers that are not used again after a rest.
 TEST_F(server_rest_test, a_server_serves_again_after_its_rest) {
   this->start(node_count);
