Call a server's rest a backoff

The code, its log events, the gauge and the text of the refusal use the usual term: server_backoff, backoff_ms, servers_in_backoff, "servers asked to back off".

--- a/include/spokesail/platform-adapter.h
+++ b/include/spokesail/platform-adapter.h
@@ -91,9 +91,9 @@
   bool limit_invalid = false;
   /// Time for which the server wants no requests from this node; nothing if the
   /// header is missing or invalid. Only set in a response that refuses.
-  std::optional<absl::Duration> rest;
-  /// Whether the header of the rest is present but invalid.
-  bool rest_invalid = false;
+  std::optional<absl::Duration> backoff;
+  /// Whether the header of the backoff is present but invalid.
+  bool backoff_invalid = false;
   /// Whether the server announces that it is about to end.
   bool leaving = false;
   bool operator==(const answer_head&) const = default;
--- a/src/node-context.h
+++ b/src/node-context.h
@@ -34,9 +34,9 @@
 #include "spokesail/platform-adapter.h"
 #include "spokesail/request-admission.h"
 #include "spokesail/retry-budget.h"
+#include "spokesail/server-backoffs.h"
 #include "spokesail/server-directory.h"
 #include "spokesail/server-limits.h"
-#include "spokesail/server-rests.h"
 #include "spokesail/speed-table.h"
 #include "spokesail/staleness.h"
 
@@ -129,8 +129,8 @@
   server_limits limits;
   /// This node's share of these limits, which needs no grant.
   limit_share limit_shares;
-  /// Rests that servers have asked this node for.
-  server_rests rests;
+  /// Backoffs that servers have asked this node for.
+  server_backoffs backoffs;
   /// Number of nodes known to be alive, including this one.
   int live_nodes = 1;
   /// Upper bound on the number of nodes, including unreachable ones.
--- a/src/node-process.cc
+++ b/src/node-process.cc
@@ -294,7 +294,8 @@
               static_cast<double>(this->state.directory.revision()));
   m.set_gauge("limited_servers",
               static_cast<double>(this->state.limits.size()));
-  m.set_gauge("resting_servers", static_cast<double>(this->state.rests.size()));
+  m.set_gauge("servers_in_backoff",
+              static_cast<double>(this->state.backoffs.size()));
   m.set_gauge("live_nodes", this->state.live_nodes);
   const auto max_nodes = this->state.fleet.peak(this->state.now());
   m.set_gauge("most_nodes", max_nodes.value_or(0));
@@ -355,7 +356,7 @@
   };
   this->state.limits.forget(exists);
   this->state.limit_shares.forget(exists);
-  this->state.rests.expire(now);
+  this->state.backoffs.expire(now);
   if (this->state.closing() && this->callers.is_open()) {
     boost::system::error_code ignored;
     this->callers.close(ignored);
--- a/src/request-answer.cc
+++ b/src/request-answer.cc
@@ -67,9 +67,10 @@
 }
 
 void request_handler::replace_retry_after(http_response& out) const {
-  const auto rest = this->common_rest();
-  const absl::Duration delay =
-      rest ? this->rest_refusal(*rest).retry_after : other_server_retry_delay;
+  const auto backoff = this->common_backoff();
+  const absl::Duration delay = backoff
+                                   ? this->backoff_refusal(*backoff).retry_after
+                                   : other_server_retry_delay;
   this->node.adapter.write_refusal(this->info.id, delay, out);
 }
 
@@ -106,7 +107,7 @@
   copy_end_to_end_headers(ex.head(), out);
   const bool no_body = this->request.method() == http::verb::head;
   if (!no_body) out.body() = std::move(body);
-  if (head.rest || head.rest_invalid) this->replace_retry_after(out);
+  if (head.backoff || head.backoff_invalid) this->replace_retry_after(out);
   out.keep_alive(this->keep_alive && !this->node.stopping());
   this->record_response(ex);
   this->log_attempt(ex, "whole", "");
--- a/src/request-handler.cc
+++ b/src/request-handler.cc
@@ -30,8 +30,8 @@
 /// Upper bound on the retry delay for rate limits: a low limit may end before
 /// the computed delay has passed.
 constexpr absl::Duration max_limit_retry_delay = absl::Seconds(3);
-/// Upper bound on the retry delay for rests: servers may be added meanwhile.
-constexpr absl::Duration max_rest_retry_delay = absl::Seconds(10);
+/// Upper bound on the retry delay for backoffs: servers may be added meanwhile.
+constexpr absl::Duration max_backoff_retry_delay = absl::Seconds(10);
 /// Retry delay if only this node refuses: another node can take the request at
 /// once.
 constexpr absl::Duration other_node_retry_delay = absl::Milliseconds(20);
@@ -288,7 +288,7 @@
   const absl::Time now = this->node.now();
   if (now >= ex.endpoint.send_by) return "connected after the grant expired";
   const server_instance server{ex.endpoint.server, ex.endpoint.incarnation};
-  if (this->node.rests.find(server, now)) return "server wants rest";
+  if (this->node.backoffs.find(server, now)) return "server asked to back off";
   if (this->node.directory.is_leaving(server)) return "server is leaving";
   return nullptr;
 }
@@ -345,11 +345,12 @@
     this->log_leaving(ex, head);
     this->node.mark_leaving(server);
   }
-  if (head.rest_invalid) this->log_rest("server_rest_unreadable", ex, head);
-  if (!head.rest) return;
-  this->log_rest("server_rest", ex, head);
-  this->node.rests.note(server, *head.rest, this->node.now(),
-                        this->node.random);
+  if (head.backoff_invalid)
+    this->log_backoff("server_backoff_unreadable", ex, head);
+  if (!head.backoff) return;
+  this->log_backoff("server_backoff", ex, head);
+  this->node.backoffs.note(server, *head.backoff, this->node.now(),
+                           this->node.random);
 }
 
 std::optional<attempt_result> request_handler::classify_head(
@@ -411,8 +412,8 @@
     return {503, "data halls are evacuated", evacuation_retry_delay};
   }
   if (not_run) {
-    const auto rest = this->common_rest();
-    if (rest) return this->rest_refusal(*rest);
+    const auto backoff = this->common_backoff();
+    if (backoff) return this->backoff_refusal(*backoff);
   }
   const bool not_admitted =
       this->last_decision &&
@@ -435,11 +436,11 @@
   return {502, "server broke off", {}};
 }
 
-request_handler::refusal request_handler::rest_refusal(
-    const server_rest& first) const {
-  const absl::Duration delay = rest_retry_delay(first, this->node.now());
-  return {503, "servers want rest",
-          std::clamp(delay, other_node_retry_delay, max_rest_retry_delay)};
+request_handler::refusal request_handler::backoff_refusal(
+    const server_backoff& first) const {
+  const absl::Duration delay = backoff_retry_delay(first, this->node.now());
+  return {503, "servers asked to back off",
+          std::clamp(delay, other_node_retry_delay, max_backoff_retry_delay)};
 }
 
 request_handler::refusal request_handler::no_grant_refusal() const {
--- a/src/request-handler.h
+++ b/src/request-handler.h
@@ -102,8 +102,8 @@
   /// Updates the server's rate limit from a response, and logs changes and
   /// invalid headers.
   void update_server_limit(const exchange& ex, const answer_head& head);
-  /// Records what a response says about the server's own state: that it wants
-  /// rest, or that it is leaving.
+  /// Records what a response says about the server's own state: that it asks
+  /// this node to back off, or that it is leaving.
   void record_server_state(const exchange& ex, const answer_head& head);
   /// Whether the request may be sent again after an attempt with this result.
   bool may_retry(attempt_result result);
@@ -116,9 +116,9 @@
   /// the connection can be reused.
   boost::asio::awaitable<bool> finish_unserved(attempt_result result);
   refusal final_refusal(attempt_result result) const;
-  /// The refusal of a request whose servers all rest; `first` is the rest that
-  /// ends first.
-  refusal rest_refusal(const server_rest& first) const;
+  /// The refusal of a request whose servers are all in backoff; `first` is the
+  /// backoff that ends first.
+  refusal backoff_refusal(const server_backoff& first) const;
   /// The refusal of a request for which no server could be used without a
   /// grant.
   refusal no_grant_refusal() const;
@@ -133,12 +133,13 @@
   /// Logs that a server's rate limit changed, ended or is invalid.
   void log_limit(const char* event, const exchange& ex,
                  std::optional<double> before, std::optional<double> after);
-  /// Logs a server's rest, or that its header is invalid.
-  void log_rest(const char* event, const exchange& ex, const answer_head& head);
+  /// Logs a server's backoff, or that its header is invalid.
+  void log_backoff(const char* event, const exchange& ex,
+                   const answer_head& head);
   /// Logs a response of a server that announces its end.
   void log_leaving(const exchange& ex, const answer_head& head);
-  /// Remaining rest of the server, in ms for the log; empty if it has none.
-  std::string rest_left_ms(const exchange& ex) const;
+  /// Remaining backoff of the server, in ms for the log; empty if it has none.
+  std::string backoff_left_ms(const exchange& ex) const;
   /// Logs that a retry was sent or refused, with the state of the budget.
   void log_retry(const char* event);
   /// Current usage of the service's retry budget.
@@ -190,7 +191,7 @@
   void choose_service();
   /// Chooses the endpoint of the next attempt; nothing if there is none. Waits
   /// for an endpoint only if the request was sent before, or if a grant or the
-  /// end of a rest is due.
+  /// end of a backoff is due.
   boost::asio::awaitable<std::optional<endpoint_target>> find_endpoint();
   std::optional<endpoint_target> pick();
   std::optional<endpoint_target> pick_group();
@@ -217,14 +218,14 @@
   bool is_able(const group_view& group) const;
   /// Whether a group could take the request, regardless of its load.
   bool is_eligible(const group_view& group) const;
-  /// The current rest of a server; nothing if it has none.
-  std::optional<server_rest> rest_of(const server_entry& entry) const;
-  /// The servers to which the request could be sent if none rested: heads of
-  /// groups, or plain servers; without the endpoints in `excluded`.
+  /// The current backoff of a server; nothing if it has none.
+  std::optional<server_backoff> backoff_of(const server_entry& entry) const;
+  /// The servers to which the request could be sent if none were in backoff:
+  /// heads of groups, or plain servers; without the endpoints in `excluded`.
   std::vector<const server_entry*> able_servers(
       const std::set<std::string>& excluded) const;
-  /// If all these servers rest, the rest that ends first.
-  std::optional<server_rest> common_rest(
+  /// If all these servers are in backoff, the one that ends first.
+  std::optional<server_backoff> common_backoff(
       const std::set<std::string>& excluded = {}) const;
   /// How long the request waits for an endpoint when there is none; zero if it
   /// is refused at once.
--- a/src/request-log.cc
+++ b/src/request-log.cc
@@ -30,7 +30,7 @@
        {"server", ex.endpoint.server},
        {"group", ex.endpoint.group},
        {"reused", ex.reused ? "1" : "0"},
-       {"rest_left_ms", this->rest_left_ms(ex)},
+       {"backoff_left_ms", this->backoff_left_ms(ex)},
        {"last_event", absl::StrCat(this->last_event)},
        {"since_sent_ms", millis(now - std::min(now, ex.sent_at))},
        {"silent_ms", millis(now - std::max(ex.last_event, this->arrived))},
@@ -59,19 +59,20 @@
       this->node.now());
 }
 
-void request_handler::log_rest(const char* event, const exchange& ex,
-                               const answer_head& head) {
+void request_handler::log_backoff(const char* event, const exchange& ex,
+                                  const answer_head& head) {
   this->node.metrics.count_update_event(event);
-  this->node.log.write(log_category::request, event,
-                       {{"server", ex.endpoint.server},
-                        {"group", ex.endpoint.group},
-                        {"id", this->info.id},
-                        {"rest_ms", head.rest ? millis(*head.rest) : ""},
-                        {"left_ms", this->rest_left_ms(ex)},
-                        {"not_run", head.not_run ? "1" : "0"},
-                        {"stamped", head.has_server_stamp ? "1" : "0"},
-                        {"sends", absl::StrCat(this->attempts_made)}},
-                       this->node.now());
+  this->node.log.write(
+      log_category::request, event,
+      {{"server", ex.endpoint.server},
+       {"group", ex.endpoint.group},
+       {"id", this->info.id},
+       {"backoff_ms", head.backoff ? millis(*head.backoff) : ""},
+       {"left_ms", this->backoff_left_ms(ex)},
+       {"not_run", head.not_run ? "1" : "0"},
+       {"stamped", head.has_server_stamp ? "1" : "0"},
+       {"sends", absl::StrCat(this->attempts_made)}},
+      this->node.now());
 }
 
 void request_handler::log_leaving(const exchange& ex, const answer_head& head) {
@@ -89,11 +90,11 @@
       this->node.now());
 }
 
-std::string request_handler::rest_left_ms(const exchange& ex) const {
+std::string request_handler::backoff_left_ms(const exchange& ex) const {
   const absl::Time now = this->node.now();
-  const auto rest =
-      this->node.rests.find({ex.endpoint.server, ex.endpoint.incarnation}, now);
-  return rest ? millis(rest->until - now) : "";
+  const auto backoff = this->node.backoffs.find(
+      {ex.endpoint.server, ex.endpoint.incarnation}, now);
+  return backoff ? millis(backoff->until - now) : "";
 }
 
 retry_usage request_handler::current_retry_usage() {
--- a/src/request-routing.cc
+++ b/src/request-routing.cc
@@ -36,9 +36,9 @@
 /// round trip between data halls plus the tick that sends the grant request.
 constexpr absl::Duration grant_wait = absl::Milliseconds(60);
 
-/// How long a request waits for a rest to end if all servers rest; its caller
-/// would take longer to return.
-constexpr absl::Duration rest_wait = absl::Milliseconds(60);
+/// How long a request waits for a backoff to end if all servers are in one; its
+/// caller would take longer to return.
+constexpr absl::Duration backoff_wait = absl::Milliseconds(60);
 
 /// Interval at which a waiting request retries the choice.
 constexpr absl::Duration endpoint_poll_interval = absl::Milliseconds(15);
@@ -69,7 +69,7 @@
   if (this->tried_endpoints.count(group.name) != 0) return false;
   if (this->node.avoided(group.name)) return false;
   if (!this->has_connection_slot(group.name)) return false;
-  return !this->rest_of(*this->node.directory.find(group.head()));
+  return !this->backoff_of(*this->node.directory.find(group.head()));
 }
 
 bool request_handler::is_able(const group_view& group) const {
@@ -83,10 +83,11 @@
                       });
 }
 
-std::optional<server_rest> request_handler::rest_of(
+std::optional<server_backoff> request_handler::backoff_of(
     const server_entry& entry) const {
-  if (this->node.rests.empty()) return std::nullopt;
-  return this->node.rests.find({entry.id, entry.incarnation}, this->node.now());
+  if (this->node.backoffs.empty()) return std::nullopt;
+  return this->node.backoffs.find({entry.id, entry.incarnation},
+                                  this->node.now());
 }
 
 std::vector<const server_entry*> request_handler::able_servers(
@@ -107,14 +108,14 @@
   return out;
 }
 
-std::optional<server_rest> request_handler::common_rest(
+std::optional<server_backoff> request_handler::common_backoff(
     const std::set<std::string>& excluded) const {
-  if (this->node.rests.empty()) return std::nullopt;
-  std::optional<server_rest> first;
+  if (this->node.backoffs.empty()) return std::nullopt;
+  std::optional<server_backoff> first;
   for (const server_entry* entry : this->able_servers(excluded)) {
-    const auto rest = this->rest_of(*entry);
-    if (!rest) return std::nullopt;
-    if (!first || rest->until < first->until) first = rest;
+    const auto backoff = this->backoff_of(*entry);
+    if (!backoff) return std::nullopt;
+    if (!first || backoff->until < first->until) first = backoff;
   }
   return first;
 }
@@ -248,7 +249,7 @@
     if (this->tried_endpoints.count(id) != 0 || this->node.avoided(id))
       continue;
     if (!this->has_connection_slot(id)) continue;
-    if (this->node.hall_closed(entry.hall) || this->rest_of(entry)) continue;
+    if (this->node.hall_closed(entry.hall) || this->backoff_of(entry)) continue;
     if (!this->may_send(id, {id})) continue;
     (silent.count(entry.hall) == 0 ? out : unreachable).push_back(&entry);
   }
@@ -292,7 +293,7 @@
   if (this->node.service_closed(this->service->name)) {
     return absl::ZeroDuration();
   }
-  const auto rest = this->common_rest(this->tried_endpoints);
+  const auto backoff = this->common_backoff(this->tried_endpoints);
   // A request for which there is no capacity is refused at once: its caller can
   // still return in time, whereas a waiting request would be served late.
   absl::Duration wait = absl::ZeroDuration();
@@ -300,21 +301,21 @@
     wait = retry_wait;
   } else if (this->ungranted_count > 0) {
     wait = grant_wait;
-  } else if (rest) {
-    wait = rest_wait;
+  } else if (backoff) {
+    wait = backoff_wait;
   }
   wait = std::min(wait, this->time_left() / 2);
   // A stream that has begun cannot be refused; another group may open for it.
-  const bool rests_too_long = rest && rest->until > this->node.now() + wait;
-  return rests_too_long && !this->head_sent ? absl::ZeroDuration() : wait;
+  const bool too_long = backoff && backoff->until > this->node.now() + wait;
+  return too_long && !this->head_sent ? absl::ZeroDuration() : wait;
 }
 
 net::awaitable<std::optional<endpoint_target>>
 request_handler::find_endpoint() {
   const bool admits = this->attempts_made == 0 && this->service->engine &&
                       this->node.settings.policy.admit_in_time;
-  // Admission cannot place a request while all groups rest.
-  if (admits && !this->common_rest()) {
+  // Admission cannot place a request while all groups are in backoff.
+  if (admits && !this->common_backoff()) {
     const auto admitted = co_await this->admit();
     if (admitted || this->ungranted_count == 0) co_return admitted;
     // A grant for a group that was skipped may arrive shortly.
--- a/test/rest-fleet-test.cc
+++ b/test/backoff-fleet-test.cc
@@ -1,4 +1,4 @@
-// Rests and departures of servers in fleets of nodes, in virtual time.
+// Backoffs and departures of servers in fleets of nodes, in virtual time.
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -8,8 +8,8 @@
 #include <queue>
 
 #include "spokesail/push-rounds.h"
+#include "spokesail/server-backoffs.h"
 #include "spokesail/server-directory.h"
-#include "spokesail/server-rests.h"
 
 namespace spokesail {
 namespace {
@@ -19,30 +19,30 @@
 }
 
 /// How a node decides whether a server may get a request.
-class rest_policy {
+class backoff_policy {
  public:
-  virtual ~rest_policy() = default;
-  virtual void refused(const server_instance& server, absl::Duration rest,
+  virtual ~backoff_policy() = default;
+  virtual void refused(const server_instance& server, absl::Duration backoff,
                        absl::Time now, random_stream& random) = 0;
   virtual bool may_send(const server_instance& server, absl::Time now) = 0;
 };
 
-class observed_rests : public rest_policy {
+class observed_backoffs : public backoff_policy {
  public:
-  void refused(const server_instance& server, absl::Duration rest,
+  void refused(const server_instance& server, absl::Duration backoff,
                absl::Time now, random_stream& random) override {
-    this->rests.note(server, rest, now, random);
+    this->backoffs.note(server, backoff, now, random);
   }
   bool may_send(const server_instance& server, absl::Time now) override {
-    return !this->rests.find(server, now);
+    return !this->backoffs.find(server, now);
   }
 
  private:
-  server_rests rests;
+  server_backoffs backoffs;
 };
 
 /// Mutant: a fixed pause, whatever the server asks for.
-class fixed_pause : public rest_policy {
+class fixed_pause : public backoff_policy {
  public:
   void refused(const server_instance& server, absl::Duration, absl::Time now,
                random_stream&) override {
@@ -56,12 +56,12 @@
   std::map<server_instance, absl::Time> until;
 };
 
-/// Mutant: the last rest counts, so that a shorter one ends a longer one.
-class last_rest : public rest_policy {
+/// Mutant: the last backoff counts, so that a shorter one ends a longer one.
+class last_backoff : public backoff_policy {
  public:
-  void refused(const server_instance& server, absl::Duration rest,
+  void refused(const server_instance& server, absl::Duration backoff,
                absl::Time now, random_stream&) override {
-    this->until[server] = now + rest;
+    this->until[server] = now + backoff;
   }
   bool may_send(const server_instance& server, absl::Time now) override {
     return now >= this->until[server];
@@ -75,19 +75,19 @@
   int nodes = 9;
   int servers = 18;
   /// Servers that turn all requests away between two times.
-  int resting_servers = 6;
-  double rest_from_s = 2;
-  double rest_to_s = 8;
+  int servers_in_backoff = 6;
+  double backoff_from_s = 2;
+  double backoff_to_s = 8;
   /// Requests per second at each node.
   double rate = 15;
   uint64_t seed = 1;
 };
 
-/// Requests of a fleet of nodes to servers that turn some away and ask for a
-/// rest of 0.2 to 4 s. Nodes choose among the servers at random.
-class rest_fleet {
+/// Requests of a fleet of nodes to servers that turn some away and ask for
+/// a backoff of 0.2 to 4 s. Nodes choose among the servers at random.
+class backoff_fleet {
  public:
-  explicit rest_fleet(const fleet_options& options)
+  explicit backoff_fleet(const fleet_options& options)
       : options(options), random{std::mt19937_64(options.seed)} {}
 
   template <typename Policy>
@@ -111,22 +111,23 @@
   }
 
   /// Largest number of requests from one node at a server, from half a second
-  /// after an answer that asked the node for rest until the rest's end.
-  int most_in_a_rest() const {
+  /// after an answer that asked the node to back off until the end of the
+  /// backoff.
+  int most_in_a_backoff() const {
     int most = 0;
     for (const auto& asked : this->asked) {
       const auto& times = this->arrivals.at({asked.server, asked.node});
       most = std::max(most, static_cast<int>(std::count_if(
                                 times.begin(), times.end(), [&](double t) {
                                   return t > asked.at + 0.5 &&
-                                         t < asked.at + asked.rest_s;
+                                         t < asked.at + asked.backoff_s;
                                 })));
     }
     return most;
   }
 
   int sent = 0;
-  /// Requests for which all servers rested.
+  /// Requests for which all servers were in backoff.
   int refused = 0;
   int turned_away = 0;
 
@@ -142,14 +143,14 @@
     /// -1 for a new request of a caller.
     int server = -1;
     bool is_answer = false;
-    double rest_s = 0;
+    double backoff_s = 0;
     bool operator<(const event& other) const { return this->at > other.at; }
   };
-  struct request_for_rest {
+  struct backoff_request {
     int server;
     int node;
     double at;
-    double rest_s;
+    double backoff_s;
   };
 
   double next_gap() {
@@ -157,8 +158,8 @@
   }
   double delay() { return min_delay_s + delay_range_s * this->random.unit(); }
   void push(double when, int node, int server, bool is_answer,
-            double rest_s = 0) {
-    this->events.push({when, node, server, is_answer, rest_s});
+            double backoff_s = 0) {
+    this->events.push({when, node, server, is_answer, backoff_s});
   }
   static server_instance instance(int server) {
     return {std::to_string(server), 1};
@@ -182,68 +183,68 @@
 
   void on_arrival(const event& e) {
     this->arrivals[{e.server, e.node}].push_back(e.at);
-    const bool turns_away = e.server < this->options.resting_servers &&
-                            e.at >= this->options.rest_from_s &&
-                            e.at < this->options.rest_to_s;
+    const bool turns_away = e.server < this->options.servers_in_backoff &&
+                            e.at >= this->options.backoff_from_s &&
+                            e.at < this->options.backoff_to_s;
     if (!turns_away) return;
     this->turned_away++;
-    const double rest_s = 0.2 + 3.8 * this->random.unit();
-    this->asked.push_back({e.server, e.node, e.at, rest_s});
-    this->push(e.at + this->delay(), e.node, e.server, true, rest_s);
+    const double backoff_s = 0.2 + 3.8 * this->random.unit();
+    this->asked.push_back({e.server, e.node, e.at, backoff_s});
+    this->push(e.at + this->delay(), e.node, e.server, true, backoff_s);
   }
 
   void on_refusal(const event& e) {
-    this->policies[e.node]->refused(instance(e.server), absl::Seconds(e.rest_s),
-                                    at(e.at), this->random);
+    this->policies[e.node]->refused(
+        instance(e.server), absl::Seconds(e.backoff_s), at(e.at), this->random);
     this->send(e.at, e.node);
   }
 
   const fleet_options options;
   random_stream random;
-  std::vector<std::unique_ptr<rest_policy>> policies;
+  std::vector<std::unique_ptr<backoff_policy>> policies;
   std::priority_queue<event> events;
   std::map<std::pair<int, int>, std::vector<double>> arrivals;
-  std::vector<request_for_rest> asked;
+  std::vector<backoff_request> asked;
 };
 
 constexpr int allowed = 2;
 
-// Guards against sends during rests at any size of the fleet.
-TEST(rest_fleet, keeps_rests_at_9_83_and_295_nodes) {
+// Guards against sends during backoffs at any size of the fleet.
+TEST(backoff_fleet, observes_backoffs_at_9_83_and_295_nodes) {
   for (const int nodes : {9, 83, 295}) {
     fleet_options options;
     options.nodes = nodes;
-    rest_fleet fleet(options);
-    fleet.run<observed_rests>();
+    backoff_fleet fleet(options);
+    fleet.run<observed_backoffs>();
     EXPECT_GT(fleet.turned_away, 0);
-    EXPECT_LE(fleet.most_in_a_rest(), allowed) << nodes;
+    EXPECT_LE(fleet.most_in_a_backoff(), allowed) << nodes;
     EXPECT_EQ(fleet.refused, 0) << nodes;
   }
 }
 
 // Guards against a bound that holds by chance.
-RC_GTEST_PROP(rest_fleet, keeps_rests_in_any_fleet, (uint64_t seed)) {
+RC_GTEST_PROP(backoff_fleet, observes_backoffs_in_any_fleet, (uint64_t seed)) {
   fleet_options options;
   options.seed = seed;
   options.nodes = *rc::gen::inRange(1, 40);
   options.servers = *rc::gen::inRange(1, 20);
-  options.resting_servers = *rc::gen::inRange(0, options.servers + 1);
+  options.servers_in_backoff = *rc::gen::inRange(0, options.servers + 1);
   options.rate = *rc::gen::inRange(1, 100);
-  rest_fleet fleet(options);
-  fleet.run<observed_rests>();
-  RC_ASSERT(fleet.most_in_a_rest() <= allowed);
+  backoff_fleet fleet(options);
+  fleet.run<observed_backoffs>();
+  RC_ASSERT(fleet.most_in_a_backoff() <= allowed);
 }
 
-TEST(rest_fleet, a_fixed_pause_breaks_the_bound) {
-  rest_fleet fleet({.rate = 60});
+TEST(backoff_fleet, a_fixed_pause_breaks_the_bound) {
+  backoff_fleet fleet({.rate = 60});
   fleet.run<fixed_pause>();
-  EXPECT_GT(fleet.most_in_a_rest(), allowed);
+  EXPECT_GT(fleet.most_in_a_backoff(), allowed);
 }
 
-TEST(rest_fleet, a_shorter_rest_that_counts_breaks_the_bound) {
-  rest_fleet fleet({.rate = 150});
-  fleet.run<last_rest>();
-  EXPECT_GT(fleet.most_in_a_rest(), allowed);
+TEST(backoff_fleet, a_shorter_backoff_that_counts_breaks_the_bound) {
+  backoff_fleet fleet({.rate = 150});
+  fleet.run<last_backoff>();
+  EXPECT_GT(fleet.most_in_a_backoff(), allowed);
 }
 
 /// Nodes that tell each other of a departure.
--- a/test/fleet-adapter-test.cc
+++ b/test/fleet-adapter-test.cc
@@ -321,31 +321,31 @@
   return adapter->read_response_head(status, head);
 }
 
-TEST(fleet_adapter, reads_rest_of_refusal) {
-  EXPECT_EQ(read_refusal(503, {"3"}).rest, absl::Seconds(3));
-  EXPECT_EQ(read_refusal(503, {"0.25"}).rest, absl::Milliseconds(250));
-  EXPECT_EQ(read_refusal(503, {"0"}).rest, absl::ZeroDuration());
-  EXPECT_EQ(read_refusal(503, {"86400"}).rest, absl::Hours(24));
-  EXPECT_FALSE(read_refusal(503, {}).rest);
-  EXPECT_FALSE(read_refusal(503, {}).rest_invalid);
+TEST(fleet_adapter, reads_backoff_of_refusal) {
+  EXPECT_EQ(read_refusal(503, {"3"}).backoff, absl::Seconds(3));
+  EXPECT_EQ(read_refusal(503, {"0.25"}).backoff, absl::Milliseconds(250));
+  EXPECT_EQ(read_refusal(503, {"0"}).backoff, absl::ZeroDuration());
+  EXPECT_EQ(read_refusal(503, {"86400"}).backoff, absl::Hours(24));
+  EXPECT_FALSE(read_refusal(503, {}).backoff);
+  EXPECT_FALSE(read_refusal(503, {}).backoff_invalid);
   for (const char* value : {"", "soon", "-1", "nan", "inf", "1e999", "3s",
                             "Wed, 02 Dec 2026 10:00:00 GMT"}) {
-    EXPECT_FALSE(read_refusal(503, {value}).rest) << value;
-    EXPECT_TRUE(read_refusal(503, {value}).rest_invalid) << value;
+    EXPECT_FALSE(read_refusal(503, {value}).backoff) << value;
+    EXPECT_TRUE(read_refusal(503, {value}).backoff_invalid) << value;
   }
 }
 
-TEST(fleet_adapter, reads_longest_of_repeated_rests) {
-  EXPECT_EQ(read_refusal(503, {"3", "1"}).rest, absl::Seconds(3));
+TEST(fleet_adapter, reads_longest_of_repeated_backoffs) {
+  EXPECT_EQ(read_refusal(503, {"3", "1"}).backoff, absl::Seconds(3));
   const answer_head mixed = read_refusal(503, {"soon", "2"});
-  EXPECT_EQ(mixed.rest, absl::Seconds(2));
-  EXPECT_TRUE(mixed.rest_invalid);
+  EXPECT_EQ(mixed.backoff, absl::Seconds(2));
+  EXPECT_TRUE(mixed.backoff_invalid);
 }
 
-TEST(fleet_adapter, ignores_rest_of_other_answers) {
+TEST(fleet_adapter, ignores_backoff_of_other_answers) {
   for (const unsigned status : {200U, 421U, 429U, 500U}) {
-    EXPECT_FALSE(read_refusal(status, {"3"}).rest) << status;
-    EXPECT_FALSE(read_refusal(status, {"soon"}).rest_invalid) << status;
+    EXPECT_FALSE(read_refusal(status, {"3"}).backoff) << status;
+    EXPECT_FALSE(read_refusal(status, {"soon"}).backoff_invalid) << status;
   }
 }
 
--- a/test/server-rest-test.cc
+++ b/test/server-backoff-test.cc
@@ -1,4 +1,4 @@
-// Nodes in front of servers that turn requests away and ask for rest.
+// Nodes in front of servers that turn requests away and ask to back off.
 #include <atomic>
 
 #include "node-fixture.h"
@@ -12,15 +12,15 @@
 /// Time after a server's answer in which requests that are already under way
 /// may still arrive.
 constexpr absl::Duration notice_period = absl::Milliseconds(500);
-/// Requests from one node that may reach a server in the remaining rest.
+/// Requests from one node that may reach a server in the remaining backoff.
 constexpr int max_arrivals = 2;
 
 /// The node that a request of `send_load` was sent to.
 std::string node_of(const std::string& id) { return id.substr(0, 2); }
 
-class server_rest_test : public node_test {
+class server_backoff_test : public node_test {
  protected:
-  server_rest_test() { this->keys_fail_closed = false; }
+  server_backoff_test() { this->keys_fail_closed = false; }
 
   /// Makes servers turn requests away; `retry_after` is in seconds.
   void reject(const std::set<std::string>& servers,
@@ -62,20 +62,20 @@
   }
 
   /// Largest number of requests that reached a server from one node within a
-  /// rest that the server had asked this node for.
-  int max_arrivals_in_a_rest(absl::Duration rest) {
+  /// backoff that the server had asked this node for.
+  int max_arrivals_in_a_backoff(absl::Duration backoff) {
     const auto record = this->on_loop([this] { return this->fleet->record; });
     int most = 0;
     for (const auto& asked : record.rejections) {
-      const auto in_rest = [&](const auto& arrival) {
+      const auto in_backoff = [&](const auto& arrival) {
         return arrival.server == asked.server &&
                node_of(arrival.id) == node_of(asked.id) &&
                arrival.at > asked.at + notice_period &&
-               arrival.at < asked.at + rest;
+               arrival.at < asked.at + backoff;
       };
       const auto& arrivals = record.arrivals;
       const auto count =
-          std::count_if(arrivals.begin(), arrivals.end(), in_rest);
+          std::count_if(arrivals.begin(), arrivals.end(), in_backoff);
       most = std::max(most, static_cast<int>(count));
     }
     return most;
@@ -95,44 +95,44 @@
   std::atomic<int> not_served = 0;
 };
 
-// Guards against sends to a group whose head has asked this node for rest.
-TEST_F(server_rest_test, a_resting_head_gets_no_more_requests) {
+// Guards against sends to a group whose head has asked this node to back off.
+TEST_F(server_backoff_test, a_head_in_backoff_gets_no_more_requests) {
   this->start(node_count);
   this->reject({this->serving_head()}, {"4"});
   this->send_load(absl::Seconds(5), stream_request);
   EXPECT_GT(this->rejections(), 0);
-  EXPECT_LE(this->max_arrivals_in_a_rest(absl::Seconds(4)), max_arrivals);
+  EXPECT_LE(this->max_arrivals_in_a_backoff(absl::Seconds(4)), max_arrivals);
   EXPECT_EQ(this->not_served, 0);
 }
 
-// Guards against sends to a plain server that has asked this node for rest.
-TEST_F(server_rest_test, a_resting_plain_server_gets_no_more_requests) {
+// Guards against sends to a plain server that has asked this node to back off.
+TEST_F(server_backoff_test, a_plain_server_in_backoff_gets_no_more_requests) {
   this->start(node_count);
   this->reject({"p0"}, {"4"});
   this->send_load(absl::Seconds(5), plain_request);
   EXPECT_GT(this->rejections(), 0);
-  EXPECT_LE(this->max_arrivals_in_a_rest(absl::Seconds(4)), max_arrivals);
+  EXPECT_LE(this->max_arrivals_in_a_backoff(absl::Seconds(4)), max_arrivals);
   EXPECT_EQ(this->not_served, 0);
 }
 
-// Guards against rests that count only if the answer states "not run".
-TEST_F(server_rest_test, a_rest_counts_in_an_unmarked_refusal) {
+// Guards against backoffs that count only if the answer states "not run".
+TEST_F(server_backoff_test, backoff_counts_in_an_unmarked_refusal) {
   this->start(node_count);
   this->reject({this->serving_head()}, {"4"}, false);
   this->send_load(absl::Seconds(5), stream_request);
   EXPECT_GT(this->rejections(), 0);
-  EXPECT_LE(this->max_arrivals_in_a_rest(absl::Seconds(4)), max_arrivals);
+  EXPECT_LE(this->max_arrivals_in_a_backoff(absl::Seconds(4)), max_arrivals);
 }
 
-// Guards against requests that wait, or run, while all servers rest.
-TEST_F(server_rest_test, refused_while_all_servers_rest) {
+// Guards against requests that wait, or run, while all servers are in backoff.
+TEST_F(server_backoff_test, refused_while_all_servers_are_in_backoff) {
   this->start(1);
   this->reject({}, {"4"});
   for (int i = 0; i < 10; ++i) {
     const auto id = absl::StrCat("n0-", i);
     const auto answer = this->send_request(stream_request(id));
     EXPECT_EQ(answer.result_int(), 503U);
-    EXPECT_EQ(answer.body(), "servers want rest");
+    EXPECT_EQ(answer.body(), "servers asked to back off");
     const double seconds = std::stod(std::string(answer["Retry-After"]));
     EXPECT_GT(seconds, 2);
     EXPECT_LE(seconds, 5.5);
@@ -145,8 +145,8 @@
   }
 }
 
-// Guards against callers that wait for one server's rest.
-TEST_F(server_rest_test, callers_do_not_get_a_servers_retry_after) {
+// Guards against callers that wait for one server's backoff.
+TEST_F(server_backoff_test, callers_do_not_get_a_servers_retry_after) {
   this->start(1);
   this->reject({"p0"}, {"4"}, false);
   for (int i = 0; i < 50 && this->rejections() == 0; ++i) {
@@ -160,8 +160,8 @@
   EXPECT_EQ(this->rejections(), 1U);
 }
 
-// Guards against servers that are not used again after a rest.
-TEST_F(server_rest_test, a_server_serves_again_after_its_rest) {
+// Guards against servers that are not used again after a backoff.
+TEST_F(server_backoff_test, a_server_serves_again_after_its_backoff) {
   this->start(node_count);
   const std::string head = this->serving_head();
   this->reject({head}, {"0.5"});
@@ -173,7 +173,7 @@
 }
 
 // Guards against servers that are lost because of a malformed header.
-TEST_F(server_rest_test, a_malformed_rest_does_not_last) {
+TEST_F(server_backoff_test, a_malformed_backoff_does_not_last) {
   this->start(node_count);
   const std::string head = this->serving_head();
   this->reject({head}, {"soon", "-1"});
@@ -184,13 +184,13 @@
             0);
 }
 
-// Guards against a shorter rest that ends a longer one.
-TEST_F(server_rest_test, the_longest_of_repeated_headers_counts) {
+// Guards against a shorter backoff that ends a longer one.
+TEST_F(server_backoff_test, the_longest_of_repeated_headers_counts) {
   this->start(node_count);
   this->reject({this->serving_head()}, {"0.1", "4"});
   this->send_load(absl::Seconds(5), stream_request);
   EXPECT_GT(this->rejections(), 0);
-  EXPECT_LE(this->max_arrivals_in_a_rest(absl::Seconds(4)), max_arrivals);
+  EXPECT_LE(this->max_arrivals_in_a_backoff(absl::Seconds(4)), max_arrivals);
 }
 
 }  // namespace
