Find the member that a refusal names by its address

A group that cannot serve names the member at fault in its 503. Nodes looked it up by id, but servers name it by address, so that it was suspected under a name that no server has: the lease holder ignored it, and the member was found later, by a stalled stream or a probe. The member is now looked up by both.

--- a/include/spokesail/platform-adapter.h
+++ b/include/spokesail/platform-adapter.h
@@ -80,7 +80,8 @@
   /// Whether the response carries the server's stamp. A response without one
   /// may not come from the server itself.
   bool has_server_stamp = false;
-  /// Server that caused a group to refuse a request; empty if unknown.
+  /// Id or address of the server that caused a group to refuse a request; empty
+  /// if unknown.
   std::string faulty_server;
   /// How long the server keeps the connection open; nothing if not stated.
   std::optional<absl::Duration> keep_alive;
--- a/src/request-handler.cc
+++ b/src/request-handler.cc
@@ -361,8 +361,7 @@
                       absl::StrCat("status ", ex.head().result_int(), " at ",
                                    head.faulty_server));
     this->node.avoid_endpoint(ex.endpoint.load_key());
-    if (!head.faulty_server.empty())
-      this->node.suspect_server(head.faulty_server);
+    this->suspect_member(ex.endpoint, head.faulty_server);
     return attempt_result::not_run;
   }
   this->possible_runs++;
@@ -377,6 +376,16 @@
   return std::nullopt;
 }
 
+void request_handler::suspect_member(const endpoint_target& endpoint,
+                                     const std::string& named) {
+  for (const auto& id : endpoint.members) {
+    const server_entry* entry = this->node.directory.find(id);
+    const bool matches =
+        id == named || (entry != nullptr && entry->address == named);
+    if (matches) this->node.suspect_server(id);
+  }
+}
+
 bool request_handler::may_retry(attempt_result result) {
   if (this->session.disconnected || this->attempts_made >= max_attempts)
     return false;
--- a/src/request-handler.h
+++ b/src/request-handler.h
@@ -105,6 +105,10 @@
   /// Records what a response says about the server's own state: that it asks
   /// this node to back off, or that it is leaving.
   void record_server_state(const exchange& ex, const answer_head& head);
+  /// Suspects the member of the endpoint that a response names as the cause of
+  /// a refusal, by its id or its address; none if it names no member.
+  void suspect_member(const endpoint_target& endpoint,
+                      const std::string& named);
   /// Whether the request may be sent again after an attempt with this result.
   bool may_retry(attempt_result result);
   /// Reserves a retry in the budget; the reservation is held while the endpoint
--- a/standin/fleet-standin.cc
+++ b/standin/fleet-standin.cc
@@ -281,6 +281,9 @@
   response out = make_response(503, "");
   out.set("X-Response-Stamp", "stamp-" + h.id);
   if (settings.marked) out.set("X-Not-Executed", "1");
+  if (!settings.faulty_server.empty()) {
+    out.set("At-Server", settings.faulty_server);
+  }
   for (const auto& value : settings.retry_after) {
     out.insert("Retry-After", value);
   }
--- a/standin/fleet-standin.h
+++ b/standin/fleet-standin.h
@@ -49,6 +49,9 @@
   std::vector<std::string> retry_after;
   /// Whether the answers state that the request has not run.
   bool marked = true;
+  /// Id or address of the server that the answers name as the cause; none if
+  /// empty.
+  std::string faulty_server;
 };
 
 /// Servers that announce in all answers that they are leaving. Their entries do
--- a/test/server-backoff-test.cc
+++ b/test/server-backoff-test.cc
@@ -145,6 +145,25 @@
   }
 }
 
+// Guards against group members whose fault is reported and not looked into.
+TEST_F(server_backoff_test, a_server_named_by_its_address_is_suspected) {
+  this->start(1);
+  const std::string member = this->serving_member();
+  this->on_loop([&, this] {
+    auto& rejection = this->fleet->faults.rejection;
+    const auto& servers = this->fleet->engines().directory().servers();
+    rejection.servers = {this->fleet->serving_head("large")};
+    rejection.faulty_server = servers.at(member).entry.address;
+    rejection.active = true;
+  });
+  for (int i = 0; i < 50 && this->rejections() == 0; ++i) {
+    this->send_request(stream_request(absl::StrCat("n0-", i)));
+  }
+  const auto suspected = this->on_loop(
+      [this] { return this->nodes[0]->context().suspected_servers; });
+  EXPECT_EQ(suspected.count(member), 1U);
+}
+
 // Guards against callers that wait for one server's backoff.
 TEST_F(server_backoff_test, callers_do_not_get_a_servers_retry_after) {
   this->start(1);
