Check a server's state once more after connecting

A request was withheld after connecting for a backoff or an announced departure alone. What the list of servers says of a departure, and an evacuation of the data hall, count as well now, by one function that is tested by itself (server_backoff.requests_are_withheld_after_connecting). server_instance gets a header of its own.

--- a/include/spokesail/server-backoffs.h
+++ b/include/spokesail/server-backoffs.h
@@ -7,7 +7,7 @@
 #include <optional>
 
 #include "spokesail/hash.h"
-#include "spokesail/server-limits.h"
+#include "spokesail/server-instance.h"
 
 namespace spokesail {
 
--- a/include/spokesail/server-directory.h
+++ b/include/spokesail/server-directory.h
@@ -12,7 +12,7 @@
 #include <vector>
 
 #include "spokesail/server-entry.h"
-#include "spokesail/server-limits.h"
+#include "spokesail/server-instance.h"
 
 namespace spokesail {
 
--- a/include/spokesail/server-limits.h
+++ b/include/spokesail/server-limits.h
@@ -8,18 +8,11 @@
 #include <map>
 #include <optional>
 #include <set>
-#include <string>
 #include <vector>
 
-namespace spokesail {
+#include "spokesail/server-instance.h"
 
-/// A server process, identified by server id and incarnation.
-struct server_instance {
-  std::string server;
-  /// Distinguishes restarts under the same id; 0 if unknown.
-  int64_t incarnation = 0;
-  auto operator<=>(const server_instance&) const = default;
-};
+namespace spokesail {
 
 /// The state of a server's request rate limit, which applies across all nodes.
 struct limit_report {
--- a/src/node-context.cc
+++ b/src/node-context.cc
@@ -113,6 +113,21 @@
   return true;
 }
 
+const char* node_context::reason_to_withhold(
+    const server_instance& server) const {
+  if (this->backoffs.find(server, this->now())) {
+    return "server asked to back off";
+  }
+  const server_entry* entry = this->directory.find(server.server);
+  const bool listed =
+      entry != nullptr && entry->incarnation == server.incarnation;
+  if (this->directory.is_leaving(server) || (listed && entry->draining)) {
+    return "server is leaving";
+  }
+  return listed && this->hall_closed(entry->hall) ? "data hall is evacuated"
+                                                  : nullptr;
+}
+
 void node_context::suspect_server(const std::string& server) {
   this->suspected_servers[server] = this->now();
 }
--- a/src/node-context.h
+++ b/src/node-context.h
@@ -203,6 +203,9 @@
   /// Records that a server is about to end. Returns whether this was not yet
   /// known.
   bool mark_leaving(const server_instance& server);
+  /// Why a server must not get a request that was about to be sent to it; null
+  /// if it may.
+  const char* reason_to_withhold(const server_instance& server) const;
   /// Records that a server did not answer.
   void suspect_server(const std::string& server);
 
--- a/src/request-handler.cc
+++ b/src/request-handler.cc
@@ -272,7 +272,12 @@
   const bool reuse = this->route->repeatable && !this->server_lost_before;
   const std::string error = co_await ex.connect(reuse);
   if (error.empty()) {
-    const char* reason = this->reason_to_withhold(ex);
+    // The endpoint was chosen before connecting.
+    const char* reason =
+        this->node.now() >= ex.endpoint.send_by
+            ? "connected after the grant expired"
+            : this->node.reason_to_withhold(
+                  {ex.endpoint.server, ex.endpoint.incarnation});
     if (reason == nullptr) co_return true;
     ex.withheld = true;
     this->log_attempt(ex, "not_sent", reason);
@@ -284,15 +289,6 @@
   co_return false;
 }
 
-const char* request_handler::reason_to_withhold(const exchange& ex) const {
-  const absl::Time now = this->node.now();
-  if (now >= ex.endpoint.send_by) return "connected after the grant expired";
-  const server_instance server{ex.endpoint.server, ex.endpoint.incarnation};
-  if (this->node.backoffs.find(server, now)) return "server asked to back off";
-  if (this->node.directory.is_leaving(server)) return "server is leaving";
-  return nullptr;
-}
-
 net::awaitable<bool> request_handler::send_and_read_head(exchange& ex) {
   if (this->reserved) this->count_retry();
   if (this->chosen.limit) this->node.metrics.count_limited("sent");
--- a/src/request-handler.h
+++ b/src/request-handler.h
@@ -90,9 +90,6 @@
   /// Connects to the server. Returns false if no connection was made in time,
   /// or if the request must not be sent any more.
   boost::asio::awaitable<bool> connect(exchange& ex);
-  /// Why a request must not be sent over a connection that was just made; null
-  /// if it may be. The endpoint was chosen before connecting.
-  const char* reason_to_withhold(const exchange& ex) const;
   /// Sends the request and reads the response head. Returns false if none came.
   boost::asio::awaitable<bool> send_and_read_head(exchange& ex);
   /// The result of an attempt whose response head settles it; nothing if the
--- a/test/server-backoff-test.cc
+++ b/test/server-backoff-test.cc
@@ -145,6 +145,22 @@
   }
 }
 
+// Guards against requests that were connecting when the server's state changed.
+TEST_F(server_backoff_test, requests_are_withheld_after_connecting) {
+  this->start(1);
+  this->on_loop([this] {
+    node_context& node = this->nodes[0]->context();
+    const server_instance server{"p0", 0};
+    EXPECT_EQ(node.reason_to_withhold(server), nullptr);
+    node.backoffs.note(server, absl::Seconds(60), node.now(), node.random);
+    EXPECT_STREQ(node.reason_to_withhold(server), "server asked to back off");
+    EXPECT_EQ(node.reason_to_withhold({"p0", 7}), nullptr);
+    node.mark_leaving({"p1", 0});
+    EXPECT_STREQ(node.reason_to_withhold({"p1", 0}), "server is leaving");
+    return 0;
+  });
+}
+
 // Guards against group members whose fault is reported and not looked into.
 TEST_F(server_backoff_test, a_server_named_by_its_address_is_suspected) {
   this->start(1);
