Refuse at once when the last server has asked to back off

A request that every server had turned away waited 1.5 s for another, though all of them were in backoff and none of those that it had tried could take it again: its caller was refused late. Only servers that it had not tried were looked at, and there were none. If all servers that could take a request are in backoff, it is now refused without a wait.

server_backoff.refused_at_once_by_the_last_server_in_backoff failed before (the caller was told the time that was left after the wait) and passes.

--- a/src/request-routing.cc
+++ b/src/request-routing.cc
@@ -293,7 +293,7 @@
   if (this->node.service_closed(this->service->name)) {
     return absl::ZeroDuration();
   }
-  const auto backoff = this->common_backoff(this->tried_endpoints);
+  const auto untried = this->common_backoff(this->tried_endpoints);
   // A request for which there is no capacity is refused at once: its caller can
   // still return in time, whereas a waiting request would be served late.
   absl::Duration wait = absl::ZeroDuration();
@@ -301,13 +301,15 @@
     wait = retry_wait;
   } else if (this->ungranted_count > 0) {
     wait = grant_wait;
-  } else if (backoff) {
+  } else if (untried) {
     wait = backoff_wait;
   }
   wait = std::min(wait, this->time_left() / 2);
+  // If every server was tried, the end of a backoff does not help this request.
+  const bool hopeless = untried ? untried->until > this->node.now() + wait
+                                : this->common_backoff().has_value();
   // A stream that has begun cannot be refused; another group may open for it.
-  const bool too_long = backoff && backoff->until > this->node.now() + wait;
-  return too_long && !this->head_sent ? absl::ZeroDuration() : wait;
+  return hopeless && !this->head_sent ? absl::ZeroDuration() : wait;
 }
 
 net::awaitable<std::optional<endpoint_target>>
--- a/test/server-backoff-test.cc
+++ b/test/server-backoff-test.cc
@@ -124,6 +124,17 @@
   EXPECT_LE(this->max_arrivals_in_a_backoff(absl::Seconds(4)), max_arrivals);
 }
 
+// Guards against a request that waits after all servers have turned it away: a
+// caller that is told later is told a shorter time.
+TEST_F(server_backoff_test, refused_at_once_by_the_last_server_in_backoff) {
+  this->start(1);
+  this->reject({}, {"4"});
+  const auto answer = this->send_request(stream_request("n0-0"));
+  EXPECT_EQ(answer.result_int(), 503U);
+  EXPECT_EQ(answer.body(), "servers asked to back off");
+  EXPECT_GE(std::stod(std::string(answer["Retry-After"])), 3.5);
+}
+
 // Guards against requests that wait, or run, while all servers are in backoff.
 TEST_F(server_backoff_test, refused_while_all_servers_are_in_backoff) {
   this->start(1);
