--- a/test/server-backoff-test.cc
+++ b/test/server-backoff-test.cc
@@ -124,8 +124,8 @@
   EXPECT_LE(this->max_arrivals_in_a_backoff(absl::Seconds(4)), max_arrivals);
 }
 
-// Guards against a request that waits after all servers have turned it away: a
-// caller that is told later is told a shorter time.
+// Guards against a request that waits after all servers have turned it away.
+// The retry delay shrinks with the time that has passed since.
 TEST_F(server_backoff_test, refused_at_once_by_the_last_server_in_backoff) {
   this->start(1);
   this->reject({}, {"4"});
