--- a/src/crash-check.cc
+++ b/src/crash-check.cc
@@ -34,11 +34,11 @@
   const http_request request =
       node.adapter.write_report_request(endpoint.server);
   fetch_result result =
-      co_await node.fetcher.fetch(endpoint.address, request, probe_timeout);
+      co_await node.call_server(endpoint.address, request, probe_timeout);
   // Retries once, since the server may just have closed a kept connection.
   if (result.status == fetch_status::no_response) {
     result =
-        co_await node.fetcher.fetch(endpoint.address, request, probe_timeout);
+        co_await node.call_server(endpoint.address, request, probe_timeout);
   }
   if (result.status == fetch_status::ok) {
     co_return classify_answer(node, endpoint, result.response);
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -89,7 +89,8 @@
   const absl::Time attempt_deadline = this->deadline;
   this->deadline =
       std::min(attempt_deadline, this->node.now() + connect_timeout);
-  const auto error = co_await connect_to(this->socket, this->endpoint.address);
+  const auto error =
+      co_await this->node.dialer->dial(this->socket, this->endpoint.address);
   this->deadline = attempt_deadline;
   co_return error ? error.message() : std::string();
 }
--- a/src/group-controller-runner.cc
+++ b/src/group-controller-runner.cc
@@ -118,7 +118,7 @@
 net::awaitable<void> group_controller_runner::send_order(group_order order) {
   const http_request request = this->node.adapter.write_order(order);
   const fetch_result result =
-      co_await this->node.fetcher.fetch(order.address, request, order_timeout);
+      co_await this->node.call_server(order.address, request, order_timeout);
   order_result outcome = order_result::unknown;
   if (result.status == fetch_status::not_sent)
     outcome = order_result::unreachable;
@@ -156,7 +156,7 @@
   const absl::Duration timeout =
       report_timeout + delay_allowance * this->node.loop_delay;
   const fetch_result result =
-      co_await this->node.fetcher.fetch(address, request, timeout);
+      co_await this->node.call_server(address, request, timeout);
   std::optional<server_report> report;
   if (result.status == fetch_status::ok) {
     report = this->node.adapter.read_report(result.response);
--- a/src/http-fetch.cc
+++ b/src/http-fetch.cc
@@ -69,14 +69,17 @@
 
 net::awaitable<fetch_result> http_fetcher::fetch(std::string address,
                                                  http_request request,
-                                                 absl::Duration timeout) {
+                                                 absl::Duration timeout,
+                                                 server_dialer* dialer) {
   fetch_result out;
   auto socket = this->take_idle(address);
   const bool is_new = socket == nullptr;
   if (is_new) socket = std::make_shared<tcp::socket>(this->executor);
   socket_deadline deadline(socket, timeout);
   if (is_new) {
-    const auto error = co_await connect_to(*socket, address);
+    const auto error = dialer == nullptr
+                           ? co_await connect_to(*socket, address)
+                           : co_await dialer->dial(*socket, address);
     if (error) {
       out.error = error.message();
       co_return out;
--- a/src/http-fetch.h
+++ b/src/http-fetch.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "server-dialer.h"
 #include "spokesail/platform-adapter.h"
 
 namespace spokesail {
@@ -51,10 +52,12 @@
       : executor(std::move(executor)), agent(std::move(agent)) {}
 
   /// Sends one request and reads the complete response. `timeout` covers the
-  /// whole call, including connecting.
+  /// whole call, including connecting. New connections are opened by `dialer`;
+  /// directly if it is null.
   boost::asio::awaitable<fetch_result> fetch(std::string address,
                                              http_request request,
-                                             absl::Duration timeout);
+                                             absl::Duration timeout,
+                                             server_dialer* dialer = nullptr);
 
   /// Closes connections that have been idle for longer than `age`.
   void close_idle(absl::Duration age, absl::Time now);
--- a/src/node-context.cc
+++ b/src/node-context.cc
@@ -46,6 +46,12 @@
   co_await timer.async_wait(detail::use_tuple);
 }
 
+boost::asio::awaitable<fetch_result> node_context::call_server(
+    std::string address, http_request request, absl::Duration timeout) {
+  co_return co_await this->fetcher.fetch(std::move(address), std::move(request),
+                                         timeout, this->dialer.get());
+}
+
 void node_context::record_loop_delay(absl::Duration delay) {
   this->loop_delay =
       std::max(delay, this->loop_delay * node_timing::loop_delay_decay);
--- a/src/node-context.h
+++ b/src/node-context.h
@@ -76,6 +76,8 @@
   object_store& store;
   http_fetcher& fetcher;
   node_log& log;
+  /// Opens connections to backend servers; never null. Replaced by tests.
+  std::shared_ptr<server_dialer> dialer = std::make_shared<tcp_dialer>();
   node_metrics metrics;
   connection_pool pool;
   random_stream random;
@@ -165,6 +167,11 @@
   absl::Time now() const;
   /// Suspends the calling coroutine.
   boost::asio::awaitable<void> sleep(absl::Duration time);
+  /// Sends one request to a backend server and reads the complete response.
+  /// `timeout` covers the whole call.
+  boost::asio::awaitable<fetch_result> call_server(std::string address,
+                                                   http_request request,
+                                                   absl::Duration timeout);
   /// Records how late the loop ran a tick.
   void record_loop_delay(absl::Duration delay);
   /// Whether the process was asked to stop.
--- a/src/stall-detector.cc
+++ b/src/stall-detector.cc
@@ -139,7 +139,7 @@
   const std::string address = entry->address;
   const http_request request = this->node.adapter.write_report_request(server);
   const fetch_result result =
-      co_await this->node.fetcher.fetch(address, request, probe_timeout);
+      co_await this->node.call_server(address, request, probe_timeout);
   if (result.status == fetch_status::ok &&
       this->node.adapter.read_report(result.response)) {
     co_return;
--- a/standin/fleet-control.cc
+++ b/standin/fleet-control.cc
@@ -19,6 +19,12 @@
     this->fleet.engines().set_isolated(body.at("server"), body.at("dark"));
     return json::object();
   }
+  if (call == "/silent") {
+    silence_settings& silence = this->fleet.faults.silence;
+    silence.servers = body.at("servers").get<std::set<std::string>>();
+    silence.active = !silence.servers.empty();
+    return json::object();
+  }
   if (call == "/drain") {
     this->fleet.engines().drain(body.at("server"), absl::Now());
     return json::object();
--- a/standin/fleet-main.cc
+++ b/standin/fleet-main.cc
@@ -48,6 +48,14 @@
           "delay from startup until it is announced");
 ABSL_FLAG(absl::Duration, leaving_for, absl::InfiniteDuration(),
           "how long it is announced");
+ABSL_FLAG(double, silent_share, 0,
+          "fraction of the servers that neither read nor write for a time");
+ABSL_FLAG(std::string, silent_service, "",
+          "service whose servers fall silent; empty for all");
+ABSL_FLAG(absl::Duration, silent_from, absl::ZeroDuration(),
+          "delay from startup until they fall silent");
+ABSL_FLAG(absl::Duration, silent_for, absl::Seconds(1),
+          "how long they are silent");
 
 namespace spokesail::standin {
 namespace {
@@ -125,6 +133,16 @@
   return out;
 }
 
+silence_settings silence_from_flags() {
+  silence_settings out;
+  set_selection(out, absl::GetFlag(FLAGS_silent_service),
+                absl::GetFlag(FLAGS_silent_share),
+                absl::GetFlag(FLAGS_silent_from),
+                absl::GetFlag(FLAGS_silent_for));
+  out.active = out.share > 0;
+  return out;
+}
+
 }  // namespace
 }  // namespace spokesail::standin
 
@@ -138,6 +156,7 @@
   fleet.faults.limit = limit_from_flags();
   fleet.faults.rejection = rejection_from_flags();
   fleet.faults.departure = departure_from_flags();
+  fleet.faults.silence = silence_from_flags();
   fleet.start();
   fleet_control control(fleet);
   boost::asio::ip::tcp::acceptor acceptor(
--- a/standin/fleet-standin.cc
+++ b/standin/fleet-standin.cc
@@ -149,6 +149,39 @@
   }
 }
 
+void fleet_standin::set_links(const std::string& node, link_state state) {
+  this->links.set_state(node, state);
+  if (state != link_state::reset) return;
+  boost::system::error_code ignored;
+  for (auto& h : this->hosts) {
+    for (const auto& socket : h->connections) {
+      const auto remote = socket->remote_endpoint(ignored);
+      if (ignored || !this->links.dialed_by(node, remote.port())) continue;
+      socket->set_option(net::socket_base::linger(true, 0), ignored);
+      socket->close(ignored);
+    }
+  }
+}
+
+net::awaitable<bool> fleet_standin::wait_for_link(const host& h,
+                                                  socket_ptr socket) {
+  boost::system::error_code error;
+  const auto remote = socket->remote_endpoint(error);
+  if (error) co_return false;
+  const auto held = [&] {
+    return this->is_silent(h) ||
+           this->links.state_of_port(remote.port()) == link_state::silent;
+  };
+  if (!held()) co_return true;
+  while (held()) co_await sleep_for(poll_interval);
+  if (!socket->is_open()) co_return false;
+  char byte = 0;
+  socket->non_blocking(true, error);
+  const size_t size =
+      socket->receive(net::buffer(&byte, 1), tcp::socket::message_peek, error);
+  co_return error == net::error::would_block || size > 0;
+}
+
 net::awaitable<void> fleet_standin::run_emulator() {
   for (;;) {
     this->emulator.advance(absl::Now());
@@ -194,6 +227,7 @@
     auto [error, size] =
         co_await http::async_read(*socket, buffer, in, use_tuple);
     if (error) break;
+    if (!co_await this->wait_for_link(h, socket)) break;
     const bool stream = !h.plain && this->emulator.is_open_head(h.id) &&
                         in.method() == http::verb::post &&
                         in.target() != "/spokesail/order";
@@ -264,6 +298,11 @@
   return settings.active && is_selected(h, settings);
 }
 
+bool fleet_standin::is_silent(const host& h) const {
+  const silence_settings& settings = this->faults.silence;
+  return settings.active && is_selected(h, settings);
+}
+
 bool fleet_standin::rejects(const host& h) const {
   const rejection_settings& settings = this->faults.rejection;
   return settings.active && is_selected(h, settings);
@@ -346,6 +385,7 @@
   if (!id.empty()) out.set("X-Request-Id", wrong_id ? "another" : id);
   this->add_state_headers(h, out);
   out.prepare_payload();
+  if (!co_await this->wait_for_link(h, socket)) co_return false;
   auto [error, size] = co_await http::async_write(*socket, out, use_tuple);
   co_return !error;
 }
@@ -392,6 +432,7 @@
       if (!socket->is_open()) co_return false;
       co_await sleep_for(poll_interval);
     }
+    if (!co_await this->wait_for_link(h, socket)) co_return false;
     const std::string event =
         absl::StrCat("id: ", index, "\ndata: word", index, "\n\n");
     const std::string chunk =
--- a/standin/fleet-standin.h
+++ b/standin/fleet-standin.h
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "fleet-emulator.h"
+#include "server-links.h"
 
 namespace spokesail::standin {
 
@@ -60,6 +61,12 @@
   bool active = false;
 };
 
+/// Servers that neither read nor write, and then go on as if nothing had
+/// happened.
+struct silence_settings : server_selection {
+  bool active = false;
+};
+
 /// Faults of the fleet. `fail_plain_calls` and `break_after_events` end by
 /// themselves; the others stay in effect until they are changed.
 struct fleet_faults {
@@ -97,6 +104,7 @@
   limit_settings limit;
   rejection_settings rejection;
   departure_settings departure;
+  silence_settings silence;
 };
 
 /// A request that a server has started to run, or that has arrived there.
@@ -186,8 +194,12 @@
   /// Kills a server: resets its connections and closes its port.
   void kill(const std::string& id);
 
+  /// Changes the state of a node's links to all servers.
+  void set_links(const std::string& node, link_state state);
+
   fleet_faults faults;
   fleet_record record;
+  server_links links;
 
  private:
   struct stored_object {
@@ -228,6 +240,11 @@
   std::string advertised_limit(const host& h) const;
   /// Whether a host announces that it is leaving.
   bool is_leaving(const host& h) const;
+  /// Waits while a host or the link of a connection is silent. Returns false if
+  /// the other end has closed the connection meanwhile.
+  boost::asio::awaitable<bool> wait_for_link(const host& h, socket_ptr socket);
+  /// Whether a host neither reads nor writes.
+  bool is_silent(const host& h) const;
   /// Whether a host turns all requests away.
   bool rejects(const host& h) const;
   /// Records that a host turns a request away, and returns its answer.
--- a/test/node-fixture.h
+++ b/test/node-fixture.h
@@ -16,6 +16,7 @@
 #include <thread>
 
 #include "clock.h"
+#include "faulty-dialer.h"
 #include "fleet-standin.h"
 #include "node-process.h"
 
@@ -81,7 +82,9 @@
   void add_node(const std::string& name) {
     auto s = std::make_unique<node_settings>();
     s->node = name;
-    s->hall = "hall";
+    s->hall = this->halls.empty()
+                  ? "hall"
+                  : this->halls[this->nodes.size() % this->halls.size()];
     s->caller_address = free_address();
     s->ready_address = free_address();
     s->metrics_address = free_address();
@@ -101,6 +104,8 @@
     s->lease.takeover_jitter = absl::Milliseconds(100);
     this->nodes.push_back(
         std::make_unique<node_process>(*s, *this->loop, test_log()));
+    this->nodes.back()->context().dialer =
+        std::make_shared<faulty_dialer>(*this->fleet, name);
     ASSERT_TRUE(this->nodes.back()->listen());
     this->nodes.back()->start();
     this->settings.push_back(std::move(s));
@@ -251,6 +256,8 @@
   std::unique_ptr<net::io_context> loop = std::make_unique<net::io_context>();
   std::unique_ptr<fleet_standin> fleet;
   std::vector<std::unique_ptr<node_settings>> settings;
+  /// Data halls of the nodes, in turn; all are in one if empty.
+  std::vector<std::string> halls;
   /// Settings for nodes that are added later.
   std::vector<std::string> seeds;
   bool keys_fail_closed = true;
