--- /dev/null
+++ b/test/partitioned-node-test.cc
@@ -0,0 +1,279 @@
+// Nodes that have lost their links to all servers, while callers, the store and
+// the other nodes still reach them.
+#include <array>
+#include <atomic>
+#include <optional>
+
+#include "node-fixture.h"
+
+namespace spokesail {
+namespace {
+
+using standin::link_state;
+using standin::silence_settings;
+
+constexpr int node_count = 3;
+
+/// Time between two requests of a caller.
+constexpr absl::Duration think_time = absl::Milliseconds(10);
+
+enum class call_kind { stream, repeatable, once };
+constexpr std::array call_kinds = {call_kind::stream, call_kind::repeatable,
+                                   call_kind::once};
+
+/// When a request began.
+enum class phase { before, partitioned, after };
+
+/// Requests of one kind, sent to one node and begun in one phase.
+struct tally {
+  std::atomic<int> sent = 0;
+  std::atomic<int> served = 0;
+  /// Of those begun before the partition, the ones that ended after its begin.
+  std::atomic<int> overlapping = 0;
+  std::atomic<int> overlapping_served = 0;
+};
+
+class partitioned_node_test : public node_test {
+ protected:
+  partitioned_node_test() {
+    this->keys_fail_closed = false;
+    this->halls = {"hall", "hall", "hall-1"};
+  }
+
+  void set_links(const std::set<int>& nodes, link_state state) {
+    this->on_loop([&, this] {
+      for (const int n : nodes) {
+        this->fleet->set_links(absl::StrCat("node-", n), state);
+      }
+      return 0;
+    });
+  }
+
+  /// Sends one request. Returns whether it was served completely.
+  bool call(call_kind kind, int node, const std::string& id) {
+    fleet_request out = kind == call_kind::stream ? stream_request(id)
+                        : kind == call_kind::once ? request(id, "/file/one")
+                                                  : request(id, "/look/now");
+    auto socket = this->connect(node);
+    out.prepare_payload();
+    boost::system::error_code error;
+    http::write(socket, out, error);
+    boost::beast::flat_buffer buffer;
+    fleet_standin::response in;
+    if (!error) http::read(socket, buffer, in, error);
+    if (error || in.result_int() != 200) return false;
+    return kind != call_kind::stream || event_ids(in.body()) == all_ids();
+  }
+
+  /// Sends requests from concurrent callers, each in a closed loop, before,
+  /// during and after a partition of some nodes.
+  void send_load(const std::set<int>& cut, link_state state) {
+    std::atomic<phase> now = phase::before;
+    std::atomic<bool> done = false;
+    const auto wait = [](absl::Duration time) {
+      std::this_thread::sleep_for(absl::ToChronoMilliseconds(time));
+    };
+    const auto run_caller = [&](call_kind kind, int node) {
+      while (!done) {
+        const phase begun = now;
+        tally& t = this->tallies[node][static_cast<int>(kind)]
+                                [static_cast<int>(begun)];
+        t.sent++;
+        const bool served =
+            this->call(kind, node,
+                       absl::StrCat("n", node, "-", static_cast<int>(kind), "-",
+                                    this->last_id++));
+        t.served += served ? 1 : 0;
+        wait(think_time);
+        if (begun != phase::before || now == phase::before) continue;
+        t.overlapping++;
+        t.overlapping_served += served ? 1 : 0;
+      }
+    };
+    std::vector<std::thread> threads;
+    for (int node = 0; node < node_count; ++node) {
+      for (const call_kind kind : call_kinds) {
+        threads.emplace_back(run_caller, kind, node);
+        threads.emplace_back(run_caller, kind, node);
+      }
+    }
+    wait(absl::Seconds(1));
+    this->set_links(cut, state);
+    now = phase::partitioned;
+    wait(absl::Seconds(3));
+    this->set_links(cut, link_state::up);
+    now = phase::after;
+    wait(absl::Seconds(1));
+    done = true;
+    for (auto& thread : threads) thread.join();
+  }
+
+  /// Expects that all requests begun in a phase were served.
+  void expect_served(phase begun) {
+    for (int node = 0; node < node_count; ++node) {
+      for (const call_kind kind : call_kinds) {
+        const tally& t = this->tallies[node][static_cast<int>(kind)]
+                                      [static_cast<int>(begun)];
+        EXPECT_GT(t.sent, 0);
+        EXPECT_EQ(t.served, t.sent)
+            << "node " << node << ", kind " << static_cast<int>(kind)
+            << ", phase " << static_cast<int>(begun);
+      }
+    }
+  }
+
+  /// Expects that repeatable requests under way as the partition began were
+  /// served. Others may have run and cannot be repeated.
+  void expect_repeatable_in_flight_served() {
+    for (int node = 0; node < node_count; ++node) {
+      for (const call_kind kind : {call_kind::stream, call_kind::repeatable}) {
+        const tally& t = this->tallies[node][static_cast<int>(kind)]
+                                      [static_cast<int>(phase::before)];
+        EXPECT_EQ(t.overlapping_served, t.overlapping)
+            << "node " << node << ", kind " << static_cast<int>(kind);
+      }
+    }
+  }
+
+  /// Expects that no request ran twice that may run only once.
+  void expect_single_runs() {
+    const auto runs =
+        this->on_loop([this] { return this->fleet->record.runs; });
+    const std::string once =
+        absl::StrCat("-", static_cast<int>(call_kind::once), "-");
+    for (const auto& [id, count] : runs) {
+      const bool may_repeat = id.find(once) == std::string::npos;
+      EXPECT_TRUE(may_repeat || count == 1) << id;
+    }
+  }
+
+  /// The groups that serve, with their epochs.
+  std::map<std::string, int64_t> serving_groups() {
+    return this->on_loop([this] {
+      std::map<std::string, int64_t> out;
+      const auto& servers = this->fleet->engines().directory().servers();
+      for (const auto& [id, server] : servers) {
+        const auto& membership = server.entry.membership;
+        if (membership.phase != member_phase::open) continue;
+        out[membership.group] = membership.epoch;
+      }
+      return out;
+    });
+  }
+
+  /// Index of the node that holds the lease; nothing if none does.
+  std::optional<int> holder() {
+    return this->on_loop([this]() -> std::optional<int> {
+      for (size_t i = 0; i < this->nodes.size(); ++i) {
+        if (this->nodes[i]->holds_lease()) return static_cast<int>(i);
+      }
+      return std::nullopt;
+    });
+  }
+
+  /// Expects that no node counts a server as crashed or unresponsive.
+  void expect_no_blame() {
+    this->on_loop([this] {
+      for (auto& node : this->nodes) {
+        EXPECT_TRUE(node->context().crashes.empty());
+        EXPECT_TRUE(node->context().unresponsive_servers.empty());
+      }
+      return 0;
+    });
+  }
+
+  void partition(const std::set<int>& cut, link_state state) {
+    this->start(node_count);
+    this->send_load(cut, state);
+    this->expect_served(phase::partitioned);
+    this->expect_served(phase::after);
+    this->expect_repeatable_in_flight_served();
+    this->expect_single_runs();
+  }
+
+  std::atomic<int> last_id = 0;
+  /// By node, kind and phase.
+  std::array<std::array<std::array<tally, 3>, call_kinds.size()>, node_count>
+      tallies;
+};
+
+// Guards against refusals at a node whose connections to servers all hang.
+TEST_F(partitioned_node_test, served_while_links_are_silent) {
+  this->partition({0}, link_state::silent);
+}
+
+// Guards against refusals at a node whose connections to servers are all reset.
+TEST_F(partitioned_node_test, served_while_links_reset) {
+  this->partition({0}, link_state::reset);
+}
+
+// Guards against refusals at a node that can open no connection to a server
+// while its open ones remain usable.
+TEST_F(partitioned_node_test, served_while_new_connections_are_refused) {
+  this->partition({0}, link_state::refusing);
+}
+
+// Guards against refusals where no node of a data hall reaches the servers.
+TEST_F(partitioned_node_test, served_by_another_hall_while_links_are_silent) {
+  this->partition({0, 1}, link_state::silent);
+}
+
+// Guards against the same where the connections are reset.
+TEST_F(partitioned_node_test, served_by_another_hall_while_links_reset) {
+  this->partition({0, 1}, link_state::reset);
+}
+
+// Guards against groups that are dissolved, requests that are held to have
+// crashed servers, and servers given up for all because of one node's links.
+TEST_F(partitioned_node_test, a_partitioned_holder_blames_no_server) {
+  this->start(node_count);
+  const auto groups = this->serving_groups();
+  const std::optional<int> cut = this->holder();
+  ASSERT_TRUE(cut);
+  this->send_load({*cut}, link_state::silent);
+  EXPECT_EQ(this->serving_groups(), groups);
+  this->expect_no_blame();
+}
+
+// Guards against a lease that stays with a node that reaches no server.
+TEST_F(partitioned_node_test, the_lease_leaves_a_partitioned_holder) {
+  this->start(node_count);
+  const std::optional<int> cut = this->holder();
+  ASSERT_TRUE(cut);
+  this->set_links({*cut}, link_state::reset);
+  const std::string id = "n0-before";
+  EXPECT_TRUE(this->call(call_kind::stream, *cut, id));
+  EXPECT_TRUE(this->wait_until([&, this] {
+    for (size_t i = 0; i < this->nodes.size(); ++i) {
+      if (static_cast<int>(i) != *cut && this->nodes[i]->holds_lease())
+        return true;
+    }
+    return false;
+  }));
+}
+
+// Guards against groups and requests that are given up because a sound server
+// is silent for a second.
+TEST_F(partitioned_node_test, a_server_silent_for_a_second_is_not_given_up) {
+  this->start(node_count);
+  const auto groups = this->serving_groups();
+  const std::string head =
+      this->on_loop([this] { return this->fleet->serving_head("large"); });
+  this->on_loop([&, this] {
+    silence_settings& silence = this->fleet->faults.silence;
+    silence.servers = {head};
+    silence.from = absl::Now() + absl::Seconds(1);
+    silence.until = silence.from + absl::Milliseconds(1300);
+    silence.active = true;
+    return 0;
+  });
+  this->send_load({}, link_state::up);
+  for (const phase begun : {phase::before, phase::partitioned, phase::after}) {
+    this->expect_served(begun);
+  }
+  EXPECT_EQ(this->serving_groups(), groups);
+  this->expect_no_blame();
+}
+
+}  // namespace
+}  // namespace spokesail
