Log when any server was last heard, and what a node excludes

Lines of ended attempts and requests give the time since anything was received from any server and the number of endpoints that the node excludes, so that a node whose links have failed can be told from a server that has.

--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -92,6 +92,7 @@
   const auto error =
       co_await this->node.dialer->dial(this->socket, this->endpoint.address);
   this->deadline = attempt_deadline;
+  if (!error) this->node.server_heard_at = this->node.now();
   co_return error ? error.message() : std::string();
 }
 
@@ -114,6 +115,7 @@
   auto [error, size] = co_await http::async_read_header(
       this->socket, this->buffer, *this->parser, use_tuple);
   if (error == http::error::need_buffer) error = {};
+  if (size > 0) this->node.server_heard_at = this->node.now();
   co_return error ? error.message() : std::string();
 }
 
@@ -125,6 +127,7 @@
   auto [error, size] = co_await http::async_read_some(
       this->socket, this->buffer, *this->parser, use_tuple);
   if (error == http::error::need_buffer) error = {};
+  if (size > 0) this->node.server_heard_at = this->node.now();
   out.append(this->chunk.data(), this->chunk.size() - body.size);
   co_return error ? error.message() : std::string();
 }
--- a/src/node-context.h
+++ b/src/node-context.h
@@ -144,6 +144,8 @@
 
   /// Endpoints that are excluded after a failure, and until when.
   std::map<std::string, absl::Time> avoided_until;
+  /// When bytes were last received from any server, or a connection opened.
+  absl::Time server_heard_at = absl::InfinitePast();
   /// Servers that did not answer this node's requests, with the time at which
   /// that was noticed.
   std::map<std::string, absl::Time> suspected_servers;
--- a/src/request-handler.h
+++ b/src/request-handler.h
@@ -141,6 +141,8 @@
   void log_leaving(const exchange& ex, const answer_head& head);
   /// Remaining backoff of the server, in ms for the log; empty if it has none.
   std::string backoff_left_ms(const exchange& ex) const;
+  /// Time since anything was received from any server, in ms for the log.
+  std::string servers_silent_ms() const;
   /// Logs that a retry was sent or refused, with the state of the budget.
   void log_retry(const char* event);
   /// Current usage of the service's retry budget.
--- a/src/request-log.cc
+++ b/src/request-log.cc
@@ -34,6 +34,8 @@
        {"last_event", absl::StrCat(this->last_event)},
        {"since_sent_ms", millis(now - std::min(now, ex.sent_at))},
        {"silent_ms", millis(now - std::max(ex.last_event, this->arrived))},
+       {"servers_silent_ms", this->servers_silent_ms()},
+       {"excluded", absl::StrCat(this->node.avoided_until.size())},
        {"servers_rev", absl::StrCat(this->node.directory.revision())},
        {"servers_age_ms", this->node.directory_listed
                               ? millis(this->node.age().servers)
@@ -97,6 +99,12 @@
   return backoff ? millis(backoff->until - now) : "";
 }
 
+std::string request_handler::servers_silent_ms() const {
+  const absl::Time heard = this->node.server_heard_at;
+  return heard == absl::InfinitePast() ? "none"
+                                       : millis(this->node.now() - heard);
+}
+
 retry_usage request_handler::current_retry_usage() {
   if (this->service == nullptr) return {};
   const absl::Time now = this->node.now();
@@ -170,6 +178,8 @@
         this->cached_identity ? to_text(*this->cached_identity) : ""},
        {"sends", absl::StrCat(this->attempts_made)},
        {"runs", absl::StrCat(this->possible_runs)},
+       {"servers_silent_ms", this->servers_silent_ms()},
+       {"excluded", absl::StrCat(this->node.avoided_until.size())},
        {"repeats_left",
         absl::StrCat(static_cast<int>(this->current_retry_usage().remaining))},
        {"last_event", absl::StrCat(this->last_event)},
