--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -24,11 +24,6 @@
 /// How long a connection is kept if the server gives no keep-alive time.
 constexpr absl::Duration default_keep_alive = absl::Seconds(2);
 
-/// A connection takes a few round trips. If it takes longer than this, the
-/// server is down or its accept queue is full. Short enough for another server
-/// to respond in time.
-constexpr absl::Duration connect_timeout = absl::Milliseconds(80);
-
 }  // namespace
 
 const char* abort_cause_name(abort_cause cause) {
@@ -41,6 +36,8 @@
       return "time_up";
     case abort_cause::stalled:
       return "stalled";
+    case abort_cause::path_lost:
+      return "path_lost";
   }
   return "none";
 }
@@ -78,26 +75,36 @@
 }
 
 net::awaitable<std::string> exchange::connect(bool reuse) {
-  if (reuse) {
-    auto kept = this->node.pool.take(this->endpoint.server, this->node.now());
+  const std::string& address = this->endpoint.address;
+  const absl::Time now = this->node.now();
+  if (reuse && this->node.reachability.may_reuse(address, now)) {
+    auto kept = this->node.pool.take(this->endpoint.server, now);
     if (kept) {
       this->socket = std::move(*kept);
       this->reused = true;
       co_return "";
     }
   }
-  const absl::Time attempt_deadline = this->deadline;
-  this->deadline =
-      std::min(attempt_deadline, this->node.now() + connect_timeout);
-  const auto error =
-      co_await this->node.dialer->dial(this->socket, this->endpoint.address);
-  this->deadline = attempt_deadline;
-  if (!error) this->node.server_heard_at = this->node.now();
-  co_return error ? error.message() : std::string();
+  const connect_outcome outcome = co_await this->node.connector.connect(
+      this->socket, address, this->deadline - now);
+  this->proxy = outcome.proxy;
+  this->server_failed = outcome.server_failed;
+  if (outcome.error) co_return outcome.error.message();
+  if (this->aborted == abort_cause::none) co_return "";
+  detail::close_ignoring_errors(this->socket);
+  co_return abort_cause_name(this->aborted);
+}
+
+void exchange::record_bytes(size_t size) {
+  if (size == 0) return;
+  this->last_heard = this->node.now();
+  if (this->proxy.empty())
+    this->node.reachability.on_heard(this->endpoint.address, this->last_heard);
 }
 
 net::awaitable<std::string> exchange::send(http_request& request) {
   this->sent_at = this->node.now();
+  this->last_heard = this->sent_at;
   auto [error, size] =
       co_await http::async_write(this->socket, request, use_tuple);
   co_return error ? error.message() : std::string();
@@ -115,7 +122,7 @@
   auto [error, size] = co_await http::async_read_header(
       this->socket, this->buffer, *this->parser, use_tuple);
   if (error == http::error::need_buffer) error = {};
-  if (size > 0) this->node.server_heard_at = this->node.now();
+  this->record_bytes(size);
   co_return error ? error.message() : std::string();
 }
 
@@ -127,13 +134,13 @@
   auto [error, size] = co_await http::async_read_some(
       this->socket, this->buffer, *this->parser, use_tuple);
   if (error == http::error::need_buffer) error = {};
-  if (size > 0) this->node.server_heard_at = this->node.now();
+  this->record_bytes(size);
   out.append(this->chunk.data(), this->chunk.size() - body.size);
   co_return error ? error.message() : std::string();
 }
 
 void exchange::keep_connection(const answer_head& answer) {
-  if (answer.leaving) return;
+  if (answer.leaving || !this->proxy.empty()) return;
   // Surplus bytes belong to no request.
   if (!this->parser->is_done() || !this->parser->keep_alive() ||
       this->buffer.size() != 0 || this->aborted != abort_cause::none) {
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -42,7 +42,14 @@
 };
 
 /// Why this node aborted an exchange.
-enum class abort_cause { none, caller_gone, time_up, stalled };
+enum class abort_cause {
+  none,
+  caller_gone,
+  time_up,
+  stalled,
+  /// This node has lost its link to the server.
+  path_lost
+};
 
 /// Name of a cause, for logs.
 const char* abort_cause_name(abort_cause cause);
@@ -56,8 +63,9 @@
   exchange(const exchange&) = delete;
   exchange& operator=(const exchange&) = delete;
 
-  /// Connects, or uses a kept connection if `reuse` is set. Returns an empty
-  /// string on success, otherwise the error.
+  /// Connects, or uses a kept connection if `reuse` is set and the path to the
+  /// server is known to work. Returns an empty string on success, otherwise the
+  /// error.
   boost::asio::awaitable<std::string> connect(bool reuse);
 
   /// Sends the request. Returns an empty string on success, otherwise the
@@ -88,6 +96,13 @@
   /// Records an event of a stream.
   void record_event();
 
+  /// Whether it failed because of this node's links.
+  bool path_failed() const {
+    const bool not_sent = this->last_heard == absl::InfiniteFuture();
+    return this->aborted == abort_cause::path_lost ||
+           (not_sent && !this->server_failed);
+  }
+
   node_context& node;
   const endpoint_target endpoint;
   const double prompt_tokens;
@@ -97,6 +112,15 @@
   abort_cause aborted = abort_cause::none;
   /// Whether earlier attempts of the request had lost their servers.
   bool after_server_loss = false;
+  /// Name of the node that the connection goes through; empty if it is direct.
+  std::string proxy;
+  /// Whether no connection was made because the server seems to be down, rather
+  /// than this node's links.
+  bool server_failed = false;
+  /// Whether the request may be sent again if this attempt breaks.
+  bool repeatable = false;
+  /// When bytes were last received, or the request was sent.
+  absl::Time last_heard = absl::InfiniteFuture();
   /// Whether it connected, but the request was then not sent.
   bool withheld = false;
   /// Whether a response head was received.
@@ -124,6 +148,9 @@
   absl::Time first_event_deadline = absl::InfiniteFuture();
 
  private:
+  /// Records that bytes were received.
+  void record_bytes(size_t size);
+
   /// Maximum size of one read: a few events of a stream.
   static constexpr size_t read_size = 16 << 10;
 
--- a/src/group-controller-runner.cc
+++ b/src/group-controller-runner.cc
@@ -161,12 +161,16 @@
   if (result.status == fetch_status::ok) {
     report = this->node.adapter.read_report(result.response);
   }
+  const absl::Time now = this->node.now();
   if (!report) {
-    this->node.log.state_change("server_silent",
-                                {{"server", server}, {"why", result.error}},
-                                this->node.now());
+    this->node.log.state_change(
+        "server_silent",
+        {{"server", server},
+         {"why", result.error},
+         {"connected", result.status == fetch_status::not_sent ? "0" : "1"}},
+        now);
   }
-  this->controller.on_report(server, report, this->node.now());
+  this->controller.on_report(server, report, now);
   ++this->events;
 }
 
--- a/src/http-fetch.cc
+++ b/src/http-fetch.cc
@@ -70,16 +70,16 @@
 net::awaitable<fetch_result> http_fetcher::fetch(std::string address,
                                                  http_request request,
                                                  absl::Duration timeout,
-                                                 server_dialer* dialer) {
+                                                 fetch_options options) {
   fetch_result out;
-  auto socket = this->take_idle(address);
+  auto socket = options.reuse ? this->take_idle(address) : nullptr;
   const bool is_new = socket == nullptr;
   if (is_new) socket = std::make_shared<tcp::socket>(this->executor);
   socket_deadline deadline(socket, timeout);
   if (is_new) {
-    const auto error = dialer == nullptr
+    const auto error = options.dialer == nullptr
                            ? co_await connect_to(*socket, address)
-                           : co_await dialer->dial(*socket, address);
+                           : co_await options.dialer->dial(*socket, address);
     if (error) {
       out.error = error.message();
       co_return out;
@@ -112,6 +112,7 @@
       co_await http::async_read(*socket, buffer, parser, use_tuple);
   if (read_error) {
     out.error = read_error.message();
+    out.silent = read_error == net::error::operation_aborted && read == 0;
     // The idle connections to this address may be dead too, without an error so
     // far.
     this->idle.erase(address);
--- a/src/http-fetch.h
+++ b/src/http-fetch.h
@@ -40,6 +40,17 @@
   http_response response;
   /// Why there is no complete response, for the log.
   std::string error;
+  /// Whether the other end had accepted the connection and then sent nothing
+  /// until the timeout.
+  bool silent = false;
+};
+
+/// How a call gets its connection.
+struct fetch_options {
+  /// Opens new connections; they are opened directly if it is null.
+  server_dialer* dialer = nullptr;
+  /// Whether an idle connection may be used.
+  bool reuse = true;
 };
 
 /// Makes HTTP calls over connections that are kept for reuse. A connection on
@@ -52,12 +63,17 @@
       : executor(std::move(executor)), agent(std::move(agent)) {}
 
   /// Sends one request and reads the complete response. `timeout` covers the
-  /// whole call, including connecting. New connections are opened by `dialer`;
-  /// directly if it is null.
+  /// whole call, including connecting.
   boost::asio::awaitable<fetch_result> fetch(std::string address,
                                              http_request request,
                                              absl::Duration timeout,
-                                             server_dialer* dialer = nullptr);
+                                             fetch_options options);
+  boost::asio::awaitable<fetch_result> fetch(std::string address,
+                                             http_request request,
+                                             absl::Duration timeout) {
+    return this->fetch(std::move(address), std::move(request), timeout,
+                       fetch_options());
+  }
 
   /// Closes connections that have been idle for longer than `age`.
   void close_idle(absl::Duration age, absl::Time now);
--- a/src/node-context.cc
+++ b/src/node-context.cc
@@ -11,6 +11,12 @@
 namespace spokesail {
 namespace {
 
+/// File descriptors reserved for the store, orders and metrics.
+constexpr size_t reserved_sockets = 64;
+
+/// Sockets of a tunnel.
+constexpr size_t tunnel_sockets = 2;
+
 /// Fraction of the process' memory for buffered requests and answers. The rest
 /// is for the process itself and the kernel's socket buffers.
 constexpr double buffered_memory_fraction = 0.4;
@@ -48,8 +54,9 @@
 
 boost::asio::awaitable<fetch_result> node_context::call_server(
     std::string address, http_request request, absl::Duration timeout) {
+  const bool reuse = this->reachability.may_reuse(address, this->now());
   co_return co_await this->fetcher.fetch(std::move(address), std::move(request),
-                                         timeout, this->dialer.get());
+                                         timeout, {&this->connector, reuse});
 }
 
 void node_context::record_loop_delay(absl::Duration delay) {
@@ -138,6 +145,32 @@
   this->suspected_servers[server] = this->now();
 }
 
+void node_context::forget_recent_blame() {
+  const absl::Time since = this->reachability.last_heard();
+  std::erase_if(this->suspected_servers,
+                [&](const auto& item) { return item.second >= since; });
+  std::erase_if(this->avoided_until, [&](const auto& item) {
+    return item.second - node_timing::avoid_duration >= since;
+  });
+}
+
+void node_context::note_server_state(const server_instance& server,
+                                     const answer_head& head) {
+  if (head.leaving) this->mark_leaving(server);
+  if (head.backoff)
+    this->backoffs.note(server, *head.backoff, this->now(), this->random);
+}
+
+size_t node_context::used_sockets() const {
+  return this->sessions.size() + this->exchanges.size() + this->pool.size() +
+         tunnel_sockets * this->tunnel_count + reserved_sockets;
+}
+
+bool node_context::has_socket_for_tunnel() const {
+  return this->used_sockets() + tunnel_sockets <=
+         static_cast<size_t>(this->settings.max_sockets);
+}
+
 const std::vector<group_view>& node_context::groups(
     const std::string& service) {
   const auto cached = this->group_cache.find(service);
--- a/src/node-context.h
+++ b/src/node-context.h
@@ -19,6 +19,7 @@
 #include "node-message.h"
 #include "node-metrics.h"
 #include "node-settings.h"
+#include "server-connector.h"
 #include "spokesail/byte-budget.h"
 #include "spokesail/crash-tracker.h"
 #include "spokesail/demand-table.h"
@@ -37,6 +38,7 @@
 #include "spokesail/server-backoffs.h"
 #include "spokesail/server-directory.h"
 #include "spokesail/server-limits.h"
+#include "spokesail/server-reachability.h"
 #include "spokesail/speed-table.h"
 #include "spokesail/staleness.h"
 
@@ -76,10 +78,16 @@
   object_store& store;
   http_fetcher& fetcher;
   node_log& log;
-  /// Opens connections to backend servers; never null. Replaced by tests.
+  /// Opens direct connections to backend servers; never null. Replaced by
+  /// tests.
   std::shared_ptr<server_dialer> dialer = std::make_shared<tcp_dialer>();
   node_metrics metrics;
   connection_pool pool;
+  /// Which servers this node reaches over its own links.
+  server_reachability reachability;
+  server_connector connector{*this};
+  /// Number of other nodes' connections to servers that this node carries.
+  size_t tunnel_count = 0;
   random_stream random;
 
   /// When the process started.
@@ -144,8 +152,6 @@
 
   /// Endpoints that are excluded after a failure, and until when.
   std::map<std::string, absl::Time> avoided_until;
-  /// When bytes were last received from any server, or a connection opened.
-  absl::Time server_heard_at = absl::InfinitePast();
   /// Servers that did not answer this node's requests, with the time at which
   /// that was noticed.
   std::map<std::string, absl::Time> suspected_servers;
@@ -217,6 +223,17 @@
   const char* reason_to_withhold(const server_instance& server) const;
   /// Records that a server did not answer.
   void suspect_server(const std::string& server);
+  /// Forgets what was concluded about servers since any was last heard: this
+  /// node's own links had failed.
+  void forget_recent_blame();
+  /// Records what a response says about the server's own state: that it asks
+  /// this node to back off, or that it is leaving.
+  void note_server_state(const server_instance& server,
+                         const answer_head& head);
+  /// Number of sockets in use or reserved.
+  size_t used_sockets() const;
+  /// Whether a connection of another node to a server can be carried.
+  bool has_socket_for_tunnel() const;
 
   /// A service's groups, derived from the servers' own entries.
   const std::vector<group_view>& groups(const std::string& service);
--- a/src/node-message.capnp
+++ b/src/node-message.capnp
@@ -77,6 +77,9 @@
   speeds @5 :List(Speed);
   # Demand of the sender's callers, or of those of its whole data hall.
   demand @6 :List(Demand);
+  # Whether the sender may have lost its links to the servers, so that it is no
+  # proxy for others.
+  serversUnreachable @7 :Bool;
 }
 
 # Requests the changes of the store from a relay.
--- a/src/node-message.cc
+++ b/src/node-message.cc
@@ -202,6 +202,7 @@
   write_places(out.initPlaces(g.places.size()), g.places);
   if (g.holder) write_holder(out.initHolder(), *g.holder);
   out.setRequestsSeen(g.requests_seen);
+  out.setServersUnreachable(g.servers_unreachable);
   out.setHallNodes(g.hall_nodes);
   write_texts(out.initHallFirsts(g.hall_contacts.size()), g.hall_contacts);
   write_speeds(out.initSpeeds(g.speeds.size()), g.speeds);
@@ -213,6 +214,7 @@
   out.places = read_places(in.getPlaces());
   if (in.hasHolder()) out.holder = read_holder(in.getHolder());
   out.requests_seen = in.getRequestsSeen();
+  out.servers_unreachable = in.getServersUnreachable();
   out.hall_nodes = static_cast<int>(in.getHallNodes());
   out.hall_contacts = read_texts(in.getHallFirsts());
   out.speeds = read_speeds(in.getSpeeds());
--- a/src/node-message.h
+++ b/src/node-message.h
@@ -41,6 +41,8 @@
   std::vector<endpoint_speed> speeds;
   /// Demand of the callers of the sender, or of its whole data hall.
   std::vector<model_demand> demand;
+  /// Whether the sender may have lost its links to the servers.
+  bool servers_unreachable = false;
   bool operator==(const gossip&) const = default;
 };
 
--- a/src/node-metrics.cc
+++ b/src/node-metrics.cc
@@ -38,6 +38,10 @@
                           "calls to the platform's store")),
       orders(counter(registry, "spokesail_orders_total",
                      "orders to servers by kind and result")),
+      server_connections(counter(registry, "spokesail_server_connections_total",
+                                 "connections to servers by path or result")),
+      tunnels(counter(registry, "spokesail_tunnels_total",
+                      "tunnels that other nodes asked for, by result")),
       peer_bytes(counter(registry, "spokesail_peer_bytes_total",
                          "bytes exchanged with other nodes")),
       update_events(counter(registry, "spokesail_news_total",
@@ -105,6 +109,14 @@
 
 void node_metrics::count_stall() { this->stalled.Increment(); }
 
+void node_metrics::count_server_connection(const std::string& result) {
+  this->server_connections.Add({{"result", result}}).Increment();
+}
+
+void node_metrics::count_tunnel(const std::string& result) {
+  this->tunnels.Add({{"result", result}}).Increment();
+}
+
 void node_metrics::count_peer_bytes(const char* direction, double bytes) {
   this->peer_bytes.Add({{"direction", direction}}).Increment(bytes);
 }
--- a/src/node-metrics.h
+++ b/src/node-metrics.h
@@ -33,6 +33,12 @@
   void count_order(const std::string& kind, const std::string& result);
   /// Counts a group that was abandoned because its streams stalled.
   void count_stall();
+  /// Counts a connection to a server: "direct", "proxied", "server_failed" or
+  /// "no_path".
+  void count_server_connection(const std::string& result);
+  /// Counts a request of another node for a tunnel: "open", "refused" or
+  /// "not_connected".
+  void count_tunnel(const std::string& result);
   void count_peer_bytes(const char* direction, double bytes);
   /// Counts an entry that does not describe a usable server.
   void count_unusable_entry(const std::string& why);
@@ -75,6 +81,8 @@
   prometheus::Family<prometheus::Counter>& retries;
   prometheus::Family<prometheus::Counter>& store_calls;
   prometheus::Family<prometheus::Counter>& orders;
+  prometheus::Family<prometheus::Counter>& server_connections;
+  prometheus::Family<prometheus::Counter>& tunnels;
   prometheus::Family<prometheus::Counter>& peer_bytes;
   prometheus::Family<prometheus::Counter>& update_events;
   prometheus::Family<prometheus::Counter>& unusable_entries;
--- a/src/node-process.cc
+++ b/src/node-process.cc
@@ -23,9 +23,6 @@
 using detail::use_tuple;
 using net::ip::tcp;
 
-/// File descriptors reserved for the store, orders and metrics.
-constexpr size_t reserved_sockets = 64;
-
 /// The process exits this long before the platform would kill it.
 constexpr absl::Duration exit_margin = absl::Milliseconds(400);
 
@@ -58,6 +55,7 @@
       relay(state, link),
       crashes(state, link),
       config(state),
+      tunnels(state),
       lease(state),
       group_runner(state, lease),
       cold(state, link, lease),
@@ -181,6 +179,10 @@
     const std::string source = this->relay.config_source();
     return this->config.fetch_from(this->link.address_of(source));
   };
+  this->state.connector.proxies = [this] { return this->link.proxies(); };
+  this->config.on_tunnel = [this](auto socket, http_request request) {
+    return this->tunnels.serve(std::move(socket), std::move(request));
+  };
   this->discovery.top_ranked = [this] {
     return this->relay.may_have_followers();
   };
@@ -226,10 +228,8 @@
       co_await this->state.sleep(node_timing::tick);
       continue;
     }
-    const size_t used = this->state.sessions.size() +
-                        this->state.exchanges.size() + this->state.pool.size() +
-                        reserved_sockets;
-    if (used >= static_cast<size_t>(this->settings.max_sockets)) continue;
+    const auto max_sockets = static_cast<size_t>(this->settings.max_sockets);
+    if (this->state.used_sockets() >= max_sockets) continue;
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     auto session =
@@ -296,6 +296,9 @@
               static_cast<double>(this->state.limits.size()));
   m.set_gauge("servers_in_backoff",
               static_cast<double>(this->state.backoffs.size()));
+  m.set_gauge("tunnels", static_cast<double>(this->state.tunnel_count));
+  m.set_gauge("servers_unreachable",
+              this->state.reachability.partitioned(this->state.now()) ? 1 : 0);
   m.set_gauge("live_nodes", this->state.live_nodes);
   const auto max_nodes = this->state.fleet.peak(this->state.now());
   m.set_gauge("most_nodes", max_nodes.value_or(0));
@@ -330,6 +333,8 @@
     const absl::Time now = this->state.now();
     this->state.record_loop_delay(now - last - node_timing::tick);
     last = now;
+    this->state.connector.check(now);
+    this->tunnels.check(now);
     this->stalls.check(now);
     this->cold.step();
     if (now - last_housekeeping >= housekeeping_period) {
@@ -357,6 +362,7 @@
   this->state.limits.forget(exists);
   this->state.limit_shares.forget(exists);
   this->state.backoffs.expire(now);
+  this->state.reachability.expire(now);
   if (this->state.closing() && this->callers.is_open()) {
     boost::system::error_code ignored;
     this->callers.close(ignored);
@@ -425,7 +431,8 @@
   if (!this->state.stopping()) return false;
   const absl::Duration elapsed = now - this->state.stopping_since;
   if (elapsed >= this->settings.stop_grace - exit_margin) return true;
-  return this->state.closing() && this->state.sessions.empty();
+  return this->state.closing() && this->state.sessions.empty() &&
+         this->state.tunnel_count == 0;
 }
 
 void node_process::stop(const std::string& why) {
--- a/src/node-process.h
+++ b/src/node-process.h
@@ -30,6 +30,7 @@
 #include "stall-detector.h"
 #include "store-relay.h"
 #include "store-sync.h"
+#include "tunnel.h"
 
 namespace spokesail {
 
@@ -109,6 +110,7 @@
   store_relay relay;
   crash_gossip crashes;
   peer_config_service config;
+  tunnel_service tunnels;
   lease_manager lease;
   group_controller_runner group_runner;
   grant_coordinator cold;
--- a/src/peer-config-service.cc
+++ b/src/peer-config-service.cc
@@ -58,13 +58,24 @@
 
 net::awaitable<void> peer_config_service::answer(
     std::shared_ptr<tcp::socket> socket) {
-  // Closes connections that stall, which would otherwise stay open forever.
-  const detail::socket_deadline deadline(socket, transfer_timeout);
-  boost::beast::flat_buffer buffer;
   http_request request;
-  auto [error, size] =
-      co_await http::async_read(*socket, buffer, request, use_tuple);
-  if (error) co_return;
+  {
+    // Closes connections that stall, which would otherwise stay open forever.
+    const detail::socket_deadline deadline(socket, transfer_timeout);
+    boost::beast::flat_buffer buffer;
+    auto [error, size] =
+        co_await http::async_read(*socket, buffer, request, use_tuple);
+    if (error) co_return;
+    if (request.method() != http::verb::connect) {
+      co_await this->send_config(*socket, request);
+      co_return;
+    }
+  }
+  if (this->on_tunnel) co_await this->on_tunnel(socket, std::move(request));
+}
+
+net::awaitable<void> peer_config_service::send_config(
+    tcp::socket& socket, const http_request& request) {
   http_response response(http::status::not_found, http_11);
   const auto config = this->node.config_object;
   if (config && request.target() == config_path) {
@@ -74,8 +85,7 @@
   }
   response.keep_alive(false);
   response.prepare_payload();
-  auto [failed, sent] =
-      co_await http::async_write(*socket, response, use_tuple);
+  auto [failed, sent] = co_await http::async_write(socket, response, use_tuple);
   if (!failed) co_return;
   this->node.log.state_change(
       "peer_not_told",
--- a/src/peer-config-service.h
+++ b/src/peer-config-service.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -10,6 +11,8 @@
 
 namespace spokesail {
 
+/// Listens for peers' HTTP requests.
+///
 /// Serves this node's configuration to its peers and reads theirs. A node reads
 /// a changed configuration from the relay that announced it. A change then
 /// costs the store a few reads instead of one per node, and also reaches nodes
@@ -30,9 +33,16 @@
   /// `unavailable` if the peer does not answer or has no configuration.
   boost::asio::awaitable<object_listing> fetch_from(std::string address);
 
+  /// Serves a peer's request for a tunnel to a server.
+  std::function<boost::asio::awaitable<void>(
+      std::shared_ptr<boost::asio::ip::tcp::socket>, http_request)>
+      on_tunnel;
+
  private:
   boost::asio::awaitable<void> answer(
       std::shared_ptr<boost::asio::ip::tcp::socket> socket);
+  boost::asio::awaitable<void> send_config(boost::asio::ip::tcp::socket& socket,
+                                           const http_request& request);
 
   node_context& node;
   boost::asio::ip::tcp::acceptor acceptor{node.loop};
--- a/src/peer-link.cc
+++ b/src/peer-link.cc
@@ -57,6 +57,17 @@
   return this->peers.remote_hall_peers(this->node.now());
 }
 
+std::vector<proxy_node> peer_link::proxies() const {
+  std::vector<proxy_node> out;
+  for (const auto& peer : this->live_local_peers())
+    out.push_back({{peer.name, true}, this->address_of(peer.name)});
+  for (const auto& [hall, peers] : this->remote_hall_peers()) {
+    for (const auto& peer : peers)
+      out.push_back({{peer.name, false}, this->address_of(peer.name)});
+  }
+  return out;
+}
+
 int peer_link::count_reachable_peers(bool remote_halls) const {
   const absl::Time now = this->node.now();
   if (now - this->counts.at >= count_lifetime) {
--- a/src/peer-link.h
+++ b/src/peer-link.h
@@ -40,6 +40,8 @@
   std::vector<std::string> reachable_peers() const;
   /// Reachable nodes of remote data halls, by hall.
   std::map<std::string, std::vector<relay_candidate>> remote_hall_peers() const;
+  /// Nodes that could carry connections to servers for this one.
+  std::vector<proxy_node> proxies() const;
   /// Number of reachable peers of this data hall, or of all remote halls; up to
   /// `count_lifetime` old.
   int count_reachable_peers(bool remote_halls) const;
--- a/src/request-answer.cc
+++ b/src/request-answer.cc
@@ -83,7 +83,7 @@
     const std::string error = co_await ex.read_some(body);
     charge.set(body.size());
     if (!error.empty() || body.size() > max_buffered_response) {
-      ex.server_lost = !error.empty();
+      ex.server_lost = !error.empty() && ex.aborted != abort_cause::path_lost;
       this->log_attempt(ex, "broken",
                         error.empty() ? "response is too large" : error);
       co_return attempt_result::broken;
@@ -201,7 +201,8 @@
   }
   if (!error.empty() || ex.aborted != abort_cause::none) {
     // A server is not at fault for what its caller left unread.
-    ex.server_lost = !ex.caller_not_reading;
+    ex.server_lost =
+        !ex.caller_not_reading && ex.aborted != abort_cause::path_lost;
     this->log_attempt(ex, ex.caller_not_reading ? "unread" : "broken", error);
     co_return attempt_result::broken;
   }
--- a/src/request-handler.cc
+++ b/src/request-handler.cc
@@ -35,6 +35,9 @@
 /// Retry delay if only this node refuses: another node can take the request at
 /// once.
 constexpr absl::Duration other_node_retry_delay = absl::Milliseconds(20);
+/// Retry delay if no path to the servers is known; direct connections are
+/// probed several times meanwhile.
+constexpr absl::Duration no_path_retry_delay = absl::Milliseconds(500);
 /// Retry delay while no configuration is known; one is read within about this
 /// time.
 constexpr absl::Duration no_config_retry_delay = absl::Milliseconds(500);
@@ -210,6 +213,7 @@
 void request_handler::prepare_exchange(exchange& ex,
                                        const endpoint_target& endpoint) const {
   ex.deadline = this->deadline + response_grace;
+  ex.repeatable = this->route->repeatable;
   ex.expected_ms = absl::ToDoubleMilliseconds(this->route->goal);
   const bool attempts_left = this->possible_runs + 1 < this->route->attempts;
   if (!this->service->engine) {
@@ -246,6 +250,7 @@
   this->attempts_made++;
   ex.after_server_loss = this->has_lost_servers();
   const attempt_result result = co_await this->run_exchange(ex);
+  this->path_lost = ex.aborted == abort_cause::path_lost;
   if (result != attempt_result::done) this->record_failure(ex);
   co_await this->record_run_result(ex, result);
   co_return result;
@@ -271,6 +276,7 @@
   // connection shows whether the server is alive.
   const bool reuse = this->route->repeatable && !this->server_lost_before;
   const std::string error = co_await ex.connect(reuse);
+  this->proxy = ex.proxy;
   if (error.empty()) {
     // The endpoint was chosen before connecting.
     const char* reason =
@@ -284,8 +290,11 @@
     co_return false;
   }
   this->log_attempt(ex, "not_connected", error);
-  this->node.avoid_endpoint(ex.endpoint.load_key());
-  this->node.suspect_server(ex.endpoint.server);
+  this->no_path = !ex.server_failed && ex.aborted == abort_cause::none;
+  if (ex.server_failed) {
+    this->node.avoid_endpoint(ex.endpoint.load_key());
+    this->node.suspect_server(ex.endpoint.server);
+  }
   co_return false;
 }
 
@@ -302,12 +311,13 @@
   ex.head_received = error.empty();
   if (ex.head_received) co_return true;
   this->possible_runs++;
-  ex.server_lost = true;
+  ex.server_lost = ex.aborted != abort_cause::path_lost;
   this->log_attempt(ex, "broken", error);
+  if (ex.aborted != abort_cause::none) co_return false;
+  // The server may have failed, or this node's link to it.
+  if (ex.proxy.empty()) this->node.connector.probe(ex.endpoint.address);
   // A kept connection may just have been closed by its server.
-  if (!ex.reused && ex.aborted == abort_cause::none) {
-    this->node.avoid_endpoint(ex.endpoint.load_key());
-  }
+  if (!ex.reused) this->node.avoid_endpoint(ex.endpoint.load_key());
   co_return false;
 }
 
@@ -337,16 +347,11 @@
       !head.request_id.empty() && head.request_id != this->info.id;
   if (other_request) return;
   const server_instance server{ex.endpoint.server, ex.endpoint.incarnation};
-  if (head.leaving) {
-    this->log_leaving(ex, head);
-    this->node.mark_leaving(server);
-  }
+  if (head.leaving) this->log_leaving(ex, head);
   if (head.backoff_invalid)
     this->log_backoff("server_backoff_unreadable", ex, head);
-  if (!head.backoff) return;
-  this->log_backoff("server_backoff", ex, head);
-  this->node.backoffs.note(server, *head.backoff, this->node.now(),
-                           this->node.random);
+  this->node.note_server_state(server, head);
+  if (head.backoff) this->log_backoff("server_backoff", ex, head);
 }
 
 std::optional<attempt_result> request_handler::classify_head(
@@ -386,7 +391,7 @@
   if (this->session.disconnected || this->attempts_made >= max_attempts)
     return false;
   if (this->time_left() <= absl::ZeroDuration()) return false;
-  if (this->quarantined()) return false;
+  if (this->no_path || this->quarantined()) return false;
   if (result == attempt_result::broken &&
       (!this->route->repeatable ||
        this->possible_runs >= this->route->attempts)) {
@@ -416,6 +421,9 @@
   if (not_run && this->node.service_closed(this->service->name)) {
     return {503, "data halls are evacuated", evacuation_retry_delay};
   }
+  if (not_run && this->no_path) {
+    return {503, "servers cannot be reached", no_path_retry_delay};
+  }
   if (not_run) {
     const auto backoff = this->common_backoff();
     if (backoff) return this->backoff_refusal(*backoff);
@@ -500,6 +508,8 @@
     if (result == attempt_result::done) {
       co_return this->keep_alive && !this->node.stopping();
     }
+    // The endpoint itself is sound and reached on another path.
+    if (this->path_lost) this->tried_endpoints.erase(endpoint->load_key());
     if (!this->may_retry(result)) break;
   }
   co_return co_await this->finish_unserved(result);
--- a/src/request-handler.h
+++ b/src/request-handler.h
@@ -346,11 +346,18 @@
   int attempts_made = 0;
   /// Attempts that got a connection, so that a server may have received them.
   int connected_attempts = 0;
+  /// Whether the last attempt found no path to its server, over this node's
+  /// links or through another node.
+  bool no_path = false;
+  /// Whether the last attempt was aborted because this node had lost its link.
+  bool path_lost = false;
   /// A retry reserved in the budget for this request.
   std::optional<retry_reservation> reserved;
   /// When the last attempt ended; only set after one.
   absl::Time attempt_ended_at = absl::InfinitePast();
   std::string last_error;
+  /// Node that the last attempt went through; empty if it was direct.
+  std::string proxy;
   /// The last decision of admission; nothing if admission was not used.
   std::optional<admission_decision> last_decision;
   /// Inputs of the last endpoint choice.
--- a/src/request-log.cc
+++ b/src/request-log.cc
@@ -30,6 +30,7 @@
        {"server", ex.endpoint.server},
        {"group", ex.endpoint.group},
        {"reused", ex.reused ? "1" : "0"},
+       {"proxy", ex.proxy},
        {"backoff_left_ms", this->backoff_left_ms(ex)},
        {"last_event", absl::StrCat(this->last_event)},
        {"since_sent_ms", millis(now - std::min(now, ex.sent_at))},
@@ -100,7 +101,7 @@
 }
 
 std::string request_handler::servers_silent_ms() const {
-  const absl::Time heard = this->node.server_heard_at;
+  const absl::Time heard = this->node.reachability.last_heard();
   return heard == absl::InfinitePast() ? "none"
                                        : millis(this->node.now() - heard);
 }
@@ -167,6 +168,7 @@
        {"sent_late",
         this->last_decision && this->last_decision->late ? "1" : "0"},
        {"place", this->chosen.endpoint},
+       {"proxy", this->proxy},
        {"near", this->chosen.local ? "1" : "0"},
        {"place_running", absl::StrCat(this->chosen.running)},
        {"predicted_ms",
--- /dev/null
+++ b/src/server-connector.cc
@@ -0,0 +1,329 @@
+#include "server-connector.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <optional>
+
+#include "detail/socket.h"
+#include "node-context.h"
+#include "tunnel.h"
+
+namespace spokesail {
+namespace {
+
+namespace net = boost::asio;
+using net::ip::tcp;
+
+/// A connection takes a few round trips. If it takes longer than this, the
+/// server is down or its accept queue is full. Short enough for another server
+/// to respond in time.
+constexpr absl::Duration connect_timeout = absl::Milliseconds(80);
+
+/// Time after which an attempt that is still pending is raced by the next one;
+/// several round trips between data halls.
+constexpr absl::Duration head_start = absl::Milliseconds(25);
+
+/// Proxies tried for one connection. Those that refuse cost a round trip.
+constexpr size_t max_proxies = 4;
+
+/// Proxies that must fail to reach a server before it counts as down.
+constexpr int proxies_for_verdict = 2;
+
+/// Lifetime of a connection for one call to a server.
+constexpr absl::Duration call_lifetime = absl::Seconds(1);
+
+}  // namespace
+
+struct server_connector::attempt {
+  enum class state { pending, connected, failed, server_unreachable };
+
+  explicit attempt(net::io_context& loop)
+      : socket(std::make_shared<tcp::socket>(loop)) {}
+
+  std::shared_ptr<tcp::socket> socket;
+  /// Nothing if it is direct.
+  std::optional<proxy_node> proxy;
+  absl::Time begun;
+  state result = state::pending;
+  boost::system::error_code error;
+};
+
+struct server_connector::race {
+  race(net::io_context& loop, std::string to, absl::Duration limit)
+      : address(std::move(to)), lifetime(limit), changed(loop) {}
+
+  const std::string address;
+  const absl::Duration lifetime;
+  std::vector<std::shared_ptr<attempt>> attempts;
+  net::steady_timer changed;
+
+  size_t count(attempt::state state) const {
+    return static_cast<size_t>(
+        std::count_if(attempts.begin(), attempts.end(),
+                      [&](const auto& a) { return a->result == state; }));
+  }
+  attempt* winner() const {
+    for (const auto& a : attempts) {
+      if (a->result == attempt::state::connected) return a.get();
+    }
+    return nullptr;
+  }
+  /// The direct attempt; null if there was none.
+  const attempt* direct() const {
+    for (const auto& a : attempts) {
+      if (!a->proxy) return a.get();
+    }
+    return nullptr;
+  }
+  /// Whether enough nodes have failed to reach the server.
+  bool server_down() const {
+    return count(attempt::state::server_unreachable) >= proxies_for_verdict;
+  }
+};
+
+std::vector<proxy_node> server_connector::choose_proxies() {
+  if (!this->proxies) return {};
+  const std::vector<proxy_node> all = this->proxies();
+  std::vector<proxy_candidate> candidates;
+  candidates.reserve(all.size());
+  for (const auto& p : all) candidates.push_back(p.candidate);
+  std::vector<proxy_node> out;
+  for (const auto& name : this->node.reachability.choose_proxies(
+           candidates, max_proxies, this->node.now(), this->node.random)) {
+    const auto found = std::find_if(all.begin(), all.end(), [&](const auto& p) {
+      return p.candidate.name == name;
+    });
+    out.push_back(*found);
+  }
+  return out;
+}
+
+void server_connector::start(const std::shared_ptr<race>& r,
+                             const proxy_node* proxy) {
+  auto a = std::make_shared<attempt>(this->node.loop);
+  if (proxy != nullptr) a->proxy = *proxy;
+  a->begun = this->node.now();
+  r->attempts.push_back(a);
+  net::co_spawn(this->node.loop, this->run_attempt(r, a), net::detached);
+}
+
+net::awaitable<void> server_connector::run_attempt(std::shared_ptr<race> r,
+                                                   std::shared_ptr<attempt> a) {
+  using state = attempt::state;
+  if (!a->proxy) {
+    a->error = co_await this->node.dialer->dial(*a->socket, r->address);
+    a->result = a->error ? state::failed : state::connected;
+  } else {
+    const tunnel_result result = co_await open_tunnel(
+        *a->socket, a->proxy->address, r->address, r->lifetime);
+    a->result = result == tunnel_result::open ? state::connected
+                : result == tunnel_result::server_unreachable
+                    ? state::server_unreachable
+                    : state::failed;
+    if (result == tunnel_result::unavailable) {
+      this->node.reachability.exclude_proxy(a->proxy->candidate.name,
+                                            this->node.now());
+    }
+  }
+  r->changed.cancel();
+}
+
+net::awaitable<connect_outcome> server_connector::connect(
+    tcp::socket& socket, std::string address, absl::Duration lifetime) {
+  const auto r = std::make_shared<race>(this->node.loop, address, lifetime);
+  const absl::Time until = this->node.now() + connect_timeout;
+  const bool direct_last =
+      this->node.reachability.prefers_proxies(address, this->node.now());
+  std::optional<std::vector<proxy_node>> chosen;
+  size_t next_proxy = 0;
+  absl::Time next_start = absl::InfinitePast();
+  while (r->winner() == nullptr && !r->server_down()) {
+    const absl::Time now = this->node.now();
+    if (now >= until) break;
+    const bool pending = r->count(attempt::state::pending) > 0;
+    const bool start_due = !pending || now >= next_start;
+    if (start_due && r->direct() == nullptr && !direct_last) {
+      this->start(r, nullptr);
+      next_start = now + head_start + this->node.loop_delay;
+      continue;
+    }
+    if (start_due && !chosen) chosen = this->choose_proxies();
+    if (start_due && next_proxy < chosen->size()) {
+      this->start(r, &(*chosen)[next_proxy++]);
+      next_start = now + head_start + this->node.loop_delay;
+      continue;
+    }
+    if (start_due && r->direct() == nullptr) {
+      this->start(r, nullptr);
+      next_start = absl::InfiniteFuture();
+      continue;
+    }
+    if (!pending) break;
+    const absl::Duration wait =
+        std::min(until, start_due ? until : next_start) - now;
+    r->changed.expires_after(absl::ToChronoNanoseconds(wait));
+    co_await r->changed.async_wait(detail::use_tuple);
+  }
+  attempt* const winner = r->winner();
+  const connect_outcome out = this->conclude(*r, winner);
+  if (winner != nullptr) socket = std::move(*winner->socket);
+  for (const auto& a : r->attempts) {
+    if (a.get() != winner) detail::close_ignoring_errors(*a->socket);
+  }
+  co_return out;
+}
+
+connect_outcome server_connector::conclude(const race& r,
+                                           const attempt* winner) {
+  using state = attempt::state;
+  const absl::Time now = this->node.now();
+  connect_outcome out;
+  const attempt* const direct = r.direct();
+  const bool bypassed = winner != nullptr && winner->proxy.has_value();
+  // A direct attempt that has only just begun shows nothing.
+  const bool direct_counts =
+      direct != nullptr &&
+      (direct->result != state::pending ||
+       now - direct->begun >= head_start + this->node.loop_delay);
+  if (direct_counts) {
+    const direct_result result = winner == direct ? direct_result::connected
+                                 : bypassed       ? direct_result::bypassed
+                                                  : direct_result::failed;
+    this->node.reachability.on_attempt(
+        r.address,
+        {result, direct->begun, now, direct->result == state::pending});
+  }
+  if (direct_counts && winner != direct) {
+    this->log_failure(r, *direct, winner);
+    // Another server shows whether this one or this node's links have failed.
+    if (!this->node.reachability.in_doubt(now)) this->probe_next();
+  }
+  if (winner != nullptr) {
+    if (bypassed) out.proxy = winner->proxy->candidate.name;
+    this->node.metrics.count_server_connection(bypassed ? "proxied" : "direct");
+    return out;
+  }
+  out.server_failed = r.server_down() ||
+                      (direct_counts && !this->node.reachability.in_doubt(now));
+  out.error = direct != nullptr && direct->error
+                  ? direct->error
+                  : make_error_code(net::error::timed_out);
+  this->node.metrics.count_server_connection(out.server_failed ? "server_failed"
+                                                               : "no_path");
+  return out;
+}
+
+void server_connector::log_failure(const race& r, const attempt& direct,
+                                   const attempt* winner) {
+  const absl::Time now = this->node.now();
+  const bool pending = direct.result == attempt::state::pending;
+  this->node.log.state_change(
+      "server_not_reached",
+      {{"address", r.address},
+       {"why", pending ? "no answer" : direct.error.message()},
+       {"after_ms",
+        absl::StrCat(absl::ToInt64Milliseconds(now - direct.begun))},
+       {"proxy", winner == nullptr ? "" : winner->proxy->candidate.name},
+       {"proxies_tried", absl::StrCat(r.attempts.size() - 1)},
+       {"loop_delay_ms",
+        absl::StrCat(absl::ToInt64Milliseconds(this->node.loop_delay))}},
+      now);
+}
+
+net::awaitable<boost::system::error_code> server_connector::dial(
+    tcp::socket& socket, std::string address) {
+  const connect_outcome out =
+      co_await this->connect(socket, std::move(address), call_lifetime);
+  co_return out.error;
+}
+
+void server_connector::probe(const std::string& address) {
+  const absl::Time now = this->node.now();
+  const auto [last, first] = this->probed_at.try_emplace(address, now);
+  if (!first && now - last->second < server_reachability::probe_period) return;
+  last->second = now;
+  net::co_spawn(this->node.loop, this->run_probe(address), net::detached);
+}
+
+net::awaitable<void> server_connector::run_probe(std::string address) {
+  // Unlike `connect`, always tries the direct way first.
+  const auto r =
+      std::make_shared<race>(this->node.loop, address, call_lifetime);
+  const absl::Time until = this->node.now() + connect_timeout;
+  this->start(r, nullptr);
+  bool proxies_started = false;
+  for (;;) {
+    const absl::Time now = this->node.now();
+    const bool direct_done = r->direct()->result != attempt::state::pending;
+    if (r->winner() != nullptr || now >= until) break;
+    const bool start_due =
+        direct_done || now - r->direct()->begun >= head_start;
+    if (start_due && !proxies_started) {
+      proxies_started = true;
+      const auto chosen = this->choose_proxies();
+      for (const auto& proxy : chosen) this->start(r, &proxy);
+    }
+    if (r->count(attempt::state::pending) == 0) break;
+    const absl::Duration wait = proxies_started ? until - now : head_start;
+    r->changed.expires_after(absl::ToChronoNanoseconds(wait));
+    co_await r->changed.async_wait(detail::use_tuple);
+  }
+  this->conclude(*r, r->winner());
+  for (const auto& a : r->attempts) detail::close_ignoring_errors(*a->socket);
+}
+
+absl::Duration server_connector::doubt_duration(absl::Time now) const {
+  return std::max(now - this->in_doubt_since, absl::ZeroDuration());
+}
+
+void server_connector::check(absl::Time now) {
+  this->in_doubt_since = this->node.reachability.in_doubt(now)
+                             ? std::min(this->in_doubt_since, now)
+                             : absl::InfiniteFuture();
+  if (this->node.reachability.probe_due(now)) {
+    this->node.reachability.on_probe(now);
+    std::erase_if(this->probed_at, [&](const auto& item) {
+      return now - item.second >= server_reachability::evidence_lifetime;
+    });
+    this->probe_next();
+  }
+  this->log_partition(now);
+}
+
+void server_connector::probe_next() {
+  const auto& servers = this->node.directory.servers();
+  if (servers.empty()) return;
+  auto at = servers.upper_bound(this->last_probed);
+  if (at == servers.end()) at = servers.begin();
+  this->last_probed = at->first;
+  this->probe(at->second.entry.address);
+}
+
+void server_connector::log_partition(absl::Time now) {
+  const bool was = this->partitioned_since != absl::InfiniteFuture();
+  const bool is = this->node.reachability.partitioned(now);
+  if (was == is) return;
+  if (is) {
+    this->partitioned_since = now;
+    this->node.forget_recent_blame();
+    this->node.log.state_change(
+        "servers_unreachable",
+        {{"silent_ms", absl::StrCat(absl::ToInt64Milliseconds(
+                           now - this->node.reachability.last_heard()))},
+         {"exchanges", absl::StrCat(this->node.exchanges.size())}},
+        now);
+    return;
+  }
+  this->node.log.state_change(
+      "servers_reachable",
+      {{"after_ms", absl::StrCat(absl::ToInt64Milliseconds(
+                        now - this->partitioned_since))}},
+      now);
+  this->partitioned_since = absl::InfiniteFuture();
+}
+
+}  // namespace spokesail
--- /dev/null
+++ b/src/server-connector.h
@@ -0,0 +1,101 @@
+// Opens connections to backend servers, directly or through other nodes.
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "server-dialer.h"
+#include "spokesail/server-reachability.h"
+
+namespace spokesail {
+
+struct node_context;
+
+/// How a connection was opened, or why it was not.
+struct connect_outcome {
+  /// Set if there is no connection.
+  boost::system::error_code error;
+  /// Name of the node that the connection goes through; empty if it is direct.
+  std::string proxy;
+  /// Whether the server itself seems to be down, rather than this node's links.
+  bool server_failed = false;
+};
+
+/// A node that could carry connections for this one.
+struct proxy_node {
+  proxy_candidate candidate;
+  /// Where it accepts them, "A.B.C.D:PORT".
+  std::string address;
+};
+
+/// Opens connections to servers. A direct attempt that does not succeed shortly
+/// is raced by attempts through other nodes (as in RFC 8305, "Happy Eyeballs"),
+/// so that a request does not have to wait until a lost link is noticed. A
+/// proxy connects directly only, so that connections pass one node at most.
+class server_connector final : public server_dialer {
+ public:
+  explicit server_connector(node_context& node) : node(node) {}
+
+  /// Connects an unused socket to the server at `address`. A proxy keeps the
+  /// connection for `lifetime` at most.
+  boost::asio::awaitable<connect_outcome> connect(
+      boost::asio::ip::tcp::socket& socket, std::string address,
+      absl::Duration lifetime);
+
+  boost::asio::awaitable<boost::system::error_code> dial(
+      boost::asio::ip::tcp::socket& socket, std::string address) override;
+
+  /// Checks whether a server can be reached directly, unless that was done a
+  /// short while ago.
+  void probe(const std::string& address);
+
+  /// Probes servers while it is in doubt whether this node reaches them, and
+  /// logs when it is partitioned from them. Must be called at every tick.
+  void check(absl::Time now);
+
+  /// How long it has been in doubt whether this node reaches the servers; zero
+  /// if it is not.
+  absl::Duration doubt_duration(absl::Time now) const;
+
+  /// The nodes that could be proxies.
+  std::function<std::vector<proxy_node>()> proxies;
+
+ private:
+  struct attempt;
+  struct race;
+
+  boost::asio::awaitable<void> run_probe(std::string address);
+  /// The proxies to try for one connection, in order.
+  std::vector<proxy_node> choose_proxies();
+  /// Starts an attempt; through a proxy if one is given.
+  void start(const std::shared_ptr<race>& r, const proxy_node* proxy);
+  boost::asio::awaitable<void> run_attempt(std::shared_ptr<race> r,
+                                           std::shared_ptr<attempt> a);
+  /// Records what a finished race shows about this node's links.
+  connect_outcome conclude(const race& r, const attempt* winner);
+  void log_failure(const race& r, const attempt& direct, const attempt* winner);
+  /// Probes one server; all in turn.
+  void probe_next();
+  void log_partition(absl::Time now);
+
+  node_context& node;
+  /// When servers were last probed, by address.
+  std::map<std::string, absl::Time> probed_at;
+  /// Id of the server that `probe_next` probed last.
+  std::string last_probed;
+  /// Since when it is in doubt whether this node reaches the servers; infinite
+  /// future if it is not.
+  absl::Time in_doubt_since = absl::InfiniteFuture();
+  /// Since when this node is partitioned, as last logged; infinite future if it
+  /// is not.
+  absl::Time partitioned_since = absl::InfiniteFuture();
+};
+
+}  // namespace spokesail
--- /dev/null
+++ b/src/server-reachability.cc
@@ -0,0 +1,154 @@
+#include "spokesail/server-reachability.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace spokesail {
+namespace {
+
+/// Removes and returns a random element.
+std::string take_random(std::vector<std::string>& names,
+                        random_stream& random) {
+  const size_t at = random.below(names.size());
+  std::swap(names[at], names.back());
+  std::string out = std::move(names.back());
+  names.pop_back();
+  return out;
+}
+
+}  // namespace
+
+void server_reachability::on_heard(const std::string& server, absl::Time now) {
+  this->heard[server] = now;
+  this->heard_at = now;
+}
+
+void server_reachability::on_attempt(const std::string& server,
+                                     const direct_attempt& attempt) {
+  this->attempts[server] = attempt;
+  if (attempt.result == direct_result::connected)
+    this->on_heard(server, attempt.ended);
+}
+
+server_reachability::evidence server_reachability::recent(
+    absl::Time now) const {
+  evidence out;
+  for (const auto& [server, attempt] : this->attempts) {
+    const bool reached = attempt.result == direct_result::connected;
+    if (reached || now - attempt.ended >= evidence_lifetime) continue;
+    ++out.unreached;
+    out.first_failure = std::min(out.first_failure, attempt.ended);
+    if (attempt.result != direct_result::bypassed) continue;
+    ++out.bypassed;
+    if (attempt.silent)
+      out.silent_since = std::max(out.silent_since, attempt.begun);
+  }
+  if (out.unreached == 0) return out;
+  for (const auto& [server, attempt] : this->attempts) {
+    const bool reached = attempt.result == direct_result::connected;
+    if (reached && attempt.ended >= out.first_failure) ++out.reached;
+  }
+  return out;
+}
+
+bool server_reachability::in_doubt(absl::Time now) const {
+  const evidence found = this->recent(now);
+  return found.unreached >= min_unreached_servers &&
+         found.unreached > found.reached;
+}
+
+bool server_reachability::partitioned(absl::Time now) const {
+  const evidence found = this->recent(now);
+  return found.bypassed >= min_unreached_servers &&
+         found.unreached > found.reached;
+}
+
+const direct_attempt* server_reachability::recent_attempt(
+    const std::string& server, absl::Time now) const {
+  const auto found = this->attempts.find(server);
+  const bool recent = found != this->attempts.end() &&
+                      now - found->second.ended < evidence_lifetime;
+  return recent ? &found->second : nullptr;
+}
+
+bool server_reachability::prefers_proxies(const std::string& server,
+                                          absl::Time now) const {
+  const direct_attempt* last = this->recent_attempt(server, now);
+  if (last != nullptr && last->result == direct_result::bypassed) return true;
+  if (!this->partitioned(now)) return false;
+  const bool reached_since = last != nullptr &&
+                             last->result == direct_result::connected &&
+                             last->ended >= this->recent(now).first_failure;
+  return !reached_since;
+}
+
+bool server_reachability::may_reuse(const std::string& server,
+                                    absl::Time now) const {
+  const auto found = this->heard.find(server);
+  const absl::Time itself =
+      found == this->heard.end() ? absl::InfinitePast() : found->second;
+  const bool heard_itself = now - itself < heard_lifetime;
+  const direct_attempt* last = this->recent_attempt(server, now);
+  if (last != nullptr && last->result == direct_result::bypassed)
+    return heard_itself && (!last->silent || itself > last->begun);
+  if (this->in_doubt(now))
+    return heard_itself && itself > this->recent(now).silent_since;
+  return now - this->heard_at < heard_lifetime;
+}
+
+bool server_reachability::connection_lost(const std::string& server,
+                                          absl::Time last_heard,
+                                          absl::Time now) const {
+  const direct_attempt* last = this->recent_attempt(server, now);
+  if (last != nullptr && last->result == direct_result::bypassed)
+    return last->silent && last_heard < last->begun;
+  if (last != nullptr && last->result == direct_result::connected &&
+      last->ended > last_heard) {
+    return false;
+  }
+  if (now - last_heard < heard_lifetime || !this->partitioned(now))
+    return false;
+  return last_heard < this->recent(now).silent_since;
+}
+
+bool server_reachability::probe_due(absl::Time now) const {
+  return now - this->probed_at >= probe_period && this->in_doubt(now);
+}
+
+void server_reachability::exclude_proxy(const std::string& name,
+                                        absl::Time now) {
+  this->excluded_until[name] = now + proxy_exclusion;
+}
+
+std::vector<std::string> server_reachability::choose_proxies(
+    const std::vector<proxy_candidate>& candidates, size_t count,
+    absl::Time now, random_stream& random) const {
+  std::vector<std::string> local;
+  std::vector<std::string> remote;
+  for (const auto& candidate : candidates) {
+    const auto excluded = this->excluded_until.find(candidate.name);
+    if (excluded != this->excluded_until.end() && now < excluded->second)
+      continue;
+    (candidate.local ? local : remote).push_back(candidate.name);
+  }
+  std::vector<std::string> out;
+  while (out.size() < count && (!local.empty() || !remote.empty())) {
+    const bool second = out.size() == 1;
+    const bool from_remote = local.empty() || (second && !remote.empty());
+    out.push_back(take_random(from_remote ? remote : local, random));
+  }
+  return out;
+}
+
+void server_reachability::expire(absl::Time now) {
+  std::erase_if(this->attempts, [&](const auto& item) {
+    return now - item.second.ended >= evidence_lifetime;
+  });
+  std::erase_if(this->heard, [&](const auto& item) {
+    return now - item.second >= heard_lifetime;
+  });
+  std::erase_if(this->excluded_until,
+                [&](const auto& item) { return now >= item.second; });
+}
+
+}  // namespace spokesail
--- a/src/stall-detector.cc
+++ b/src/stall-detector.cc
@@ -28,6 +28,15 @@
 /// members that do not reach each other.
 constexpr absl::Duration max_unexplained_silence = absl::Milliseconds(1200);
 
+/// If nothing is received from any server for this long, the servers of begun
+/// streams, and after the longer time those of other requests, are probed.
+constexpr absl::Duration min_path_silence = absl::Milliseconds(50);
+constexpr absl::Duration max_path_silence = absl::Milliseconds(100);
+
+/// Servers probed at once; two that cannot be reached show that this node's
+/// links have failed.
+constexpr size_t max_path_probes = 3;
+
 /// If the event loop itself was delayed for this long, silence proves nothing.
 constexpr absl::Duration max_loop_delay = absl::Milliseconds(150);
 
@@ -83,6 +92,41 @@
   return groups;
 }
 
+void stall_detector::end_lost_paths(absl::Time now) {
+  const std::vector<exchange*> all(this->node.exchanges.begin(),
+                                   this->node.exchanges.end());
+  for (exchange* ex : all) {
+    const bool waits = ex->aborted == abort_cause::none && ex->proxy.empty() &&
+                       ex->last_heard != absl::InfiniteFuture() &&
+                       !ex->waiting_for_caller;
+    // An attempt that cannot be repeated is left to its deadline: its response
+    // may still arrive.
+    if (!waits || !ex->repeatable) continue;
+    if (this->node.reachability.connection_lost(ex->endpoint.address,
+                                                ex->last_heard, now)) {
+      ex->abort(abort_cause::path_lost);
+    }
+  }
+}
+
+void stall_detector::check_paths(absl::Time now) {
+  const absl::Duration silence = now - this->node.reachability.last_heard();
+  if (silence < min_path_silence + this->node.loop_delay) return;
+  size_t probes = 0;
+  for (const exchange* ex : this->node.exchanges) {
+    if (ex->aborted != abort_cause::none || !ex->proxy.empty()) continue;
+    if (ex->waiting_for_caller) continue;
+    const absl::Duration limit =
+        ex->events_started ? min_path_silence : max_path_silence;
+    if (ex->last_heard == absl::InfiniteFuture() ||
+        now - ex->last_heard < limit + this->node.loop_delay) {
+      continue;
+    }
+    this->node.connector.probe(ex->endpoint.address);
+    if (++probes == max_path_probes) return;
+  }
+}
+
 void stall_detector::end_overdue(absl::Time now) {
   const std::vector<exchange*> all(this->node.exchanges.begin(),
                                    this->node.exchanges.end());
@@ -97,7 +141,10 @@
   const bool loop_delayed = now - this->last_check > max_loop_delay;
   this->last_check = now;
   this->end_overdue(now);
-  if (loop_delayed || !this->node.routes) return;
+  if (loop_delayed) return;
+  this->end_lost_paths(now);
+  this->check_paths(now);
+  if (!this->node.routes) return;
   for (const auto& [group, activity] : this->observe_groups(now)) {
     if (activity.expects_event) this->check_group(group, activity, now);
   }
--- a/src/stall-detector.h
+++ b/src/stall-detector.h
@@ -57,6 +57,11 @@
   bool has_exchange(const std::string& group) const;
   /// Aborts exchanges whose deadline has passed.
   void end_overdue(absl::Time now);
+  /// Aborts repeatable exchanges whose connections hang because this node has
+  /// lost its links.
+  void end_lost_paths(absl::Time now);
+  /// Probes servers if nothing is received from any.
+  void check_paths(absl::Time now);
   /// The state of all groups with exchanges, by name.
   std::map<std::string, group_activity> observe_groups(absl::Time now);
   /// Probes the members of a group that is silent for too long, or abandons the
--- /dev/null
+++ b/src/tunnel.cc
@@ -0,0 +1,246 @@
+#include "tunnel.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <vector>
+
+#include "detail/socket-deadline.h"
+#include "detail/socket.h"
+#include "http-fetch.h"
+
+namespace spokesail {
+namespace {
+
+namespace net = boost::asio;
+namespace http = boost::beast::http;
+using detail::use_tuple;
+using net::ip::tcp;
+
+constexpr char lifetime_header[] = "Lifetime-Ms";
+
+/// Time in which a proxy connects to a server; below the time that the node
+/// which asked waits for all its attempts.
+constexpr absl::Duration connect_timeout = absl::Milliseconds(50);
+
+/// Longest lifetime of a tunnel that is granted.
+constexpr absl::Duration max_lifetime = absl::Minutes(10);
+
+/// Maximum size of one read.
+constexpr size_t read_size = 16 << 10;
+
+/// Largest response head that is looked at, in bytes.
+constexpr uint32_t max_head_bytes = 64 << 10;
+
+}  // namespace
+
+net::awaitable<tunnel_result> open_tunnel(tcp::socket& socket,
+                                          const std::string& proxy_address,
+                                          const std::string& address,
+                                          absl::Duration lifetime) {
+  const auto error = co_await connect_to(socket, proxy_address);
+  if (error) co_return tunnel_result::unavailable;
+  http::request<http::empty_body> request(http::verb::connect, address,
+                                          http_11);
+  request.set(http::field::host, address);
+  request.set(lifetime_header,
+              absl::StrCat(absl::ToInt64Milliseconds(lifetime)));
+  auto [failed, sent] = co_await http::async_write(socket, request, use_tuple);
+  if (failed) co_return tunnel_result::unavailable;
+  http::response_parser<http::empty_body> parser;
+  parser.skip(true);
+  boost::beast::flat_buffer buffer;
+  auto [unread, size] =
+      co_await http::async_read_header(socket, buffer, parser, use_tuple);
+  if (unread) co_return tunnel_result::unavailable;
+  switch (parser.get().result()) {
+    case http::status::ok:
+      // A server sends nothing before it gets a request.
+      co_return buffer.size() == 0 ? tunnel_result::open
+                                   : tunnel_result::unavailable;
+    case http::status::bad_gateway:
+      co_return tunnel_result::server_unreachable;
+    default:
+      co_return tunnel_result::unavailable;
+  }
+}
+
+/// A connection of another node to a server.
+struct tunnel_service::tunnel {
+  tunnel(net::io_context& loop, std::string to,
+         std::shared_ptr<tcp::socket> from)
+      : address(std::move(to)),
+        peer(std::move(from)),
+        server(std::make_shared<tcp::socket>(loop)) {
+    this->parser.header_limit(max_head_bytes);
+    this->parser.skip(true);
+  }
+
+  void close() {
+    detail::close_ignoring_errors(*this->peer);
+    detail::close_ignoring_errors(*this->server);
+  }
+
+  const std::string address;
+  server_instance instance;
+  std::shared_ptr<tcp::socket> peer;
+  std::shared_ptr<tcp::socket> server;
+  /// When the server last sent something, or the connection was opened.
+  absl::Time last_heard;
+  /// The head of the server's response.
+  http::response_parser<http::empty_body> parser;
+  boost::beast::flat_buffer head;
+  bool head_observed = false;
+};
+
+std::optional<server_instance> tunnel_service::find_server(
+    const std::string& address) const {
+  for (const auto& [id, server] : this->node.directory.servers()) {
+    if (server.entry.address == address)
+      return server_instance{id, server.entry.incarnation};
+  }
+  return std::nullopt;
+}
+
+std::pair<unsigned, const char*> tunnel_service::admit(
+    const std::string& address) const {
+  constexpr unsigned unavailable = 503;
+  const absl::Time now = this->node.now();
+  if (this->node.stopping()) return {unavailable, "node is stopping"};
+  if (this->node.reachability.in_doubt(now))
+    return {unavailable, "servers are out of reach"};
+  if (!this->node.has_socket_for_tunnel())
+    return {unavailable, "too many connections"};
+  const auto server = this->find_server(address);
+  if (!server) return {unavailable, "no such server"};
+  const char* reason = this->node.reason_to_withhold(*server);
+  if (reason != nullptr) return {unavailable, reason};
+  return {200, ""};
+}
+
+net::awaitable<void> tunnel_service::answer(tcp::socket& peer, unsigned status,
+                                            const char* reason) {
+  http::response<http::empty_body> response(static_cast<http::status>(status),
+                                            http_11);
+  if (status != 200) {
+    response.set("Reason", reason);
+    response.keep_alive(false);
+  }
+  co_await http::async_write(peer, response, use_tuple);
+}
+
+net::awaitable<bool> tunnel_service::connect(tunnel& t) {
+  const absl::Time begun = this->node.now();
+  boost::system::error_code error;
+  {
+    const detail::socket_deadline deadline(t.server, connect_timeout);
+    error = co_await this->node.dialer->dial(*t.server, t.address);
+  }
+  const absl::Time now = this->node.now();
+  t.last_heard = now;
+  this->node.reachability.on_attempt(
+      t.address, {error ? direct_result::failed : direct_result::connected,
+                  begun, now, error == net::error::operation_aborted});
+  co_return !error;
+}
+
+net::awaitable<void> tunnel_service::serve(std::shared_ptr<tcp::socket> peer,
+                                           http_request request) {
+  constexpr unsigned bad_gateway = 502;
+  const std::string address(request.target());
+  const auto [status, reason] = this->admit(address);
+  int64_t lifetime_ms = 0;
+  const bool valid =
+      absl::SimpleAtoi(std::string(request[lifetime_header]), &lifetime_ms) &&
+      lifetime_ms > 0;
+  if (status != 200 || !valid) {
+    this->node.metrics.count_tunnel("refused");
+    co_await this->answer(*peer, status == 200 ? 400 : status, reason);
+    co_return;
+  }
+  const auto t = std::make_shared<tunnel>(this->node.loop, address, peer);
+  t->instance = *this->find_server(address);
+  const bool connected = co_await this->connect(*t);
+  if (!connected) {
+    // A node that is in doubt itself says nothing about the server.
+    const bool in_doubt = this->node.reachability.in_doubt(this->node.now());
+    this->node.metrics.count_tunnel("not_connected");
+    co_await this->answer(*peer, in_doubt ? 503 : bad_gateway,
+                          "server not reached");
+    co_return;
+  }
+  const absl::Duration lifetime =
+      std::min(absl::Milliseconds(lifetime_ms), max_lifetime);
+  const detail::socket_deadline peer_deadline(t->peer, lifetime);
+  const detail::socket_deadline server_deadline(t->server, lifetime);
+  this->tunnels.insert(t.get());
+  this->node.tunnel_count = this->tunnels.size();
+  this->node.metrics.count_tunnel("open");
+  co_await this->answer(*peer, 200, "");
+  net::co_spawn(this->node.loop, this->forward(t, false), net::detached);
+  co_await this->forward(t, true);
+  this->tunnels.erase(t.get());
+  this->node.tunnel_count = this->tunnels.size();
+}
+
+net::awaitable<void> tunnel_service::forward(std::shared_ptr<tunnel> t,
+                                             bool from_server) {
+  tcp::socket& from = from_server ? *t->server : *t->peer;
+  tcp::socket& to = from_server ? *t->peer : *t->server;
+  std::vector<char> bytes(read_size);
+  for (;;) {
+    auto [error, size] =
+        co_await from.async_read_some(net::buffer(bytes), use_tuple);
+    if (error) break;
+    if (from_server) {
+      t->last_heard = this->node.now();
+      this->node.reachability.on_heard(t->address, t->last_heard);
+      this->observe_response(*t, bytes.data(), size);
+    }
+    auto [failed, sent] = co_await net::async_write(
+        to, net::buffer(bytes.data(), size), use_tuple);
+    if (failed) break;
+  }
+  t->close();
+}
+
+void tunnel_service::observe_response(tunnel& t, const char* data,
+                                      size_t size) {
+  if (t.head_observed) return;
+  auto space = t.head.prepare(size);
+  net::buffer_copy(space, net::buffer(data, size));
+  t.head.commit(size);
+  boost::system::error_code error;
+  t.head.consume(t.parser.put(t.head.data(), error));
+  if (error == http::error::need_more) return;
+  t.head_observed = true;
+  if (error || !t.parser.is_header_done()) return;
+  const auto& head = t.parser.get().base();
+  this->node.note_server_state(
+      t.instance,
+      this->node.adapter.read_response_head(head.result_int(), head));
+}
+
+void tunnel_service::check(absl::Time now) {
+  const std::vector<tunnel*> all(this->tunnels.begin(), this->tunnels.end());
+  for (tunnel* t : all) {
+    if (!this->node.reachability.connection_lost(t->address, t->last_heard,
+                                                 now)) {
+      continue;
+    }
+    boost::system::error_code ignored;
+    t->peer->set_option(net::socket_base::linger(true, 0), ignored);
+    t->close();
+  }
+}
+
+}  // namespace spokesail
--- /dev/null
+++ b/src/tunnel.h
@@ -0,0 +1,69 @@
+// Connections to backend servers that pass through another node.
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "node-context.h"
+
+namespace spokesail {
+
+/// What became of a request for a tunnel.
+enum class tunnel_result {
+  open,
+  /// The other node reaches servers, but not this one.
+  server_unreachable,
+  /// The other node did not answer, or cannot carry the connection.
+  unavailable
+};
+
+/// Asks the node at `proxy_address` for a connection to the server at
+/// `address`, with HTTP's CONNECT method. The socket is unused; once the tunnel
+/// is open, it acts as a connection to that server.
+boost::asio::awaitable<tunnel_result> open_tunnel(
+    boost::asio::ip::tcp::socket& socket, const std::string& proxy_address,
+    const std::string& address, absl::Duration lifetime);
+
+/// Carries other nodes' connections to servers. Servers see them as this
+/// node's, so what they say of themselves to this node applies to them.
+class tunnel_service {
+ public:
+  explicit tunnel_service(node_context& node) : node(node) {}
+
+  /// Answers a CONNECT request and carries the connection until either side
+  /// ends it.
+  boost::asio::awaitable<void> serve(
+      std::shared_ptr<boost::asio::ip::tcp::socket> peer, http_request request);
+
+  /// Resets tunnels to servers that this node has lost its links to. Must be
+  /// called at every tick.
+  void check(absl::Time now);
+
+ private:
+  struct tunnel;
+
+  /// Why a tunnel is refused, with the status of the answer; 200 if it is not.
+  std::pair<unsigned, const char*> admit(const std::string& address) const;
+  /// The instance of the server that listens at an address.
+  std::optional<server_instance> find_server(const std::string& address) const;
+  boost::asio::awaitable<bool> connect(tunnel& t);
+  boost::asio::awaitable<void> answer(boost::asio::ip::tcp::socket& peer,
+                                      unsigned status, const char* reason);
+  /// Passes bytes on in one direction until the connection ends.
+  boost::asio::awaitable<void> forward(std::shared_ptr<tunnel> t,
+                                       bool from_server);
+  /// Reads the head of the server's response for what it says of the server.
+  void observe_response(tunnel& t, const char* data, size_t size);
+
+  node_context& node;
+  std::set<tunnel*> tunnels;
+};
+
+}  // namespace spokesail
--- a/test/partitioned-node-test.cc
+++ b/test/partitioned-node-test.cc
@@ -241,8 +241,7 @@
   const std::optional<int> cut = this->holder();
   ASSERT_TRUE(cut);
   this->set_links({*cut}, link_state::reset);
-  const std::string id = "n0-before";
-  EXPECT_TRUE(this->call(call_kind::stream, *cut, id));
+  EXPECT_TRUE(this->call(call_kind::stream, *cut, "n0-0"));
   EXPECT_TRUE(this->wait_until([&, this] {
     for (size_t i = 0; i < this->nodes.size(); ++i) {
       if (static_cast<int>(i) != *cut && this->nodes[i]->holds_lease())
