Blame no server and leave the lease while out of reach of all

A holder that had lost its links declared sound servers unresponsive to all nodes and dissolved their groups, nodes counted crashes of servers under the requests that were cut off, and the lease went to nodes that reached no server.

Cause: a probe over lost links was taken for an answer about the server. While a node is in doubt whether it reaches the servers, its failed probes now say nothing: no server is unresponsive, no crash counted, no group given up. After 400 ms it gives the lease up, and it does not compete for it.

--- a/include/spokesail/group-controller.h
+++ b/include/spokesail/group-controller.h
@@ -114,6 +114,9 @@
   /// Reports a server that may be down, as seen in traffic or on a connection.
   void suspect(const std::string& server, absl::Time now);
 
+  /// Records that a server could not be probed for want of a path to it.
+  void on_probe_failed(const std::string& server, absl::Time now);
+
   /// Handles the result of an order that `step` returned.
   void on_order_result(const group_order& order, order_result result,
                        absl::Time now);
--- a/src/group-controller-runner.cc
+++ b/src/group-controller-runner.cc
@@ -32,6 +32,10 @@
 /// sending and once for reading.
 constexpr double delay_allowance = 2;
 
+/// A holder that cannot tell for this long whether it reaches the servers
+/// leaves the lease to other nodes.
+constexpr absl::Duration max_doubt = absl::Milliseconds(400);
+
 /// Upper bound on the age of a holder state when it is received: two levels of
 /// relays forward it every 0.18 s.
 constexpr absl::Duration max_state_age = absl::Milliseconds(500);
@@ -170,7 +174,11 @@
          {"connected", result.status == fetch_status::not_sent ? "0" : "1"}},
         now);
   }
-  this->controller.on_report(server, report, now);
+  if (!report && this->node.reachability.in_doubt(now)) {
+    this->controller.on_probe_failed(server, now);
+  } else {
+    this->controller.on_report(server, report, now);
+  }
   ++this->events;
 }
 
@@ -240,8 +248,20 @@
   if (actions.step_down) this->manager.step_down();
 }
 
+void group_controller_runner::leave_lease_if_partitioned() {
+  const absl::Duration doubt =
+      this->node.connector.doubt_duration(this->node.now());
+  if (!this->manager.holds() || doubt < max_doubt) return;
+  this->node.log.state_change(
+      "holder_partitioned",
+      {{"doubt_ms", absl::StrCat(absl::ToInt64Milliseconds(doubt))}},
+      this->node.now());
+  this->manager.step_down();
+}
+
 net::awaitable<void> group_controller_runner::run() {
   for (;;) {
+    this->leave_lease_if_partitioned();
     this->sync_with_lease();
     this->step_if_due();
     co_await this->node.sleep(this->term_active ? step_check_period
--- a/src/group-controller-runner.h
+++ b/src/group-controller-runner.h
@@ -34,6 +34,8 @@
   earlier_loads known_earlier_loads() const;
   /// The last shares in force that this node knows of.
   std::vector<model_share> known_shares() const;
+  /// Gives up the lease if this node may have lost its links to the servers.
+  void leave_lease_if_partitioned();
   /// Passes the current demand to the controller.
   void update_demand();
   /// What the controller's next step works on.
--- a/src/group-controller.cc
+++ b/src/group-controller.cc
@@ -177,6 +177,14 @@
   if (track.order_running) track.probe_at = now + busy_probe_delay;
 }
 
+void group_controller::on_probe_failed(const std::string& server,
+                                       absl::Time now) {
+  this->pending_probes.on_ended(server, false, this->loop_delay, now);
+  const auto found = this->tracks.find(server);
+  if (found != this->tracks.end())
+    found->second.probe_at = now + refused_probe_delay;
+}
+
 void group_controller::reset_after_restart(server_track& track,
                                            const server_report& report,
                                            absl::Time now) {
--- a/src/lease-manager.cc
+++ b/src/lease-manager.cc
@@ -101,6 +101,7 @@
   if (now < this->backoff_until) return false;
   if (this->holds()) return true;
   if (now < this->stepped_down_until) return false;
+  if (this->node.reachability.in_doubt(now)) return false;
   if (!this->node.routes || !this->node.directory_listed) return false;
   const absl::Duration current_for = now - this->current_since;
   // A rank takes a look at all candidates.
--- a/src/stall-detector.cc
+++ b/src/stall-detector.cc
@@ -191,6 +191,11 @@
       this->node.adapter.read_report(result.response)) {
     co_return;
   }
+  // Without a path to the servers, silence does not show which has failed.
+  if (this->node.reachability.in_doubt(this->node.now()) &&
+      result.status != fetch_status::ok) {
+    co_return;
+  }
   this->node.suspect_server(server);
   if (this->on_suspect) this->on_suspect(server);
   if (notify_peers && this->on_loss) this->on_loss({{server}, group});
