Do not give up a sound server that pauses

A group whose head was silent for 1.3 s was dissolved, and a crash was counted under each request there, though the server went on afterwards.

Cause: one probe without an answer made a server unresponsive and crashed. A server that refuses connections or cannot be reached is found as fast as before.

--- a/include/spokesail/group-controller-options.h
+++ b/include/spokesail/group-controller-options.h
@@ -58,6 +58,9 @@
   /// A holder that finds more than this fraction of the servers unresponsive in
   /// most data halls is itself isolated and gives up its lease.
   double isolation_threshold = 0.3;
+  /// A server that accepts connections may be silent for this long before it
+  /// counts as unresponsive.
+  absl::Duration pause_tolerance = absl::Seconds(2);
   bool operator==(const group_controller_options&) const = default;
 };
 
--- a/include/spokesail/group-controller.h
+++ b/include/spokesail/group-controller.h
@@ -114,6 +114,10 @@
   /// Reports a server that may be down, as seen in traffic or on a connection.
   void suspect(const std::string& server, absl::Time now);
 
+  /// Records that a server accepted a connection and did not answer. A sound
+  /// server may pause, so it counts as unresponsive only if that goes on.
+  void on_silence(const std::string& server, absl::Time now);
+
   /// Records that a server could not be probed for want of a path to it.
   void on_probe_failed(const std::string& server, absl::Time now);
 
@@ -156,6 +160,8 @@
     absl::Time assumed_until = absl::InfinitePast();
     /// Whether the last probe went unanswered.
     bool unresponsive = false;
+    /// Since when it accepts connections without answering.
+    absl::Time silent_since = absl::InfiniteFuture();
     /// Whether it was executing an order at the last probe.
     bool order_running = false;
     /// When to probe it next; infinite future if there is no need.
--- a/src/crash-check.cc
+++ b/src/crash-check.cc
@@ -44,9 +44,9 @@
     co_return classify_answer(node, endpoint, result.response);
   }
   // If this node's event loop was blocked for as long, the answer may have
-  // arrived in time without being read. Without a path to the server nothing is
-  // known.
-  const bool unknown = node.loop_delay >= probe_timeout ||
+  // arrived in time without being read. A server that accepts connections may
+  // only pause, and without a path to it nothing is known.
+  const bool unknown = node.loop_delay >= probe_timeout || result.silent ||
                        node.reachability.in_doubt(node.now());
   co_return unknown ? server_liveness::unknown : server_liveness::crashed;
 }
--- a/src/group-controller.cc
+++ b/src/group-controller.cc
@@ -170,6 +170,7 @@
   if (report->incarnation > track.incarnation)
     this->reset_after_restart(track, *report, now);
   track.unresponsive = false;
+  track.silent_since = absl::InfiniteFuture();
   track.probe_at = absl::InfiniteFuture();
   if (!track.pending) track.orders_started = report->orders_started;
   track.order_running = report->order_running;
@@ -177,6 +178,21 @@
   if (track.order_running) track.probe_at = now + busy_probe_delay;
 }
 
+void group_controller::on_silence(const std::string& server, absl::Time now) {
+  const auto found = this->tracks.find(server);
+  const bool known = found != this->tracks.end();
+  if (known)
+    found->second.silent_since = std::min(found->second.silent_since, now);
+  const bool pauses =
+      known && !found->second.unresponsive &&
+      now - found->second.silent_since < this->options.pause_tolerance;
+  if (pauses) {
+    this->on_probe_failed(server, now);
+  } else {
+    this->on_report(server, std::nullopt, now);
+  }
+}
+
 void group_controller::on_probe_failed(const std::string& server,
                                        absl::Time now) {
   this->pending_probes.on_ended(server, false, this->loop_delay, now);
