--- a/src/peer-link.cc
+++ b/src/peer-link.cc
@@ -59,11 +59,15 @@
 
 std::vector<proxy_node> peer_link::proxies() const {
   std::vector<proxy_node> out;
-  for (const auto& peer : this->live_local_peers())
-    out.push_back({{peer.name, true}, this->address_of(peer.name)});
+  const auto add = [&](const std::string& name, bool local) {
+    proxy_node& added = out.emplace_back();
+    added.candidate.name = name;
+    added.candidate.local = local;
+    added.address = this->address_of(name);
+  };
+  for (const auto& peer : this->live_local_peers()) add(peer.name, true);
   for (const auto& [hall, peers] : this->remote_hall_peers()) {
-    for (const auto& peer : peers)
-      out.push_back({{peer.name, false}, this->address_of(peer.name)});
+    for (const auto& peer : peers) add(peer.name, false);
   }
   return out;
 }
--- a/test/partitioned-node-test.cc
+++ b/test/partitioned-node-test.cc
@@ -1,9 +1,15 @@
 // Nodes that have lost their links to all servers, while callers, the store and
 // the other nodes still reach them.
+#include <netinet/tcp.h>
+
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <optional>
 
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+
 #include "node-fixture.h"
 
 namespace spokesail {
@@ -251,6 +257,78 @@
   }));
 }
 
+// Guards against callers that wait, and servers that are blamed, where no node
+// reaches the servers.
+TEST_F(partitioned_node_test, refused_while_no_node_reaches_the_servers) {
+  this->start(node_count);
+  const auto groups = this->serving_groups();
+  this->set_links({0, 1, 2}, link_state::reset);
+  std::string reason;
+  for (int i = 0; i < 20 && reason != "servers cannot be reached"; ++i) {
+    const auto answer = this->send_request(
+        request(absl::StrCat("n0-", i), "/file/one"), i % node_count);
+    EXPECT_EQ(answer.result_int(), 503U);
+    reason = answer.body();
+    EXPECT_EQ(this->runs(absl::StrCat("n0-", i)), 0);
+  }
+  EXPECT_EQ(reason, "servers cannot be reached");
+  this->set_links({0, 1, 2}, link_state::up);
+  EXPECT_TRUE(this->wait_until([this] {
+    return std::none_of(this->nodes.begin(), this->nodes.end(),
+                        [](const auto& node) {
+                          node_context& state = node->context();
+                          return state.reachability.in_doubt(state.now());
+                        });
+  }));
+  for (int node = 0; node < node_count; ++node) {
+    EXPECT_TRUE(
+        this->call(call_kind::stream, node, absl::StrCat("n", node, "-s")));
+  }
+  EXPECT_EQ(this->serving_groups(), groups);
+  this->expect_no_blame();
+}
+
+// Guards against nodes that carry connections to anywhere.
+TEST_F(partitioned_node_test, tunnels_lead_to_servers_only) {
+  this->start(1);
+  tcp::socket socket(this->client);
+  boost::system::error_code error;
+  socket.connect(parse_endpoint(this->peer_address(0), error));
+  http::request<http::empty_body> out(http::verb::connect, "127.0.0.1:1", 11);
+  out.set("Lifetime-Ms", "1000");
+  http::write(socket, out);
+  boost::beast::flat_buffer buffer;
+  http::response_parser<http::empty_body> in;
+  in.skip(true);
+  http::read_header(socket, buffer, in);
+  EXPECT_EQ(in.get().result(), http::status::service_unavailable);
+}
+
+// Guards against sound connections that the kernel ends: a user timeout would
+// also bound keep-alive probes.
+TEST_F(partitioned_node_test, the_kernel_ends_no_connection_to_a_server) {
+  this->start(1);
+  EXPECT_TRUE(this->call(call_kind::repeatable, 0, "n0-1"));
+  this->on_loop([this] {
+    node_context& node = this->nodes[0]->context();
+    auto kept = node.pool.take("p0", node.now());
+    if (!kept) kept = node.pool.take("p1", node.now());
+    if (!kept) {
+      ADD_FAILURE() << "no connection was kept";
+      return 0;
+    }
+    net::socket_base::keep_alive keep_alive;
+    kept->get_option(keep_alive);
+    EXPECT_FALSE(keep_alive.value());
+    unsigned timeout_ms = 1;
+    socklen_t size = sizeof timeout_ms;
+    getsockopt(kept->native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+               &timeout_ms, &size);
+    EXPECT_EQ(timeout_ms, 0U);
+    return 0;
+  });
+}
+
 // Guards against groups and requests that are given up because a sound server
 // is silent for a second.
 TEST_F(partitioned_node_test, a_server_silent_for_a_second_is_not_given_up) {
