Judge by server whether a node can be a proxy for it

A node now declines for the servers that it has failed to reach, or for all only while it is in doubt and knows nothing of that one; nodes that declined are asked last rather than not at all.

--- a/include/spokesail/server-reachability.h
+++ b/include/spokesail/server-reachability.h
@@ -59,7 +59,7 @@
   static constexpr absl::Duration heard_lifetime = absl::Milliseconds(100);
   /// Interval at which a partitioned node tries a direct connection.
   static constexpr absl::Duration probe_period = absl::Milliseconds(250);
-  /// How long a node that could not reach servers is not used as a proxy.
+  /// How long a node that could not be a proxy is tried after all others.
   static constexpr absl::Duration proxy_exclusion = absl::Milliseconds(1000);
 
   /// Records that a direct connection to a server carried bytes to this node.
@@ -73,12 +73,15 @@
   bool partitioned(absl::Time now) const;
 
   /// Whether this node's own view of the servers is in doubt, so that it blames
-  /// none and is no proxy for others.
+  /// none.
   bool in_doubt(absl::Time now) const;
 
   /// Whether connections to a server are opened through other nodes first.
   bool prefers_proxies(const std::string& server, absl::Time now) const;
 
+  /// Whether this node may connect others to a server.
+  bool may_proxy(const std::string& server, absl::Time now) const;
+
   /// Whether an idle direct connection to a server may be used.
   bool may_reuse(const std::string& server, absl::Time now) const;
 
@@ -94,12 +97,13 @@
   bool probe_due(absl::Time now) const;
   void on_probe(absl::Time now) { this->probed_at = now; }
 
-  /// Records that a node does not reach servers itself, or did not respond.
-  void exclude_proxy(const std::string& name, absl::Time now);
+  /// Records that a node has lost its links too, or could not be a proxy.
+  void demote_proxy(const std::string& name, absl::Time now);
 
   /// Chooses nodes to reach servers through, in the order in which they are
   /// tried: at random, those of this data hall first, and one of another hall
-  /// second, in case this hall has lost its links as a whole.
+  /// second, in case this hall has lost its links as a whole. Demoted ones come
+  /// last: they may reach a few servers, and refuse at once.
   std::vector<std::string> choose_proxies(
       const std::vector<proxy_candidate>& candidates, size_t count,
       absl::Time now, random_stream& random) const;
@@ -127,7 +131,7 @@
   std::map<std::string, absl::Time> heard;
   absl::Time heard_at = absl::InfinitePast();
   absl::Time probed_at = absl::InfinitePast();
-  std::map<std::string, absl::Time> excluded_until;
+  std::map<std::string, absl::Time> demoted_until;
 };
 
 }  // namespace spokesail
--- a/src/node-gossip.cc
+++ b/src/node-gossip.cc
@@ -36,7 +36,7 @@
   const absl::Time now = this->node.now();
   if (message.requests_seen) this->node.requests_seen = true;
   if (message.servers_unreachable)
-    this->node.reachability.exclude_proxy(peer, this->node.now());
+    this->node.reachability.demote_proxy(peer, this->node.now());
   if (message.holder) this->apply_holder_part(*message.holder);
   const bool is_local = this->link.hall_of(peer) == this->node.settings.hall;
   if (is_local) {
@@ -101,7 +101,8 @@
   const auto own = this->own_holder_state();
   if (own) out.holder = inline_holder_state(*own);
   out.requests_seen = this->node.requests_seen;
-  out.servers_unreachable = this->node.reachability.in_doubt(this->node.now());
+  out.servers_unreachable =
+      this->node.reachability.partitioned(this->node.now());
   return out;
 }
 
--- a/src/server-connector.cc
+++ b/src/server-connector.cc
@@ -125,7 +125,7 @@
                     ? state::server_unreachable
                     : state::failed;
     if (result == tunnel_result::unavailable) {
-      this->node.reachability.exclude_proxy(a->proxy->candidate.name,
+      this->node.reachability.demote_proxy(a->proxy->candidate.name,
                                             this->node.now());
     }
   }
--- a/src/server-reachability.cc
+++ b/src/server-reachability.cc
@@ -82,6 +82,13 @@
   return !reached_since;
 }
 
+bool server_reachability::may_proxy(const std::string& server,
+                                    absl::Time now) const {
+  const direct_attempt* last = this->recent_attempt(server, now);
+  if (last != nullptr) return last->result == direct_result::connected;
+  return !this->in_doubt(now);
+}
+
 bool server_reachability::may_reuse(const std::string& server,
                                     absl::Time now) const {
   const auto found = this->heard.find(server);
@@ -115,9 +122,9 @@
   return now - this->probed_at >= probe_period && this->in_doubt(now);
 }
 
-void server_reachability::exclude_proxy(const std::string& name,
-                                        absl::Time now) {
-  this->excluded_until[name] = now + proxy_exclusion;
+void server_reachability::demote_proxy(const std::string& name,
+                                       absl::Time now) {
+  this->demoted_until[name] = now + proxy_exclusion;
 }
 
 std::vector<std::string> server_reachability::choose_proxies(
@@ -125,17 +132,23 @@
     absl::Time now, random_stream& random) const {
   std::vector<std::string> local;
   std::vector<std::string> remote;
+  std::vector<std::string> demoted;
   for (const auto& candidate : candidates) {
-    const auto excluded = this->excluded_until.find(candidate.name);
-    if (excluded != this->excluded_until.end() && now < excluded->second)
-      continue;
-    (candidate.local ? local : remote).push_back(candidate.name);
+    const auto found = this->demoted_until.find(candidate.name);
+    const bool is_demoted =
+        found != this->demoted_until.end() && now < found->second;
+    (is_demoted        ? demoted
+     : candidate.local ? local
+                       : remote)
+        .push_back(candidate.name);
   }
   std::vector<std::string> out;
-  while (out.size() < count && (!local.empty() || !remote.empty())) {
-    const bool second = out.size() == 1;
-    const bool from_remote = local.empty() || (second && !remote.empty());
-    out.push_back(take_random(from_remote ? remote : local, random));
+  while (out.size() < std::min(count, candidates.size())) {
+    const bool remote_first = local.empty() || out.size() == 1;
+    auto& from = remote_first && !remote.empty() ? remote
+                 : !local.empty()                ? local
+                                                 : demoted;
+    out.push_back(take_random(from, random));
   }
   return out;
 }
@@ -147,7 +160,7 @@
   std::erase_if(this->heard, [&](const auto& item) {
     return now - item.second >= heard_lifetime;
   });
-  std::erase_if(this->excluded_until,
+  std::erase_if(this->demoted_until,
                 [&](const auto& item) { return now >= item.second; });
 }
 
--- a/src/tunnel.cc
+++ b/src/tunnel.cc
@@ -35,6 +35,12 @@
 /// Longest lifetime of a tunnel that is granted.
 constexpr absl::Duration max_lifetime = absl::Minutes(10);
 
+/// Statuses with which a tunnel is refused: the server is down; it is not
+/// reached, perhaps because of this node's links; no tunnel is granted.
+constexpr unsigned bad_gateway = 502;
+constexpr unsigned gateway_timeout = 504;
+constexpr unsigned unavailable = 503;
+
 /// Maximum size of one read.
 constexpr size_t read_size = 16 << 10;
 
@@ -69,6 +75,8 @@
                                    : tunnel_result::unavailable;
     case http::status::bad_gateway:
       co_return tunnel_result::server_unreachable;
+    case http::status::gateway_timeout:
+      co_return tunnel_result::not_reached;
     default:
       co_return tunnel_result::unavailable;
   }
@@ -113,11 +121,13 @@
 
 std::pair<unsigned, const char*> tunnel_service::admit(
     const std::string& address) const {
-  constexpr unsigned unavailable = 503;
   const absl::Time now = this->node.now();
   if (this->node.stopping()) return {unavailable, "node is stopping"};
-  if (this->node.reachability.in_doubt(now))
-    return {unavailable, "servers are out of reach"};
+  if (!this->node.reachability.may_proxy(address, now)) {
+    const bool partitioned = this->node.reachability.partitioned(now);
+    return {partitioned ? unavailable : gateway_timeout,
+            "server is out of reach"};
+  }
   if (!this->node.has_socket_for_tunnel())
     return {unavailable, "too many connections"};
   const auto server = this->find_server(address);
@@ -155,7 +165,6 @@
 
 net::awaitable<void> tunnel_service::serve(std::shared_ptr<tcp::socket> peer,
                                            http_request request) {
-  constexpr unsigned bad_gateway = 502;
   const std::string address(request.target());
   const auto [status, reason] = this->admit(address);
   int64_t lifetime_ms = 0;
@@ -174,7 +183,7 @@
     // A node that is in doubt itself says nothing about the server.
     const bool in_doubt = this->node.reachability.in_doubt(this->node.now());
     this->node.metrics.count_tunnel("not_connected");
-    co_await this->answer(*peer, in_doubt ? 503 : bad_gateway,
+    co_await this->answer(*peer, in_doubt ? gateway_timeout : bad_gateway,
                           "server not reached");
     co_return;
   }
--- a/src/tunnel.h
+++ b/src/tunnel.h
@@ -20,6 +20,8 @@
   open,
   /// The other node reaches servers, but not this one.
   server_unreachable,
+  /// The other node does not reach this server, perhaps because of its links.
+  not_reached,
   /// The other node did not answer, or cannot carry the connection.
   unavailable
 };
--- a/test/server-reachability-test.cc
+++ b/test/server-reachability-test.cc
@@ -192,9 +192,8 @@
       const size_t proxy = std::stoul(name);
       spent += round_trip;
       if (!this->nodes[proxy].cut) return proxy;
-      const bool known = this->nodes[proxy].view.in_doubt(this->now);
-      if (known) {
-        self.view.exclude_proxy(name, this->now);
+      if (!this->nodes[proxy].view.may_proxy(server, this->now)) {
+        self.view.demote_proxy(name, this->now);
       } else {
         this->record(proxy, server, direct_result::failed);
         spent += head_start;
