--- a/src/tunnel.cc
+++ b/src/tunnel.cc
@@ -176,6 +176,8 @@
     co_await this->answer(*peer, status == 200 ? 400 : status, reason);
     co_return;
   }
+  boost::system::error_code ignored;
+  peer->set_option(tcp::no_delay(true), ignored);
   const auto t = std::make_shared<tunnel>(this->node.loop, address, peer);
   t->instance = *this->find_server(address);
   const bool connected = co_await this->connect(*t);
