Run probes and connections as the same race

Server races are split into short functions, and a probe is a race whose result is closed. Failures are kept apart from what was reached, so that nothing is counted while no attempt has failed. No change of logic but that a probe tries proxies one after the other; the tests of decisions pass.

--- a/include/spokesail/server-reachability.h
+++ b/include/spokesail/server-reachability.h
@@ -124,10 +124,17 @@
     absl::Time silent_since = absl::InfinitePast();
   };
   evidence recent(absl::Time now) const;
-  const direct_attempt* recent_attempt(const std::string& server,
+  /// The last attempt to connect to a server, if it failed recently.
+  const direct_attempt* recent_failure(const std::string& server,
                                        absl::Time now) const;
-
-  std::map<std::string, direct_attempt> attempts;
+  /// When a server was last reached directly; infinite past if it was not
+  /// recently.
+  absl::Time recently_reached(const std::string& server, absl::Time now) const;
+
+  /// Last attempts that failed, by server. Usually empty.
+  std::map<std::string, direct_attempt> failures;
+  /// When the last attempt to connect to a server succeeded.
+  std::map<std::string, absl::Time> reached_at;
   std::map<std::string, absl::Time> heard;
   absl::Time heard_at = absl::InfinitePast();
   absl::Time probed_at = absl::InfinitePast();
--- a/src/server-connector.cc
+++ b/src/server-connector.cc
@@ -58,7 +58,15 @@
 
   const std::string address;
   const absl::Duration lifetime;
+  /// Whether the direct attempt comes before those through proxies.
+  bool direct_first = true;
   std::vector<std::shared_ptr<attempt>> attempts;
+  /// The proxies to try; nothing until they are needed.
+  std::optional<std::vector<proxy_node>> proxies;
+  size_t proxies_tried = 0;
+  /// When the next attempt starts, unless none is pending before.
+  absl::Time next_start = absl::InfinitePast();
+  /// Cancelled when an attempt ends.
   net::steady_timer changed;
 
   size_t count(attempt::state state) const {
@@ -66,6 +74,8 @@
         std::count_if(attempts.begin(), attempts.end(),
                       [&](const auto& a) { return a->result == state; }));
   }
+  bool pending() const { return count(attempt::state::pending) > 0; }
+  /// The attempt that connected; null if none has.
   attempt* winner() const {
     for (const auto& a : attempts) {
       if (a->result == attempt::state::connected) return a.get();
@@ -126,54 +136,59 @@
                     : state::failed;
     if (result == tunnel_result::unavailable) {
       this->node.reachability.demote_proxy(a->proxy->candidate.name,
-                                            this->node.now());
+                                           this->node.now());
     }
   }
   r->changed.cancel();
 }
 
-net::awaitable<connect_outcome> server_connector::connect(
-    tcp::socket& socket, std::string address, absl::Duration lifetime) {
-  const auto r = std::make_shared<race>(this->node.loop, address, lifetime);
+bool server_connector::start_next(const std::shared_ptr<race>& r) {
+  const bool direct_due = r->direct() == nullptr;
+  if (direct_due && r->direct_first) {
+    this->start(r, nullptr);
+    return true;
+  }
+  if (!r->proxies) r->proxies = this->choose_proxies();
+  if (r->proxies_tried < r->proxies->size()) {
+    this->start(r, &(*r->proxies)[r->proxies_tried++]);
+    return true;
+  }
+  if (direct_due) this->start(r, nullptr);
+  return direct_due;
+}
+
+net::awaitable<connect_outcome> server_connector::run_race(
+    std::shared_ptr<race> r) {
   const absl::Time until = this->node.now() + connect_timeout;
-  const bool direct_last =
-      this->node.reachability.prefers_proxies(address, this->node.now());
-  std::optional<std::vector<proxy_node>> chosen;
-  size_t next_proxy = 0;
-  absl::Time next_start = absl::InfinitePast();
   while (r->winner() == nullptr && !r->server_down()) {
     const absl::Time now = this->node.now();
     if (now >= until) break;
-    const bool pending = r->count(attempt::state::pending) > 0;
-    const bool start_due = !pending || now >= next_start;
-    if (start_due && r->direct() == nullptr && !direct_last) {
-      this->start(r, nullptr);
-      next_start = now + head_start + this->node.loop_delay;
-      continue;
+    const bool start_due = !r->pending() || now >= r->next_start;
+    if (start_due) {
+      const bool started = this->start_next(r);
+      r->next_start = started ? now + head_start + this->node.loop_delay
+                              : absl::InfiniteFuture();
+      if (started) continue;
     }
-    if (start_due && !chosen) chosen = this->choose_proxies();
-    if (start_due && next_proxy < chosen->size()) {
-      this->start(r, &(*chosen)[next_proxy++]);
-      next_start = now + head_start + this->node.loop_delay;
-      continue;
-    }
-    if (start_due && r->direct() == nullptr) {
-      this->start(r, nullptr);
-      next_start = absl::InfiniteFuture();
-      continue;
-    }
-    if (!pending) break;
-    const absl::Duration wait =
-        std::min(until, start_due ? until : next_start) - now;
+    if (!r->pending()) break;
+    const absl::Duration wait = std::min(until, r->next_start) - now;
     r->changed.expires_after(absl::ToChronoNanoseconds(wait));
     co_await r->changed.async_wait(detail::use_tuple);
   }
-  attempt* const winner = r->winner();
-  const connect_outcome out = this->conclude(*r, winner);
-  if (winner != nullptr) socket = std::move(*winner->socket);
+  const attempt* const winner = r->winner();
   for (const auto& a : r->attempts) {
     if (a.get() != winner) detail::close_ignoring_errors(*a->socket);
   }
+  co_return this->conclude(*r, winner);
+}
+
+net::awaitable<connect_outcome> server_connector::connect(
+    tcp::socket& socket, std::string address, absl::Duration lifetime) {
+  const auto r = std::make_shared<race>(this->node.loop, address, lifetime);
+  r->direct_first =
+      !this->node.reachability.prefers_proxies(address, this->node.now());
+  const connect_outcome out = co_await this->run_race(r);
+  if (!out.error) socket = std::move(*r->winner()->socket);
   co_return out;
 }
 
@@ -243,37 +258,16 @@
 
 void server_connector::probe(const std::string& address) {
   const absl::Time now = this->node.now();
-  const auto [last, first] = this->probed_at.try_emplace(address, now);
-  if (!first && now - last->second < server_reachability::probe_period) return;
-  last->second = now;
+  const bool probed_lately = !this->probed_at.try_emplace(address, now).second;
+  if (probed_lately) return;
   net::co_spawn(this->node.loop, this->run_probe(address), net::detached);
 }
 
 net::awaitable<void> server_connector::run_probe(std::string address) {
-  // Unlike `connect`, always tries the direct way first.
   const auto r =
       std::make_shared<race>(this->node.loop, address, call_lifetime);
-  const absl::Time until = this->node.now() + connect_timeout;
-  this->start(r, nullptr);
-  bool proxies_started = false;
-  for (;;) {
-    const absl::Time now = this->node.now();
-    const bool direct_done = r->direct()->result != attempt::state::pending;
-    if (r->winner() != nullptr || now >= until) break;
-    const bool start_due =
-        direct_done || now - r->direct()->begun >= head_start;
-    if (start_due && !proxies_started) {
-      proxies_started = true;
-      const auto chosen = this->choose_proxies();
-      for (const auto& proxy : chosen) this->start(r, &proxy);
-    }
-    if (r->count(attempt::state::pending) == 0) break;
-    const absl::Duration wait = proxies_started ? until - now : head_start;
-    r->changed.expires_after(absl::ToChronoNanoseconds(wait));
-    co_await r->changed.async_wait(detail::use_tuple);
-  }
-  this->conclude(*r, r->winner());
-  for (const auto& a : r->attempts) detail::close_ignoring_errors(*a->socket);
+  const connect_outcome out = co_await this->run_race(r);
+  if (!out.error) detail::close_ignoring_errors(*r->winner()->socket);
 }
 
 absl::Duration server_connector::doubt_duration(absl::Time now) const {
@@ -284,11 +278,11 @@
   this->in_doubt_since = this->node.reachability.in_doubt(now)
                              ? std::min(this->in_doubt_since, now)
                              : absl::InfiniteFuture();
+  std::erase_if(this->probed_at, [&](const auto& item) {
+    return now - item.second >= server_reachability::probe_period;
+  });
   if (this->node.reachability.probe_due(now)) {
     this->node.reachability.on_probe(now);
-    std::erase_if(this->probed_at, [&](const auto& item) {
-      return now - item.second >= server_reachability::evidence_lifetime;
-    });
     this->probe_next();
   }
   this->log_partition(now);
--- a/src/server-connector.h
+++ b/src/server-connector.h
@@ -76,6 +76,11 @@
   std::vector<proxy_node> choose_proxies();
   /// Starts an attempt; through a proxy if one is given.
   void start(const std::shared_ptr<race>& r, const proxy_node* proxy);
+  /// Starts the next attempt of a race. Returns false if there is none left.
+  bool start_next(const std::shared_ptr<race>& r);
+  /// Runs attempts until one connects or all have failed, and records what they
+  /// show.
+  boost::asio::awaitable<connect_outcome> run_race(std::shared_ptr<race> r);
   boost::asio::awaitable<void> run_attempt(std::shared_ptr<race> r,
                                            std::shared_ptr<attempt> a);
   /// Records what a finished race shows about this node's links.
--- a/src/server-reachability.cc
+++ b/src/server-reachability.cc
@@ -25,17 +25,21 @@
 
 void server_reachability::on_attempt(const std::string& server,
                                      const direct_attempt& attempt) {
-  this->attempts[server] = attempt;
-  if (attempt.result == direct_result::connected)
-    this->on_heard(server, attempt.ended);
+  if (attempt.result != direct_result::connected) {
+    this->failures[server] = attempt;
+    this->reached_at.erase(server);
+    return;
+  }
+  this->failures.erase(server);
+  this->reached_at[server] = attempt.ended;
+  this->on_heard(server, attempt.ended);
 }
 
 server_reachability::evidence server_reachability::recent(
     absl::Time now) const {
   evidence out;
-  for (const auto& [server, attempt] : this->attempts) {
-    const bool reached = attempt.result == direct_result::connected;
-    if (reached || now - attempt.ended >= evidence_lifetime) continue;
+  for (const auto& [server, attempt] : this->failures) {
+    if (now - attempt.ended >= evidence_lifetime) continue;
     ++out.unreached;
     out.first_failure = std::min(out.first_failure, attempt.ended);
     if (attempt.result != direct_result::bypassed) continue;
@@ -44,9 +48,8 @@
       out.silent_since = std::max(out.silent_since, attempt.begun);
   }
   if (out.unreached == 0) return out;
-  for (const auto& [server, attempt] : this->attempts) {
-    const bool reached = attempt.result == direct_result::connected;
-    if (reached && attempt.ended >= out.first_failure) ++out.reached;
+  for (const auto& [server, at] : this->reached_at) {
+    if (at >= out.first_failure) ++out.reached;
   }
   return out;
 }
@@ -63,30 +66,37 @@
          found.unreached > found.reached;
 }
 
-const direct_attempt* server_reachability::recent_attempt(
+const direct_attempt* server_reachability::recent_failure(
     const std::string& server, absl::Time now) const {
-  const auto found = this->attempts.find(server);
-  const bool recent = found != this->attempts.end() &&
+  const auto found = this->failures.find(server);
+  const bool recent = found != this->failures.end() &&
                       now - found->second.ended < evidence_lifetime;
   return recent ? &found->second : nullptr;
 }
 
+absl::Time server_reachability::recently_reached(const std::string& server,
+                                                 absl::Time now) const {
+  const auto found = this->reached_at.find(server);
+  const bool recent = found != this->reached_at.end() &&
+                      now - found->second < evidence_lifetime;
+  return recent ? found->second : absl::InfinitePast();
+}
+
 bool server_reachability::prefers_proxies(const std::string& server,
                                           absl::Time now) const {
-  const direct_attempt* last = this->recent_attempt(server, now);
-  if (last != nullptr && last->result == direct_result::bypassed) return true;
-  if (!this->partitioned(now)) return false;
-  const bool reached_since = last != nullptr &&
-                             last->result == direct_result::connected &&
-                             last->ended >= this->recent(now).first_failure;
-  return !reached_since;
+  const direct_attempt* failure = this->recent_failure(server, now);
+  if (failure != nullptr && failure->result == direct_result::bypassed)
+    return true;
+  return this->partitioned(now) &&
+         this->recently_reached(server, now) < this->recent(now).first_failure;
 }
 
 bool server_reachability::may_proxy(const std::string& server,
                                     absl::Time now) const {
-  const direct_attempt* last = this->recent_attempt(server, now);
-  if (last != nullptr) return last->result == direct_result::connected;
-  return !this->in_doubt(now);
+  if (this->recent_failure(server, now) != nullptr) return false;
+  const bool reached =
+      this->recently_reached(server, now) != absl::InfinitePast();
+  return reached || !this->in_doubt(now);
 }
 
 bool server_reachability::may_reuse(const std::string& server,
@@ -95,9 +105,9 @@
   const absl::Time itself =
       found == this->heard.end() ? absl::InfinitePast() : found->second;
   const bool heard_itself = now - itself < heard_lifetime;
-  const direct_attempt* last = this->recent_attempt(server, now);
-  if (last != nullptr && last->result == direct_result::bypassed)
-    return heard_itself && (!last->silent || itself > last->begun);
+  const direct_attempt* failure = this->recent_failure(server, now);
+  if (failure != nullptr && failure->result == direct_result::bypassed)
+    return heard_itself && (!failure->silent || itself > failure->begun);
   if (this->in_doubt(now))
     return heard_itself && itself > this->recent(now).silent_since;
   return now - this->heard_at < heard_lifetime;
@@ -106,13 +116,10 @@
 bool server_reachability::connection_lost(const std::string& server,
                                           absl::Time last_heard,
                                           absl::Time now) const {
-  const direct_attempt* last = this->recent_attempt(server, now);
-  if (last != nullptr && last->result == direct_result::bypassed)
-    return last->silent && last_heard < last->begun;
-  if (last != nullptr && last->result == direct_result::connected &&
-      last->ended > last_heard) {
-    return false;
-  }
+  const direct_attempt* failure = this->recent_failure(server, now);
+  if (failure != nullptr && failure->result == direct_result::bypassed)
+    return failure->silent && last_heard < failure->begun;
+  if (this->recently_reached(server, now) > last_heard) return false;
   if (now - last_heard < heard_lifetime || !this->partitioned(now))
     return false;
   return last_heard < this->recent(now).silent_since;
@@ -154,9 +161,12 @@
 }
 
 void server_reachability::expire(absl::Time now) {
-  std::erase_if(this->attempts, [&](const auto& item) {
+  std::erase_if(this->failures, [&](const auto& item) {
     return now - item.second.ended >= evidence_lifetime;
   });
+  std::erase_if(this->reached_at, [&](const auto& item) {
+    return now - item.second >= evidence_lifetime;
+  });
   std::erase_if(this->heard, [&](const auto& item) {
     return now - item.second >= heard_lifetime;
   });
