Tell the holder of silent servers, and keep begun streams

Found on reading: a silent server was reported to the holder by the holder's own streams only; a begun stream that momentarily found no path was broken off at once instead of trying again; server_backoff gave the new backoff as the earlier one. No test shows the first two.

--- a/src/request-handler.cc
+++ b/src/request-handler.cc
@@ -350,8 +350,8 @@
   if (head.leaving) this->log_leaving(ex, head);
   if (head.backoff_invalid)
     this->log_backoff("server_backoff_unreadable", ex, head);
-  this->node.note_server_state(server, head);
   if (head.backoff) this->log_backoff("server_backoff", ex, head);
+  this->node.note_server_state(server, head);
 }
 
 std::optional<attempt_result> request_handler::classify_head(
@@ -391,7 +391,9 @@
   if (this->session.disconnected || this->attempts_made >= max_attempts)
     return false;
   if (this->time_left() <= absl::ZeroDuration()) return false;
-  if (this->no_path || this->quarantined()) return false;
+  // A stream that has begun cannot be refused; a path may be found meanwhile.
+  if (this->no_path && !this->head_sent) return false;
+  if (this->quarantined()) return false;
   if (result == attempt_result::broken &&
       (!this->route->repeatable ||
        this->possible_runs >= this->route->attempts)) {
--- a/src/stall-detector.cc
+++ b/src/stall-detector.cc
@@ -196,14 +196,13 @@
       result.status != fetch_status::ok) {
     co_return;
   }
+  this->node.suspect_server(server);
+  if (this->on_suspect) this->on_suspect(server);
   if (result.silent) {
     // A sound server may pause. Streams go on elsewhere, but it is not lost.
-    if (this->on_suspect) this->on_suspect(server);
     this->abandon_group(group, absl::StrCat(server, " is silent"));
     co_return;
   }
-  this->node.suspect_server(server);
-  if (this->on_suspect) this->on_suspect(server);
   if (notify_peers && this->on_loss) this->on_loss({{server}, group});
   this->abandon_group(group, absl::StrCat(server, " does not respond"), server);
 }
