Tell servers that have failed from links that have

Three other servers are now probed when one is not reached, which outweighs two that have failed, and a check for a crash waits up to 150 ms for that. crashing-request passes.

The tests' dialer no longer binds ports in advance, which ran out of them beside other tests ("Address already in use" in partitioned-node, server-limit and server-backoff).

--- a/src/crash-check.cc
+++ b/src/crash-check.cc
@@ -12,6 +12,11 @@
 /// live server answers within a few milliseconds.
 constexpr absl::Duration probe_timeout = absl::Milliseconds(90);
 
+/// How long a check waits while it is in doubt whether this node reaches the
+/// servers, and how often it looks.
+constexpr absl::Duration max_doubt = absl::Milliseconds(150);
+constexpr absl::Duration doubt_poll_interval = absl::Milliseconds(5);
+
 /// Status with which a server answers a request that expects another server at
 /// its address.
 constexpr auto other_server_status = http::status::misdirected_request;
@@ -43,6 +48,12 @@
   if (result.status == fetch_status::ok) {
     co_return classify_answer(node, endpoint, result.response);
   }
+  // Other servers are being probed, which shows whether this node's links have
+  // failed.
+  const absl::Time until = node.now() + max_doubt;
+  while (node.reachability.in_doubt(node.now()) && node.now() < until) {
+    co_await node.sleep(doubt_poll_interval);
+  }
   // If this node's event loop was blocked for as long, the answer may have
   // arrived in time without being read. A server that accepts connections may
   // only pause, and without a path to it nothing is known.
--- a/src/server-connector.cc
+++ b/src/server-connector.cc
@@ -33,6 +33,10 @@
 /// Proxies that must fail to reach a server before it counts as down.
 constexpr int proxies_for_verdict = 2;
 
+/// Other servers that are probed when one is not reached, so that two that have
+/// failed are outweighed.
+constexpr int probes_after_failure = 3;
+
 /// Lifetime of a connection for one call to a server.
 constexpr absl::Duration call_lifetime = absl::Seconds(1);
 
@@ -214,8 +218,8 @@
   }
   if (direct_counts && winner != direct) {
     this->log_failure(r, *direct, winner);
-    // Another server shows whether this one or this node's links have failed.
-    if (!this->node.reachability.in_doubt(now)) this->probe_next();
+    // Other servers show whether this one or this node's links have failed.
+    for (int i = 0; i < probes_after_failure; ++i) this->probe_next();
   }
   if (winner != nullptr) {
     if (bypassed) out.proxy = winner->proxy->candidate.name;
--- a/test/faulty-dialer.h
+++ b/test/faulty-dialer.h
@@ -19,12 +19,9 @@
 
   boost::asio::awaitable<boost::system::error_code> dial(
       boost::asio::ip::tcp::socket& socket, std::string address) override {
-    using boost::asio::ip::tcp;
     boost::system::error_code error;
-    socket.open(tcp::v4(), error);
-    if (!error) socket.bind(tcp::endpoint(tcp::v4(), 0), error);
+    socket.open(boost::asio::ip::tcp::v4(), error);
     if (error) co_return error;
-    this->fleet.links.on_dialed(this->node, socket.local_endpoint().port());
     // Packets that open a connection are sent again while the links are silent.
     while (this->state() == standin::link_state::silent) {
       boost::asio::steady_timer timer(socket.get_executor());
@@ -35,7 +32,10 @@
     if (this->state() != standin::link_state::up) {
       co_return boost::asio::error::connection_refused;
     }
-    co_return co_await connect_to(socket, address);
+    error = co_await connect_to(socket, address);
+    if (!error)
+      this->fleet.links.on_dialed(this->node, socket.local_endpoint().port());
+    co_return error;
   }
 
  private:
