--- a/test/partitioned-node-test.cc
+++ b/test/partitioned-node-test.cc
@@ -5,10 +5,9 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
-#include <optional>
-
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <optional>
 
 #include "node-fixture.h"
 
