--- a/src/node-process.cc
+++ b/src/node-process.cc
@@ -180,7 +180,8 @@
     return this->config.fetch_from(this->link.address_of(source));
   };
   this->state.connector.proxies = [this] { return this->link.proxies(); };
-  this->config.on_tunnel = [this](auto socket, http_request request) {
+  this->config.on_tunnel = [this](std::shared_ptr<tcp::socket> socket,
+                                  http_request request) {
     return this->tunnels.serve(std::move(socket), std::move(request));
   };
   this->discovery.top_ranked = [this] {
