--- a/test/partitioned-node-test.cc
+++ b/test/partitioned-node-test.cc
@@ -17,7 +17,7 @@
 using standin::link_state;
 using standin::silence_settings;
 
-constexpr int node_count = 3;
+constexpr int default_node_count = 3;
 
 /// Time between two requests of a caller.
 constexpr absl::Duration think_time = absl::Milliseconds(10);
@@ -38,6 +38,17 @@
   std::atomic<int> overlapping_served = 0;
 };
 
+/// Requests sent to one node, by kind and phase.
+using node_tally = std::array<std::array<tally, 3>, call_kinds.size()>;
+
+/// Some nodes' links, from one moment on.
+struct link_change {
+  std::set<int> nodes;
+  link_state state = link_state::up;
+  /// Time until the next change.
+  absl::Duration lasts = absl::Seconds(3);
+};
+
 class partitioned_node_test : public node_test {
  protected:
   partitioned_node_test() {
@@ -59,10 +70,12 @@
     fleet_request out = kind == call_kind::stream ? stream_request(id)
                         : kind == call_kind::once ? request(id, "/file/one")
                                                   : request(id, "/look/now");
-    auto socket = this->connect(node);
     out.prepare_payload();
     boost::system::error_code error;
-    http::write(socket, out, error);
+    tcp::socket socket(this->client);
+    socket.connect(parse_endpoint(this->settings[node]->caller_address, error),
+                   error);
+    if (!error) http::write(socket, out, error);
     boost::beast::flat_buffer buffer;
     fleet_standin::response in;
     if (!error) http::read(socket, buffer, in, error);
@@ -70,9 +83,15 @@
     return kind != call_kind::stream || event_ids(in.body()) == all_ids();
   }
 
-  /// Sends requests from concurrent callers, each in a closed loop, before,
-  /// during and after a partition of some nodes.
   void send_load(const std::set<int>& cut, link_state state) {
+    this->send_load({{cut, state}});
+  }
+
+  /// Sends requests from concurrent callers, each in a closed loop, before,
+  /// during and after partitions of some nodes.
+  void send_load(const std::vector<link_change>& changes) {
+    const int node_count = static_cast<int>(this->nodes.size());
+    this->tallies = std::vector<node_tally>(this->nodes.size());
     std::atomic<phase> now = phase::before;
     std::atomic<bool> done = false;
     const auto wait = [](absl::Duration time) {
@@ -103,10 +122,13 @@
       }
     }
     wait(absl::Seconds(1));
-    this->set_links(cut, state);
-    now = phase::partitioned;
-    wait(absl::Seconds(3));
-    this->set_links(cut, link_state::up);
+    for (const auto& change : changes) {
+      this->set_links(change.nodes, change.state);
+      now = phase::partitioned;
+      wait(change.lasts);
+    }
+    for (const auto& change : changes)
+      this->set_links(change.nodes, link_state::up);
     now = phase::after;
     wait(absl::Seconds(1));
     done = true;
@@ -115,7 +137,7 @@
 
   /// Expects that all requests begun in a phase were served.
   void expect_served(phase begun) {
-    for (int node = 0; node < node_count; ++node) {
+    for (size_t node = 0; node < this->tallies.size(); ++node) {
       for (const call_kind kind : call_kinds) {
         const tally& t = this->tallies[node][static_cast<int>(kind)]
                                       [static_cast<int>(begun)];
@@ -130,7 +152,7 @@
   /// Expects that repeatable requests under way as the partition began were
   /// served. Others may have run and cannot be repeated.
   void expect_repeatable_in_flight_served() {
-    for (int node = 0; node < node_count; ++node) {
+    for (size_t node = 0; node < this->tallies.size(); ++node) {
       for (const call_kind kind : {call_kind::stream, call_kind::repeatable}) {
         const tally& t = this->tallies[node][static_cast<int>(kind)]
                                       [static_cast<int>(phase::before)];
@@ -187,7 +209,8 @@
     });
   }
 
-  void partition(const std::set<int>& cut, link_state state) {
+  void partition(const std::set<int>& cut, link_state state,
+                 int node_count = default_node_count) {
     this->start(node_count);
     this->send_load(cut, state);
     this->expect_served(phase::partitioned);
@@ -197,9 +220,8 @@
   }
 
   std::atomic<int> last_id = 0;
-  /// By node, kind and phase.
-  std::array<std::array<std::array<tally, 3>, call_kinds.size()>, node_count>
-      tallies;
+  /// By node.
+  std::vector<node_tally> tallies;
 };
 
 // Guards against refusals at a node whose connections to servers all hang.
@@ -228,10 +250,84 @@
   this->partition({0, 1}, link_state::reset);
 }
 
+// Guards against refusals where only one node reaches the servers, and others
+// have to find out which it is.
+TEST_F(partitioned_node_test, served_by_the_last_node_while_links_are_silent) {
+  this->partition({0, 1, 2, 3, 4, 5, 6}, link_state::silent, 8);
+}
+
+// Guards against the same where the connections are reset.
+TEST_F(partitioned_node_test, served_by_the_last_node_while_links_reset) {
+  this->partition({0, 1, 2, 3, 4, 5, 6}, link_state::reset, 8);
+}
+
+// Guards against servers that are excluded because a proxy breaks off.
+TEST_F(partitioned_node_test, served_while_a_proxy_loses_its_links_too) {
+  this->start(default_node_count);
+  this->send_load({{{0}, link_state::reset, absl::Seconds(2)},
+                   {{1}, link_state::reset, absl::Seconds(2)}});
+  for (const call_kind kind : {call_kind::stream, call_kind::repeatable}) {
+    const tally& t = this->tallies[0][static_cast<int>(kind)]
+                                  [static_cast<int>(phase::partitioned)];
+    EXPECT_EQ(t.served, t.sent) << "kind " << static_cast<int>(kind);
+  }
+  this->expect_served(phase::after);
+  this->expect_single_runs();
+}
+
+// Guards against refusals at a node that starts without links, so that it has
+// never reached a server.
+TEST_F(partitioned_node_test, served_by_a_node_that_starts_without_links) {
+  this->start(default_node_count);
+  for (const link_state state : {link_state::silent, link_state::reset}) {
+    const int added = static_cast<int>(this->nodes.size());
+    this->on_loop([&, this] {
+      this->fleet->set_links(absl::StrCat("node-", added), state);
+      this->add_node(absl::StrCat("node-", added));
+      return 0;
+    });
+    ASSERT_TRUE(this->wait_until([&, this] {
+      node_context& node = this->nodes[added]->context();
+      return node.ready() && !node.groups("lm").empty();
+    }));
+    for (const call_kind kind : call_kinds) {
+      for (int i = 0; i < 10; ++i) {
+        EXPECT_TRUE(this->call(
+            kind, added,
+            absl::StrCat("n", added, "-", static_cast<int>(kind), "-", i)))
+            << "kind " << static_cast<int>(kind) << ", request " << i;
+      }
+    }
+  }
+}
+
+// Guards against requests that are lost with a proxy that stops.
+TEST_F(partitioned_node_test, served_while_a_proxy_stops) {
+  this->start(default_node_count);
+  std::thread stopper([this] {
+    std::this_thread::sleep_for(std::chrono::seconds(2));
+    this->on_loop([this] {
+      this->nodes[1]->stop("test");
+      return 0;
+    });
+  });
+  this->send_load({0}, link_state::reset);
+  stopper.join();
+  for (const int node : {0, 2}) {
+    for (const call_kind kind : call_kinds) {
+      const tally& t = this->tallies[node][static_cast<int>(kind)]
+                                    [static_cast<int>(phase::partitioned)];
+      EXPECT_EQ(t.served, t.sent)
+          << "node " << node << ", kind " << static_cast<int>(kind);
+    }
+  }
+  this->expect_single_runs();
+}
+
 // Guards against groups that are dissolved, requests that are held to have
 // crashed servers, and servers given up for all because of one node's links.
 TEST_F(partitioned_node_test, a_partitioned_holder_blames_no_server) {
-  this->start(node_count);
+  this->start(default_node_count);
   const auto groups = this->serving_groups();
   const std::optional<int> cut = this->holder();
   ASSERT_TRUE(cut);
@@ -242,7 +338,7 @@
 
 // Guards against a lease that stays with a node that reaches no server.
 TEST_F(partitioned_node_test, the_lease_leaves_a_partitioned_holder) {
-  this->start(node_count);
+  this->start(default_node_count);
   const std::optional<int> cut = this->holder();
   ASSERT_TRUE(cut);
   this->set_links({*cut}, link_state::reset);
@@ -259,13 +355,13 @@
 // Guards against callers that wait, and servers that are blamed, where no node
 // reaches the servers.
 TEST_F(partitioned_node_test, refused_while_no_node_reaches_the_servers) {
-  this->start(node_count);
+  this->start(default_node_count);
   const auto groups = this->serving_groups();
   this->set_links({0, 1, 2}, link_state::reset);
   std::string reason;
   for (int i = 0; i < 20 && reason != "servers cannot be reached"; ++i) {
     const auto answer = this->send_request(
-        request(absl::StrCat("n0-", i), "/file/one"), i % node_count);
+        request(absl::StrCat("n0-", i), "/file/one"), i % default_node_count);
     EXPECT_EQ(answer.result_int(), 503U);
     reason = answer.body();
     EXPECT_EQ(this->runs(absl::StrCat("n0-", i)), 0);
@@ -279,7 +375,7 @@
                           return state.reachability.in_doubt(state.now());
                         });
   }));
-  for (int node = 0; node < node_count; ++node) {
+  for (int node = 0; node < default_node_count; ++node) {
     EXPECT_TRUE(
         this->call(call_kind::stream, node, absl::StrCat("n", node, "-s")));
   }
@@ -331,7 +427,7 @@
 // Guards against groups and requests that are given up because a sound server
 // is silent for a second.
 TEST_F(partitioned_node_test, a_server_silent_for_a_second_is_not_given_up) {
-  this->start(node_count);
+  this->start(default_node_count);
   const auto groups = this->serving_groups();
   const std::string head =
       this->on_loop([this] { return this->fleet->serving_head("large"); });
