Close idle connections after each test with nodes

Tests leak what their suspended coroutines refer to. partitioned-node ran out of 20,000 file descriptors ("Too many open files" in a_server_silent_for_a_second_is_not_given_up) once two of its tests had eight nodes; it now uses 3,618 at most.

--- a/test/node-fixture.h
+++ b/test/node-fixture.h
@@ -58,8 +58,11 @@
   }
 
   ~node_test() override {
-    this->loop->stop();
-    if (this->thread.joinable()) this->thread.join();
+    if (this->thread.joinable()) {
+      this->close_idle_connections();
+      this->loop->stop();
+      this->thread.join();
+    }
     // Suspended coroutines refer to the loop, the nodes and the fleet, so these
     // are leaked.
     this->loop.release();
@@ -132,6 +135,17 @@
     return result.get();
   }
 
+  /// Closes both ends of idle connections between nodes and servers. All tests
+  /// of a process share its file descriptors, and what is open is leaked.
+  void close_idle_connections() {
+    this->on_loop([this] {
+      for (auto& node : this->nodes)
+        node->context().pool.expire(absl::InfiniteFuture());
+      return 0;
+    });
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  }
+
   bool wait_until(const std::function<bool()>& condition) {
     const absl::Time until = boot_now() + wait_timeout;
     while (boot_now() < until) {
