Open a new connection after a path was lost

Callers saw 502 "server broke off" for a repeatable request that was begun as its node lost its links silently. Its first attempt was ended as lost after 50 ms; the second took another open connection, which still counted as working for 100 ms after any server was heard, and hung as well. The route's two runs were then used up.

--- a/src/request-handler.cc
+++ b/src/request-handler.cc
@@ -273,8 +273,10 @@
 net::awaitable<bool> request_handler::connect(exchange& ex) {
   // A call that may run only once needs a new connection: if a kept one breaks,
   // it is unknown whether the call arrived. After a lost attempt, a new
-  // connection shows whether the server is alive.
-  const bool reuse = this->route->repeatable && !this->server_lost_before;
+  // connection shows whether the server is alive. After a lost path, other open
+  // connections are likely to hang as well.
+  const bool reuse =
+      this->route->repeatable && !this->server_lost_before && !this->path_lost;
   const std::string error = co_await ex.connect(reuse);
   this->proxy = ex.proxy;
   if (error.empty()) {
