Ask other nodes until one reaches the server

Callers of cut nodes were refused where most nodes had lost their links: with 7 of 8 cut, 0 of 34 to 49 of 85 requests begun at each were served (links reset), 7 of 32 to 34 of 56 (silent), for as long as the cut lasted.

Cause: what one proxy cannot reach was again taken for what is not there. - At most four proxies were tried, in 80 ms, and those that had lost their links too used up the tries. - A cut proxy that had not noticed yet said that the server was down; two such answers excluded the server. - Only nodes that had got around their links told the others that they had lost them. Where no proxy helped, none had. - A failed probe replaced the evidence that another node reached the server.

Now a race goes on, for 400 ms at most, while the links are in doubt and proxies are left; proxies come from all halls in turn, those that are known to reach servers early, those that refuse or do not answer last. Proxies say that a server is down only if they reach another one at that moment, checked by direct probes. Nodes tell that their links are in doubt. A proxy that lost a race is no longer put behind the others.

A proxy that may not send to one server, or does not know it, answers 504 instead of 503, since it can carry connections to others; the test of tunnels to unlisted addresses expects that.

--- a/include/spokesail/server-reachability.h
+++ b/include/spokesail/server-reachability.h
@@ -15,8 +15,8 @@
 /// A node through which servers may be reached.
 struct proxy_candidate {
   std::string name;
-  /// Whether it is in this node's data hall.
-  bool local = false;
+  /// Its data hall.
+  std::string hall;
   auto operator<=>(const proxy_candidate&) const = default;
 };
 
@@ -61,11 +61,15 @@
   static constexpr absl::Duration probe_period = absl::Milliseconds(250);
   /// How long a node that could not be a proxy is tried after all others.
   static constexpr absl::Duration proxy_exclusion = absl::Milliseconds(1000);
+  /// How long a node that was a proxy is known to reach servers.
+  static constexpr absl::Duration proxy_lifetime = absl::Milliseconds(1200);
 
   /// Records that a direct connection to a server carried bytes to this node.
   void on_heard(const std::string& server, absl::Time now);
 
-  /// Records the end of an attempt to connect to a server directly.
+  /// Records the end of an attempt to connect to a server directly. A failure
+  /// does not replace a recent one in which another node reached the server,
+  /// since it may not have been asked again.
   void on_attempt(const std::string& server, const direct_attempt& attempt);
 
   /// Whether this node seems to have lost its links to most servers, which
@@ -97,16 +101,22 @@
   bool probe_due(absl::Time now) const;
   void on_probe(absl::Time now) { this->probed_at = now; }
 
+  /// Records that a node connected this one to a server.
+  void on_proxied(const std::string& name, absl::Time now);
+
   /// Records that a node has lost its links too, or could not be a proxy.
   void demote_proxy(const std::string& name, absl::Time now);
 
   /// Chooses nodes to reach servers through, in the order in which they are
-  /// tried: at random, those of this data hall first, and one of another hall
-  /// second, in case this hall has lost its links as a whole. Demoted ones come
+  /// tried: at random, from the halls in turn, `own_hall` first, in case a hall
+  /// has lost its links as a whole. The first two spread the load; then every
+  /// second one is a node known to reach servers, if there is any, so that few
+  /// are asked in vain where most have lost their links. Demoted ones come
   /// last: they may reach a few servers, and refuse at once.
   std::vector<std::string> choose_proxies(
-      const std::vector<proxy_candidate>& candidates, size_t count,
-      absl::Time now, random_stream& random) const;
+      const std::vector<proxy_candidate>& candidates,
+      const std::string& own_hall, size_t count, absl::Time now,
+      random_stream& random) const;
 
   /// Removes evidence that no longer counts.
   void expire(absl::Time now);
@@ -131,6 +141,10 @@
   /// recently.
   absl::Time recently_reached(const std::string& server, absl::Time now) const;
 
+  bool demoted(const std::string& name, absl::Time now) const;
+  /// Whether a node was a proxy for this one recently.
+  bool proven(const std::string& name, absl::Time now) const;
+
   /// Last attempts that failed, by server. Usually empty.
   std::map<std::string, direct_attempt> failures;
   /// When the last attempt to connect to a server succeeded.
@@ -139,6 +153,8 @@
   absl::Time heard_at = absl::InfinitePast();
   absl::Time probed_at = absl::InfinitePast();
   std::map<std::string, absl::Time> demoted_until;
+  /// When nodes were proxies for this one.
+  std::map<std::string, absl::Time> proxied_at;
 };
 
 }  // namespace spokesail
--- a/src/node-gossip.cc
+++ b/src/node-gossip.cc
@@ -101,8 +101,7 @@
   const auto own = this->own_holder_state();
   if (own) out.holder = inline_holder_state(*own);
   out.requests_seen = this->node.requests_seen;
-  out.servers_unreachable =
-      this->node.reachability.partitioned(this->node.now());
+  out.servers_unreachable = this->node.reachability.in_doubt(this->node.now());
   return out;
 }
 
--- a/src/node-message.capnp
+++ b/src/node-message.capnp
@@ -77,8 +77,8 @@
   speeds @5 :List(Speed);
   # Demand of the sender's callers, or of those of its whole data hall.
   demand @6 :List(Demand);
-  # Whether the sender has lost its links to most servers, so that it is hardly a
-  # proxy for others.
+  # Whether the sender may have lost its links to the servers, so that it is
+  # hardly a proxy for others.
   serversUnreachable @7 :Bool;
 }
 
--- a/src/node-message.h
+++ b/src/node-message.h
@@ -41,7 +41,7 @@
   std::vector<endpoint_speed> speeds;
   /// Demand of the callers of the sender, or of its whole data hall.
   std::vector<model_demand> demand;
-  /// Whether the sender has lost its links to most servers.
+  /// Whether the sender may have lost its links to the servers.
   bool servers_unreachable = false;
   bool operator==(const gossip&) const = default;
 };
--- a/src/peer-link.cc
+++ b/src/peer-link.cc
@@ -59,15 +59,13 @@
 
 std::vector<proxy_node> peer_link::proxies() const {
   std::vector<proxy_node> out;
-  const auto add = [&](const std::string& name, bool local) {
-    proxy_node& added = out.emplace_back();
-    added.candidate.name = name;
-    added.candidate.local = local;
-    added.address = this->address_of(name);
+  const auto add = [&](const std::string& name, const std::string& hall) {
+    out.push_back({{name, hall}, this->address_of(name)});
   };
-  for (const auto& peer : this->live_local_peers()) add(peer.name, true);
+  for (const auto& peer : this->live_local_peers())
+    add(peer.name, this->node.settings.hall);
   for (const auto& [hall, peers] : this->remote_hall_peers()) {
-    for (const auto& peer : peers) add(peer.name, false);
+    for (const auto& peer : peers) add(peer.name, hall);
   }
   return out;
 }
--- a/src/server-connector.cc
+++ b/src/server-connector.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <optional>
 
+#include "detail/socket-deadline.h"
 #include "detail/socket.h"
 #include "node-context.h"
 #include "tunnel.h"
@@ -23,12 +24,20 @@
 /// to respond in time.
 constexpr absl::Duration connect_timeout = absl::Milliseconds(80);
 
+/// While this node's links are in doubt, another server would be no better: a
+/// request's search for a node that reaches its server may take this long.
+constexpr absl::Duration search_timeout = absl::Milliseconds(400);
+
 /// Time after which an attempt that is still pending is raced by the next one;
 /// several round trips between data halls.
 constexpr absl::Duration head_start = absl::Milliseconds(25);
 
 /// Proxies tried for one connection. Those that refuse cost a round trip.
-constexpr size_t max_proxies = 4;
+constexpr size_t max_proxies = 16;
+
+/// Time in which a proxy answers, unless it has failed; longer than it takes to
+/// find that the server cannot be reached.
+constexpr absl::Duration proxy_timeout = absl::Milliseconds(100);
 
 /// Proxies that must fail to reach a server before it counts as down.
 constexpr int proxies_for_verdict = 2;
@@ -37,6 +46,9 @@
 /// failed are outweighed.
 constexpr int probes_after_failure = 3;
 
+/// Interval at which it is checked whether a probe was answered.
+constexpr absl::Duration probe_poll_interval = absl::Milliseconds(2);
+
 /// Lifetime of a connection for one call to a server.
 constexpr absl::Duration call_lifetime = absl::Seconds(1);
 
@@ -57,11 +69,17 @@
 };
 
 struct server_connector::race {
-  race(net::io_context& loop, std::string to, absl::Duration limit)
-      : address(std::move(to)), lifetime(limit), changed(loop) {}
+  race(net::io_context& loop, std::string to, absl::Duration lifetime)
+      : address(std::move(to)), lifetime(lifetime), changed(loop) {}
 
   const std::string address;
   const absl::Duration lifetime;
+  absl::Time begun;
+  /// When the first proxy was asked, since the direct attempt had failed or was
+  /// overdue.
+  absl::Time proxies_asked_at = absl::InfiniteFuture();
+  /// The time that it may take while this node's links are in doubt.
+  absl::Duration limit = connect_timeout;
   /// Whether the direct attempt comes before those through proxies.
   bool direct_first = true;
   std::vector<std::shared_ptr<attempt>> attempts;
@@ -72,6 +90,7 @@
   absl::Time next_start = absl::InfinitePast();
   /// Cancelled when an attempt ends.
   net::steady_timer changed;
+  bool over = false;
 
   size_t count(attempt::state state) const {
     return static_cast<size_t>(
@@ -79,6 +98,14 @@
                       [&](const auto& a) { return a->result == state; }));
   }
   bool pending() const { return count(attempt::state::pending) > 0; }
+  /// Whether a proxy has yet to be asked or to answer.
+  bool proxies_left() const {
+    const bool waits =
+        std::any_of(attempts.begin(), attempts.end(), [](const auto& a) {
+          return a->proxy && a->result == attempt::state::pending;
+        });
+    return waits || !proxies || proxies_tried < proxies->size();
+  }
   /// The attempt that connected; null if none has.
   attempt* winner() const {
     for (const auto& a : attempts) {
@@ -107,7 +134,8 @@
   for (const auto& p : all) candidates.push_back(p.candidate);
   std::vector<proxy_node> out;
   for (const auto& name : this->node.reachability.choose_proxies(
-           candidates, max_proxies, this->node.now(), this->node.random)) {
+           candidates, this->node.settings.hall, max_proxies, this->node.now(),
+           this->node.random)) {
     const auto found = std::find_if(all.begin(), all.end(), [&](const auto& p) {
       return p.candidate.name == name;
     });
@@ -132,6 +160,8 @@
     a->error = co_await this->node.dialer->dial(*a->socket, r->address);
     a->result = a->error ? state::failed : state::connected;
   } else {
+    const detail::socket_deadline deadline(
+        a->socket, proxy_timeout + this->node.loop_delay);
     const tunnel_result result = co_await open_tunnel(
         *a->socket, a->proxy->address, r->address, r->lifetime);
     a->result = result == tunnel_result::open ? state::connected
@@ -143,6 +173,7 @@
                                            this->node.now());
     }
   }
+  if (r->over) detail::close_ignoring_errors(*a->socket);
   r->changed.cancel();
 }
 
@@ -152,7 +183,12 @@
     this->start(r, nullptr);
     return true;
   }
-  if (!r->proxies) r->proxies = this->choose_proxies();
+  if (!r->proxies) {
+    r->proxies = this->choose_proxies();
+    r->proxies_asked_at = this->node.now();
+    // Other servers show whether this one or this node's links have failed.
+    if (!direct_due) this->verify_links_later();
+  }
   if (r->proxies_tried < r->proxies->size()) {
     this->start(r, &(*r->proxies)[r->proxies_tried++]);
     return true;
@@ -161,12 +197,22 @@
   return direct_due;
 }
 
+absl::Duration server_connector::time_left(const race& r) const {
+  const absl::Time now = this->node.now();
+  const server_reachability& view = this->node.reachability;
+  const bool in_doubt =
+      view.in_doubt(now) || view.last_heard() < r.proxies_asked_at;
+  const bool searches = in_doubt && r.proxies_left();
+  return r.begun + (searches ? r.limit : connect_timeout) - now;
+}
+
 net::awaitable<connect_outcome> server_connector::run_race(
     std::shared_ptr<race> r) {
-  const absl::Time until = this->node.now() + connect_timeout;
+  r->begun = this->node.now();
   while (r->winner() == nullptr && !r->server_down()) {
     const absl::Time now = this->node.now();
-    if (now >= until) break;
+    const absl::Duration left = this->time_left(*r);
+    if (left <= absl::ZeroDuration()) break;
     const bool start_due = !r->pending() || now >= r->next_start;
     if (start_due) {
       const bool started = this->start_next(r);
@@ -175,20 +221,27 @@
       if (started) continue;
     }
     if (!r->pending()) break;
-    const absl::Duration wait = std::min(until, r->next_start) - now;
+    const absl::Duration wait = std::min(left, r->next_start - now);
     r->changed.expires_after(absl::ToChronoNanoseconds(wait));
     co_await r->changed.async_wait(detail::use_tuple);
   }
-  const attempt* const winner = r->winner();
+  attempt* const winner = r->winner();
+  r->over = true;
   for (const auto& a : r->attempts) {
-    if (a.get() != winner) detail::close_ignoring_errors(*a->socket);
+    // A proxy that has not answered yet may be slow or have failed; its attempt
+    // goes on until that is known.
+    const bool waits = a->proxy && a->result == attempt::state::pending;
+    if (a.get() != winner && !waits) detail::close_ignoring_errors(*a->socket);
   }
+  const bool verdict = winner != nullptr || r->server_down();
+  if (!verdict) co_await this->verify_links(r->proxies_asked_at);
   co_return this->conclude(*r, winner);
 }
 
 net::awaitable<connect_outcome> server_connector::connect(
     tcp::socket& socket, std::string address, absl::Duration lifetime) {
   const auto r = std::make_shared<race>(this->node.loop, address, lifetime);
+  r->limit = std::min(search_timeout, lifetime);
   r->direct_first =
       !this->node.reachability.prefers_proxies(address, this->node.now());
   const connect_outcome out = co_await this->run_race(r);
@@ -216,13 +269,12 @@
         r.address,
         {result, direct->begun, now, direct->result == state::pending});
   }
-  if (direct_counts && winner != direct) {
-    this->log_failure(r, *direct, winner);
-    // Other servers show whether this one or this node's links have failed.
-    for (int i = 0; i < probes_after_failure; ++i) this->probe_next();
-  }
+  if (direct_counts && winner != direct) this->log_failure(r, *direct, winner);
   if (winner != nullptr) {
-    if (bypassed) out.proxy = winner->proxy->candidate.name;
+    if (bypassed) {
+      out.proxy = winner->proxy->candidate.name;
+      this->node.reachability.on_proxied(out.proxy, now);
+    }
     this->node.metrics.count_server_connection(bypassed ? "proxied" : "direct");
     return out;
   }
@@ -255,15 +307,21 @@
 
 net::awaitable<boost::system::error_code> server_connector::dial(
     tcp::socket& socket, std::string address) {
-  const connect_outcome out =
-      co_await this->connect(socket, std::move(address), call_lifetime);
+  const auto r =
+      std::make_shared<race>(this->node.loop, address, call_lifetime);
+  r->direct_first =
+      !this->node.reachability.prefers_proxies(address, this->node.now());
+  const connect_outcome out = co_await this->run_race(r);
+  if (!out.error) socket = std::move(*r->winner()->socket);
   co_return out.error;
 }
 
+bool server_connector::claim_probe(const std::string& address) {
+  return this->probed_at.try_emplace(address, this->node.now()).second;
+}
+
 void server_connector::probe(const std::string& address) {
-  const absl::Time now = this->node.now();
-  const bool probed_lately = !this->probed_at.try_emplace(address, now).second;
-  if (probed_lately) return;
+  if (!this->claim_probe(address)) return;
   net::co_spawn(this->node.loop, this->run_probe(address), net::detached);
 }
 
@@ -274,6 +332,40 @@
   if (!out.error) detail::close_ignoring_errors(*r->winner()->socket);
 }
 
+net::awaitable<void> server_connector::verify_links(absl::Time since) {
+  for (int i = 0; i < probes_after_failure; ++i) {
+    const std::string address = this->next_to_probe();
+    if (address.empty()) continue;
+    net::co_spawn(this->node.loop, this->run_direct_probe(address),
+                  net::detached);
+  }
+  const absl::Time until = this->node.now() + head_start;
+  while (this->node.reachability.last_heard() < since &&
+         this->node.now() < until) {
+    co_await this->node.sleep(probe_poll_interval);
+  }
+}
+
+void server_connector::verify_links_later() {
+  net::co_spawn(this->node.loop, this->verify_links(this->node.now()),
+                net::detached);
+}
+
+net::awaitable<void> server_connector::run_direct_probe(std::string address) {
+  const auto socket = std::make_shared<tcp::socket>(this->node.loop);
+  const absl::Time begun = this->node.now();
+  boost::system::error_code error;
+  {
+    const detail::socket_deadline deadline(socket,
+                                           head_start + this->node.loop_delay);
+    error = co_await this->node.dialer->dial(*socket, address);
+  }
+  detail::close_ignoring_errors(*socket);
+  this->node.reachability.on_attempt(
+      address, {error ? direct_result::failed : direct_result::connected, begun,
+                this->node.now(), error == net::error::operation_aborted});
+}
+
 absl::Duration server_connector::doubt_duration(absl::Time now) const {
   return std::max(now - this->in_doubt_since, absl::ZeroDuration());
 }
@@ -287,18 +379,22 @@
   });
   if (this->node.reachability.probe_due(now)) {
     this->node.reachability.on_probe(now);
-    this->probe_next();
+    const std::string address = this->next_to_probe();
+    if (!address.empty()) {
+      net::co_spawn(this->node.loop, this->run_probe(address), net::detached);
+    }
   }
   this->log_partition(now);
 }
 
-void server_connector::probe_next() {
+std::string server_connector::next_to_probe() {
   const auto& servers = this->node.directory.servers();
-  if (servers.empty()) return;
+  if (servers.empty()) return "";
   auto at = servers.upper_bound(this->last_probed);
   if (at == servers.end()) at = servers.begin();
   this->last_probed = at->first;
-  this->probe(at->second.entry.address);
+  const std::string& address = at->second.entry.address;
+  return this->claim_probe(address) ? address : "";
 }
 
 void server_connector::log_partition(absl::Time now) {
--- a/src/server-connector.h
+++ b/src/server-connector.h
@@ -37,8 +37,10 @@
 
 /// Opens connections to servers. A direct attempt that does not succeed shortly
 /// is raced by attempts through other nodes (as in RFC 8305, "Happy Eyeballs"),
-/// so that a request does not have to wait until a lost link is noticed. A
-/// proxy connects directly only, so that connections pass one node at most.
+/// so that a request does not have to wait until a lost link is noticed. While
+/// this node's links are in doubt, other nodes are asked until one reaches the
+/// server. A proxy connects directly only, so that connections pass one node at
+/// most.
 class server_connector final : public server_dialer {
  public:
   explicit server_connector(node_context& node) : node(node) {}
@@ -52,10 +54,15 @@
   boost::asio::awaitable<boost::system::error_code> dial(
       boost::asio::ip::tcp::socket& socket, std::string address) override;
 
-  /// Checks whether a server can be reached directly, unless that was done a
-  /// short while ago.
+  /// Checks whether a server can be reached directly or through another node,
+  /// unless that was done a short while ago.
   void probe(const std::string& address);
 
+  /// Finds out whether this node has links to the servers, by direct attempts
+  /// to connect to a few. Returns as soon as any server has been heard after
+  /// `since`, or a short while later.
+  boost::asio::awaitable<void> verify_links(absl::Time since);
+
   /// Probes servers while it is in doubt whether this node reaches them, and
   /// logs when it is partitioned from them. Must be called at every tick.
   void check(absl::Time now);
@@ -71,7 +78,9 @@
   struct attempt;
   struct race;
 
+  void verify_links_later();
   boost::asio::awaitable<void> run_probe(std::string address);
+  boost::asio::awaitable<void> run_direct_probe(std::string address);
   /// The proxies to try for one connection, in order.
   std::vector<proxy_node> choose_proxies();
   /// Starts an attempt; through a proxy if one is given.
@@ -81,19 +90,24 @@
   /// Runs attempts until one connects or all have failed, and records what they
   /// show.
   boost::asio::awaitable<connect_outcome> run_race(std::shared_ptr<race> r);
+  /// How long a race that has no winner may still take; zero if it is over.
+  absl::Duration time_left(const race& r) const;
   boost::asio::awaitable<void> run_attempt(std::shared_ptr<race> r,
                                            std::shared_ptr<attempt> a);
   /// Records what a finished race shows about this node's links.
   connect_outcome conclude(const race& r, const attempt* winner);
   void log_failure(const race& r, const attempt& direct, const attempt* winner);
-  /// Probes one server; all in turn.
-  void probe_next();
+  /// Address of the server to probe next, all in turn, unless it was probed a
+  /// short while ago; empty if there is none.
+  std::string next_to_probe();
+  /// Whether a server was not probed a short while ago; it counts as probed.
+  bool claim_probe(const std::string& address);
   void log_partition(absl::Time now);
 
   node_context& node;
   /// When servers were last probed, by address.
   std::map<std::string, absl::Time> probed_at;
-  /// Id of the server that `probe_next` probed last.
+  /// Id of the server that `next_to_probe` gave last.
   std::string last_probed;
   /// Since when it is in doubt whether this node reaches the servers; infinite
   /// future if it is not.
--- a/src/server-reachability.cc
+++ b/src/server-reachability.cc
@@ -1,6 +1,7 @@
 #include "spokesail/server-reachability.h"
 
 #include <algorithm>
+#include <deque>
 #include <utility>
 
 namespace spokesail {
@@ -16,6 +17,37 @@
   return out;
 }
 
+/// Takes names at random from several halls in turn.
+class hall_rotation {
+ public:
+  /// Begins with `first`; the other halls are in random order.
+  hall_rotation(std::map<std::string, std::vector<std::string>> by_hall,
+                const std::string& first, random_stream& random)
+      : by_hall(std::move(by_hall)) {
+    std::vector<std::string> rest;
+    for (const auto& [hall, names] : this->by_hall) {
+      if (hall != first) rest.push_back(hall);
+    }
+    if (this->by_hall.contains(first)) this->order.push_back(first);
+    while (!rest.empty()) this->order.push_back(take_random(rest, random));
+  }
+
+  bool empty() const { return this->order.empty(); }
+
+  std::string take(random_stream& random) {
+    const std::string hall = std::move(this->order.front());
+    this->order.pop_front();
+    auto& names = this->by_hall[hall];
+    std::string out = take_random(names, random);
+    if (!names.empty()) this->order.push_back(hall);
+    return out;
+  }
+
+ private:
+  std::map<std::string, std::vector<std::string>> by_hall;
+  std::deque<std::string> order;
+};
+
 }  // namespace
 
 void server_reachability::on_heard(const std::string& server, absl::Time now) {
@@ -26,7 +58,11 @@
 void server_reachability::on_attempt(const std::string& server,
                                      const direct_attempt& attempt) {
   if (attempt.result != direct_result::connected) {
-    this->failures[server] = attempt;
+    const direct_attempt* last = this->recent_failure(server, attempt.ended);
+    const bool last_says_more = last != nullptr &&
+                                last->result == direct_result::bypassed &&
+                                attempt.result == direct_result::failed;
+    if (!last_says_more) this->failures[server] = attempt;
     this->reached_at.erase(server);
     return;
   }
@@ -129,33 +165,54 @@
   return now - this->probed_at >= probe_period && this->in_doubt(now);
 }
 
+void server_reachability::on_proxied(const std::string& name, absl::Time now) {
+  this->demoted_until.erase(name);
+  this->proxied_at[name] = now;
+}
+
 void server_reachability::demote_proxy(const std::string& name,
                                        absl::Time now) {
+  this->proxied_at.erase(name);
   this->demoted_until[name] = now + proxy_exclusion;
 }
 
+bool server_reachability::demoted(const std::string& name,
+                                  absl::Time now) const {
+  const auto found = this->demoted_until.find(name);
+  return found != this->demoted_until.end() && now < found->second;
+}
+
+bool server_reachability::proven(const std::string& name,
+                                 absl::Time now) const {
+  const auto found = this->proxied_at.find(name);
+  return found != this->proxied_at.end() &&
+         now - found->second < proxy_lifetime;
+}
+
 std::vector<std::string> server_reachability::choose_proxies(
-    const std::vector<proxy_candidate>& candidates, size_t count,
-    absl::Time now, random_stream& random) const {
-  std::vector<std::string> local;
-  std::vector<std::string> remote;
+    const std::vector<proxy_candidate>& candidates, const std::string& own_hall,
+    size_t count, absl::Time now, random_stream& random) const {
+  std::map<std::string, std::vector<std::string>> by_hall;
+  std::vector<std::string> proven;
   std::vector<std::string> demoted;
-  for (const auto& candidate : candidates) {
-    const auto found = this->demoted_until.find(candidate.name);
-    const bool is_demoted =
-        found != this->demoted_until.end() && now < found->second;
-    (is_demoted        ? demoted
-     : candidate.local ? local
-                       : remote)
-        .push_back(candidate.name);
+  for (const auto& [name, hall] : candidates) {
+    auto& names = this->demoted(name, now)  ? demoted
+                  : this->proven(name, now) ? proven
+                                            : by_hall[hall];
+    names.push_back(name);
   }
+  hall_rotation others(std::move(by_hall), own_hall, random);
   std::vector<std::string> out;
   while (out.size() < std::min(count, candidates.size())) {
-    const bool remote_first = local.empty() || out.size() == 1;
-    auto& from = remote_first && !remote.empty() ? remote
-                 : !local.empty()                ? local
-                                                 : demoted;
-    out.push_back(take_random(from, random));
+    const bool proven_due =
+        (out.size() >= 2 && out.size() % 2 == 0) || others.empty();
+    if (proven_due && !proven.empty()) {
+      out.push_back(take_random(proven, random));
+    } else if (!others.empty()) {
+      out.push_back(others.take(random));
+    } else {
+      out.push_back(take_random(demoted, random));
+    }
   }
   return out;
 }
@@ -172,6 +229,9 @@
   });
   std::erase_if(this->demoted_until,
                 [&](const auto& item) { return now >= item.second; });
+  std::erase_if(this->proxied_at, [&](const auto& item) {
+    return now - item.second >= proxy_lifetime;
+  });
 }
 
 }  // namespace spokesail
--- a/src/tunnel.cc
+++ b/src/tunnel.cc
@@ -36,7 +36,8 @@
 constexpr absl::Duration max_lifetime = absl::Minutes(10);
 
 /// Statuses with which a tunnel is refused: the server is down; it is not
-/// reached, perhaps because of this node's links; no tunnel is granted.
+/// reached, perhaps because of this node's links; this node grants no tunnel to
+/// any server.
 constexpr unsigned bad_gateway = 502;
 constexpr unsigned gateway_timeout = 504;
 constexpr unsigned unavailable = 503;
@@ -124,16 +125,15 @@
   const absl::Time now = this->node.now();
   if (this->node.stopping()) return {unavailable, "node is stopping"};
   if (!this->node.reachability.may_proxy(address, now)) {
-    const bool partitioned = this->node.reachability.partitioned(now);
-    return {partitioned ? unavailable : gateway_timeout,
-            "server is out of reach"};
+    const bool in_doubt = this->node.reachability.in_doubt(now);
+    return {in_doubt ? unavailable : gateway_timeout, "server is out of reach"};
   }
   if (!this->node.has_socket_for_tunnel())
     return {unavailable, "too many connections"};
   const auto server = this->find_server(address);
-  if (!server) return {unavailable, "no such server"};
+  if (!server) return {gateway_timeout, "no such server"};
   const char* reason = this->node.reason_to_withhold(*server);
-  if (reason != nullptr) return {unavailable, reason};
+  if (reason != nullptr) return {gateway_timeout, reason};
   return {200, ""};
 }
 
@@ -163,6 +163,14 @@
   co_return !error;
 }
 
+net::awaitable<unsigned> tunnel_service::failure_status() {
+  const absl::Time failed_at = this->node.now();
+  co_await this->node.connector.verify_links(failed_at);
+  const server_reachability& view = this->node.reachability;
+  if (view.in_doubt(this->node.now())) co_return unavailable;
+  co_return view.last_heard() < failed_at ? gateway_timeout : bad_gateway;
+}
+
 net::awaitable<void> tunnel_service::serve(std::shared_ptr<tcp::socket> peer,
                                            http_request request) {
   const std::string address(request.target());
@@ -182,10 +190,8 @@
   t->instance = *this->find_server(address);
   const bool connected = co_await this->connect(*t);
   if (!connected) {
-    // A node that is in doubt itself says nothing about the server.
-    const bool in_doubt = this->node.reachability.in_doubt(this->node.now());
     this->node.metrics.count_tunnel("not_connected");
-    co_await this->answer(*peer, in_doubt ? gateway_timeout : bad_gateway,
+    co_await this->answer(*peer, co_await this->failure_status(),
                           "server not reached");
     co_return;
   }
--- a/src/tunnel.h
+++ b/src/tunnel.h
@@ -20,9 +20,10 @@
   open,
   /// The other node reaches servers, but not this one.
   server_unreachable,
-  /// The other node does not reach this server, perhaps because of its links.
+  /// The other node does not reach this server, perhaps because of its links,
+  /// or may not send to it.
   not_reached,
-  /// The other node did not answer, or cannot carry the connection.
+  /// The other node did not answer, or carries no connections.
   unavailable
 };
 
@@ -56,6 +57,9 @@
   /// The instance of the server that listens at an address.
   std::optional<server_instance> find_server(const std::string& address) const;
   boost::asio::awaitable<bool> connect(tunnel& t);
+  /// The status that tells why a connection attempt has just failed: the server
+  /// is at fault only if this node reaches another.
+  boost::asio::awaitable<unsigned> failure_status();
   boost::asio::awaitable<void> answer(boost::asio::ip::tcp::socket& peer,
                                       unsigned status, const char* reason);
   /// Passes bytes on in one direction until the connection ends.
