Do not exclude servers for a proxy that broke off

Callers of a node without links could be refused for a second ("no group has room", "no server is there") after one of its proxies was lost: each request that waited for a response through that proxy excluded its server or group.

Cause: a connection that breaks is put down to the server at its far end. Of a tunnel the near end is another node, which may have been killed or lost its links.

Now the proxy is asked last for a second, and the server is left to the next connection, which proxies judge. The request may go to the same server again.

--- a/src/request-handler.cc
+++ b/src/request-handler.cc
@@ -250,7 +250,12 @@
   this->attempts_made++;
   ex.after_server_loss = this->has_lost_servers();
   const attempt_result result = co_await this->run_exchange(ex);
-  this->path_lost = ex.aborted == abort_cause::path_lost;
+  // The server may have failed, or the proxy; the next connection will show.
+  const bool proxy_lost =
+      ex.server_lost && ex.aborted == abort_cause::none && !ex.proxy.empty();
+  if (proxy_lost)
+    this->node.reachability.demote_proxy(ex.proxy, this->node.now());
+  this->path_lost = ex.aborted == abort_cause::path_lost || proxy_lost;
   if (result != attempt_result::done) this->record_failure(ex);
   co_await this->record_run_result(ex, result);
   co_return result;
@@ -316,8 +321,9 @@
   ex.server_lost = ex.aborted != abort_cause::path_lost;
   this->log_attempt(ex, "broken", error);
   if (ex.aborted != abort_cause::none) co_return false;
+  if (!ex.proxy.empty()) co_return false;
   // The server may have failed, or this node's link to it.
-  if (ex.proxy.empty()) this->node.connector.probe(ex.endpoint.address);
+  this->node.connector.probe(ex.endpoint.address);
   // A kept connection may just have been closed by its server.
   if (!ex.reused) this->node.avoid_endpoint(ex.endpoint.load_key());
   co_return false;
@@ -512,7 +518,7 @@
     if (result == attempt_result::done) {
       co_return this->keep_alive && !this->node.stopping();
     }
-    // The endpoint itself is sound and reached on another path.
+    // The endpoint itself may be sound and reached on another path.
     if (this->path_lost) this->tried_endpoints.erase(endpoint->load_key());
     if (!this->may_retry(result)) break;
   }
--- a/src/request-handler.h
+++ b/src/request-handler.h
@@ -349,7 +349,8 @@
   /// Whether the last attempt found no path to its server, over this node's
   /// links or through another node.
   bool no_path = false;
-  /// Whether the last attempt was aborted because this node had lost its link.
+  /// Whether the last attempt was aborted because this node had lost its link,
+  /// or broke off at a proxy.
   bool path_lost = false;
   /// A retry reserved in the budget for this request.
   std::optional<retry_reservation> reserved;
--- a/test/partitioned-node-test.cc
+++ b/test/partitioned-node-test.cc
@@ -294,6 +294,63 @@
   this->expect_single_runs();
 }
 
+// Guards against servers that are excluded because a proxy broke off under
+// requests that they were running.
+TEST_F(partitioned_node_test, servers_are_not_blamed_for_a_lost_proxy) {
+  this->start(default_node_count);
+  this->set_links({0}, link_state::reset);
+  auto& connector = this->nodes[0]->context().connector;
+  const auto all_proxies = connector.proxies;
+  this->on_loop([&, this] {
+    connector.proxies = [&] {
+      auto out = all_proxies();
+      std::erase_if(out,
+                    [](const auto& p) { return p.candidate.name != "node-1"; });
+      return out;
+    };
+    return 0;
+  });
+  EXPECT_TRUE(this->call(call_kind::stream, 0, "n0-0-0"));
+  EXPECT_TRUE(this->wait_until([this] {
+    node_context& node = this->nodes[0]->context();
+    return node.reachability.partitioned(node.now());
+  }));
+  this->on_loop([this] {
+    silence_settings& silence = this->fleet->faults.silence;
+    silence.servers = {"p0", "p1"};
+    silence.from = absl::Now();
+    silence.until = silence.from + absl::Seconds(1);
+    silence.active = true;
+    return 0;
+  });
+  constexpr size_t calls = 4;
+  std::atomic<size_t> served = 0;
+  std::vector<std::thread> callers;
+  for (size_t i = 0; i < calls; ++i) {
+    callers.emplace_back([&, this, i] {
+      const std::string id = absl::StrCat("n0-1-", i);
+      if (this->call(call_kind::repeatable, 0, id)) ++served;
+    });
+  }
+  const auto tunnels = [this] {
+    return this->nodes[1]->context().tunnel_count;
+  };
+  EXPECT_TRUE(this->wait_until([&] { return tunnels() >= calls; }));
+  this->on_loop([&] {
+    connector.proxies = all_proxies;
+    return 0;
+  });
+  this->set_links({1}, link_state::reset);
+  EXPECT_TRUE(this->wait_until([&] { return tunnels() == 0; }));
+  std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  this->on_loop([this] {
+    EXPECT_TRUE(this->nodes[0]->context().avoided_until.empty());
+    return 0;
+  });
+  for (auto& caller : callers) caller.join();
+  EXPECT_EQ(served, calls) << this->failures;
+}
+
 // Guards against refusals at a node that starts without links, so that it has
 // never reached a server.
 TEST_F(partitioned_node_test, served_by_a_node_that_starts_without_links) {
