Keep what a direct attempt showed when its race ends

Where no attempt had connected, the pending direct one was closed and then counted as failed by itself: server_not_reached gave "Operation canceled" for a server that had not answered, and the error told to the request as well. Found on reading. connect and dial share their code now.

--- a/src/server-connector.cc
+++ b/src/server-connector.cc
@@ -157,8 +157,12 @@
                                                    std::shared_ptr<attempt> a) {
   using state = attempt::state;
   if (!a->proxy) {
-    a->error = co_await this->node.dialer->dial(*a->socket, r->address);
-    a->result = a->error ? state::failed : state::connected;
+    const auto error = co_await this->node.dialer->dial(*a->socket, r->address);
+    // At the end of a race it is aborted, which shows no more than its delay.
+    if (!r->over) {
+      a->error = error;
+      a->result = error ? state::failed : state::connected;
+    }
   } else {
     const detail::socket_deadline deadline(
         a->socket, proxy_timeout + this->node.loop_delay);
@@ -240,8 +244,15 @@
 
 net::awaitable<connect_outcome> server_connector::connect(
     tcp::socket& socket, std::string address, absl::Duration lifetime) {
+  return this->connect_within(socket, std::move(address), lifetime,
+                              std::min(search_timeout, lifetime));
+}
+
+net::awaitable<connect_outcome> server_connector::connect_within(
+    tcp::socket& socket, std::string address, absl::Duration lifetime,
+    absl::Duration limit) {
   const auto r = std::make_shared<race>(this->node.loop, address, lifetime);
-  r->limit = std::min(search_timeout, lifetime);
+  r->limit = limit;
   r->direct_first =
       !this->node.reachability.prefers_proxies(address, this->node.now());
   const connect_outcome out = co_await this->run_race(r);
@@ -307,12 +318,8 @@
 
 net::awaitable<boost::system::error_code> server_connector::dial(
     tcp::socket& socket, std::string address) {
-  const auto r =
-      std::make_shared<race>(this->node.loop, address, call_lifetime);
-  r->direct_first =
-      !this->node.reachability.prefers_proxies(address, this->node.now());
-  const connect_outcome out = co_await this->run_race(r);
-  if (!out.error) socket = std::move(*r->winner()->socket);
+  const connect_outcome out = co_await this->connect_within(
+      socket, std::move(address), call_lifetime, connect_timeout);
   co_return out.error;
 }
 
--- a/src/server-connector.h
+++ b/src/server-connector.h
@@ -78,7 +78,13 @@
   struct attempt;
   struct race;
 
+  /// Starts `verify_links` and does not wait for it.
   void verify_links_later();
+  /// Connects as `connect` does; `limit` is how long it may take while this
+  /// node's links are in doubt.
+  boost::asio::awaitable<connect_outcome> connect_within(
+      boost::asio::ip::tcp::socket& socket, std::string address,
+      absl::Duration lifetime, absl::Duration limit);
   boost::asio::awaitable<void> run_probe(std::string address);
   boost::asio::awaitable<void> run_direct_probe(std::string address);
   /// The proxies to try for one connection, in order.
