Allow probes and tunnels the time of other attempts

Beside other load, callers of cut nodes were refused with seven of eight nodes cut: direct probes counted as failed after 25 ms, less than any other attempt, and a proxy's attempt made no allowance for its event loop's delay. The node that had links was then in doubt of them, by its three probes, and carried nothing for up to 1.2 s.

--- a/src/server-connector.cc
+++ b/src/server-connector.cc
@@ -363,8 +363,8 @@
   const absl::Time begun = this->node.now();
   boost::system::error_code error;
   {
-    const detail::socket_deadline deadline(socket,
-                                           head_start + this->node.loop_delay);
+    const detail::socket_deadline deadline(
+        socket, connect_timeout + this->node.loop_delay);
     error = co_await this->node.dialer->dial(*socket, address);
   }
   detail::close_ignoring_errors(*socket);
--- a/src/tunnel.cc
+++ b/src/tunnel.cc
@@ -152,7 +152,8 @@
   const absl::Time begun = this->node.now();
   boost::system::error_code error;
   {
-    const detail::socket_deadline deadline(t.server, connect_timeout);
+    const detail::socket_deadline deadline(
+        t.server, connect_timeout + this->node.loop_delay);
     error = co_await this->node.dialer->dial(*t.server, t.address);
   }
   const absl::Time now = this->node.now();
