Let the stand-in frame answers in each way and break them off

Servers may answer with neither a length nor chunks and end the answer with its connection. The stand-in now frames answers by chunks, by length or by the connection's end, whole or broken off after any number of bytes: by an orderly close, by a reset, or by a premature end of the framing itself. Lines of streams may end with CR LF, and bytes may follow the last event.

--- /dev/null
+++ b/standin/answer-writer.cc
@@ -0,0 +1,96 @@
+#include "answer-writer.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <boost/asio/write.hpp>
+
+#include "fleet-loop.h"
+
+namespace spokesail::standin {
+
+namespace net = boost::asio;
+using net::ip::tcp;
+
+answer_writer::answer_writer(std::shared_ptr<tcp::socket> connection,
+                             answer_shape answer, size_t size)
+    : socket(std::move(connection)), shape(answer), length(size) {}
+
+net::awaitable<bool> answer_writer::send(std::string bytes) {
+  auto [error, size] =
+      co_await net::async_write(*this->socket, net::buffer(bytes), use_tuple);
+  co_return !error;
+}
+
+net::awaitable<bool> answer_writer::write_head(std::string head) {
+  switch (this->shape.framing) {
+    case answer_framing::chunked:
+      head += "Transfer-Encoding: chunked\r\n";
+      break;
+    case answer_framing::length: {
+      const bool ends_early = this->shape.kind == break_kind::end;
+      const size_t cut = this->shape.break_after.value_or(this->length);
+      absl::StrAppend(&head, "Content-Length: ",
+                      ends_early ? std::min(cut, this->length) : this->length,
+                      "\r\n");
+      break;
+    }
+    case answer_framing::until_close:
+      head += "Connection: close\r\n";
+      break;
+  }
+  head += "\r\n";
+  if (!co_await this->send(std::move(head))) co_return false;
+  if (this->shape.break_after != size_t{0}) co_return true;
+  co_return co_await this->break_off();
+}
+
+net::awaitable<bool> answer_writer::write(std::string part) {
+  const size_t end = this->written + part.size();
+  const bool breaks =
+      this->shape.break_after && *this->shape.break_after <= end;
+  const std::string sent =
+      breaks ? part.substr(0, *this->shape.break_after - this->written) : part;
+  const bool chunked = this->shape.framing == answer_framing::chunked;
+  // A chunk that is broken off has the size of the whole one.
+  const size_t chunk_size =
+      this->shape.kind == break_kind::end ? sent.size() : part.size();
+  std::string bytes;
+  if (chunked) absl::StrAppend(&bytes, absl::Hex(chunk_size), "\r\n");
+  bytes += sent;
+  if (chunked && chunk_size == sent.size()) bytes += "\r\n";
+  this->written += sent.size();
+  if (!co_await this->send(std::move(bytes))) co_return false;
+  if (!breaks) co_return true;
+  co_return co_await this->break_off();
+}
+
+net::awaitable<bool> answer_writer::break_off() {
+  if (this->shape.kind == break_kind::end) {
+    co_await this->finish();
+    // A connection that was not closed has nothing more to say.
+    co_return false;
+  }
+  boost::system::error_code ignored;
+  if (this->shape.kind == break_kind::reset) {
+    this->socket->set_option(net::socket_base::linger(true, 0), ignored);
+  }
+  this->socket->close(ignored);
+  co_return false;
+}
+
+net::awaitable<bool> answer_writer::finish() {
+  switch (this->shape.framing) {
+    case answer_framing::chunked:
+      co_return co_await this->send("0\r\n\r\n");
+    case answer_framing::length:
+      co_return true;
+    case answer_framing::until_close:
+      break;
+  }
+  boost::system::error_code ignored;
+  this->socket->close(ignored);
+  co_return false;
+}
+
+}  // namespace spokesail::standin
--- a/standin/fleet-control.cc
+++ b/standin/fleet-control.cc
@@ -59,6 +59,14 @@
   f.departure.active = body.value("leaving", f.departure.active);
   f.departure.share = body.value("leaving_share", f.departure.share);
   f.break_after_events = body.value("break_after_events", f.break_after_events);
+  if (body.contains("break_after")) {
+    f.shape.active = true;
+    f.shape.shape.framing = answer_framing::until_close;
+    f.shape.shape.break_after = body.at("break_after").get<size_t>();
+    f.shape.shape.kind =
+        body.value("reset", false) ? break_kind::reset : break_kind::close;
+    f.shape.breaks = body.value("breaks", 1);
+  }
   order_faults& orders = this->fleet.engines().faults;
   orders.late = body.value("late_orders", orders.late);
   orders.answer_lost = body.value("lost_order_answers", orders.answer_lost);
--- a/standin/fleet-main.cc
+++ b/standin/fleet-main.cc
@@ -57,6 +57,22 @@
 ABSL_FLAG(absl::Duration, silent_for, absl::Seconds(1),
           "how long they are silent");
 
+ABSL_FLAG(std::string, framing, "",
+          "framing of answers, chunked, length or close; empty for the usual");
+ABSL_FLAG(double, framing_share, 1, "fraction of the servers that use it");
+ABSL_FLAG(std::string, framing_service, "",
+          "service whose servers use it; empty for all");
+ABSL_FLAG(absl::Duration, framing_from, absl::ZeroDuration(),
+          "delay from startup until it is used");
+ABSL_FLAG(absl::Duration, framing_for, absl::InfiniteDuration(),
+          "how long it is used");
+ABSL_FLAG(int, break_after, -1,
+          "bytes of the body after which these answers are broken off; "
+          "negative for whole answers");
+ABSL_FLAG(int, breaks, -1, "number of answers broken off; negative for all");
+ABSL_FLAG(std::string, break_by, "close",
+          "how these answers are broken off: close, reset or end");
+
 namespace spokesail::standin {
 namespace {
 
@@ -143,6 +159,30 @@
   return out;
 }
 
+shape_settings shape_from_flags() {
+  static const std::map<std::string, answer_framing> framings = {
+      {"chunked", answer_framing::chunked},
+      {"length", answer_framing::length},
+      {"close", answer_framing::until_close}};
+  static const std::map<std::string, break_kind> kinds = {
+      {"close", break_kind::close},
+      {"reset", break_kind::reset},
+      {"end", break_kind::end}};
+  shape_settings out;
+  set_selection(out, absl::GetFlag(FLAGS_framing_service),
+                absl::GetFlag(FLAGS_framing_share),
+                absl::GetFlag(FLAGS_framing_from),
+                absl::GetFlag(FLAGS_framing_for));
+  const std::string framing = absl::GetFlag(FLAGS_framing);
+  const int break_after = absl::GetFlag(FLAGS_break_after);
+  out.active = !framing.empty() || break_after >= 0;
+  if (!framing.empty()) out.shape.framing = framings.at(framing);
+  if (break_after >= 0) out.shape.break_after = break_after;
+  out.shape.kind = kinds.at(absl::GetFlag(FLAGS_break_by));
+  out.breaks = absl::GetFlag(FLAGS_breaks);
+  return out;
+}
+
 }  // namespace
 }  // namespace spokesail::standin
 
@@ -157,6 +197,7 @@
   fleet.faults.rejection = rejection_from_flags();
   fleet.faults.departure = departure_from_flags();
   fleet.faults.silence = silence_from_flags();
+  fleet.faults.shape = shape_from_flags();
   fleet.start();
   fleet_control control(fleet);
   boost::asio::ip::tcp::acceptor acceptor(
--- a/standin/fleet-standin.cc
+++ b/standin/fleet-standin.cc
@@ -23,8 +23,6 @@
 using net::ip::tcp;
 using json = nlohmann::json;
 
-/// Interval between two events of a stream.
-constexpr absl::Duration event_interval = absl::Milliseconds(15);
 constexpr int events_per_stream = 12;
 
 /// Time from the start of a run that crashes its server to the crash, and from
@@ -56,6 +54,13 @@
   return order;
 }
 
+/// An event of a stream.
+std::string event_text(int64_t index, bool crlf) {
+  const char* line_end = crlf ? "\r\n" : "\n";
+  return absl::StrCat("id: ", index, line_end, "data: word", index, line_end,
+                      line_end);
+}
+
 std::string address_of(const tcp::acceptor& acceptor) {
   return absl::StrCat("127.0.0.1:", acceptor.local_endpoint().port());
 }
@@ -384,12 +389,42 @@
   const bool wrong_id = this->faults.cross_plain_answers && h.plain;
   if (!id.empty()) out.set("X-Request-Id", wrong_id ? "another" : id);
   this->add_state_headers(h, out);
-  out.prepare_payload();
   if (!co_await this->wait_for_link(h, socket)) co_return false;
+  const bool ran = out.find("X-Response-Stamp") != out.end();
+  if (ran && this->faults.shape.active && is_selected(h, this->faults.shape)) {
+    const bool no_body = in.method() == http::verb::head;
+    co_return co_await this->write_shaped(h, socket, out, no_body);
+  }
+  out.prepare_payload();
   auto [error, size] = co_await http::async_write(*socket, out, use_tuple);
   co_return !error;
 }
 
+answer_shape fleet_standin::next_shape(const host& h) {
+  shape_settings& settings = this->faults.shape;
+  if (!settings.active || !is_selected(h, settings)) return {};
+  answer_shape out = settings.shape;
+  if (settings.breaks == 0) out.break_after.reset();
+  if (out.break_after && settings.breaks > 0) settings.breaks--;
+  return out;
+}
+
+net::awaitable<bool> fleet_standin::write_shaped(const host& h,
+                                                 socket_ptr socket,
+                                                 const response& out,
+                                                 bool no_body) {
+  std::string head = absl::StrCat("HTTP/1.1 ", out.result_int(), " Status\r\n");
+  for (const auto& field : out) {
+    absl::StrAppend(&head, std::string(field.name_string()), ": ",
+                    std::string(field.value()), "\r\n");
+  }
+  answer_writer writer(socket, this->next_shape(h), out.body().size());
+  bool open = co_await writer.write_head(std::move(head));
+  if (open && !no_body) open = co_await writer.write(out.body());
+  if (!open) co_return false;
+  co_return co_await writer.finish();
+}
+
 net::awaitable<void> fleet_standin::crash(host& h, absl::Duration after) {
   const std::string id = h.id;
   co_await sleep_for(after);
@@ -414,41 +449,44 @@
   }
   int64_t after = -1;
   if (!absl::SimpleAtoi(header_value(in, "Last-Event-Id"), &after)) after = -1;
+  const shape_settings& settings = this->faults.shape;
+  const bool crlf = settings.active && settings.crlf;
+  const std::string tail = settings.active ? settings.stream_tail : "";
+  std::vector<std::string> events;
+  size_t length = tail.size();
+  for (int64_t index = after + 1; index < events_per_stream; ++index) {
+    events.push_back(event_text(index, crlf));
+    length += events.back().size();
+  }
   const std::string limit = this->advertised_limit(h);
-  std::string response_head = absl::StrCat(
+  answer_writer writer(socket, this->next_shape(h), length);
+  std::string head = absl::StrCat(
       "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
       "X-Response-Stamp: stamp-",
-      h.id, "\r\nX-Request-Id: ", id, "\r\nTransfer-Encoding: chunked\r\n",
-      limit.empty() ? "" : absl::StrCat("Server-Limit: ", limit, "\r\n"),
-      this->is_leaving(h) ? "Server-Leaving: 1\r\n" : "", "\r\n");
-  auto [error, size] =
-      co_await net::async_write(*socket, net::buffer(response_head), use_tuple);
-  if (error) co_return false;
+      h.id, "\r\nX-Request-Id: ", id, "\r\n");
+  if (!limit.empty()) absl::StrAppend(&head, "Server-Limit: ", limit, "\r\n");
+  if (this->is_leaving(h)) head += "Server-Leaving: 1\r\n";
+  const bool begun = co_await writer.write_head(std::move(head));
+  if (!begun) co_return false;
   int sent = 0;
-  for (int64_t index = after + 1; index < events_per_stream; ++index) {
-    co_await sleep_for(event_interval);
+  for (const std::string& event : events) {
+    co_await sleep_for(this->faults.event_interval);
     while (!this->emulator.group_complete(h.id) ||
            this->faults.stalled_head == h.id) {
       if (!socket->is_open()) co_return false;
       co_await sleep_for(poll_interval);
     }
     if (!co_await this->wait_for_link(h, socket)) co_return false;
-    const std::string event =
-        absl::StrCat("id: ", index, "\ndata: word", index, "\n\n");
-    const std::string chunk =
-        absl::StrCat(absl::Hex(event.size()), "\r\n", event, "\r\n");
-    auto [failed, bytes] =
-        co_await net::async_write(*socket, net::buffer(chunk), use_tuple);
-    if (failed) co_return false;
+    if (!co_await writer.write(event)) co_return false;
     if (++sent == this->faults.break_after_events) {
       this->faults.break_after_events = 0;
       co_return false;
     }
   }
-  const std::string last = "0\r\n\r\n";
-  auto [failed, bytes] =
-      co_await net::async_write(*socket, net::buffer(last), use_tuple);
-  co_return !failed;
+  bool open = true;
+  if (!tail.empty()) open = co_await writer.write(tail);
+  if (!open) co_return false;
+  co_return co_await writer.finish();
 }
 
 }  // namespace spokesail::standin
--- a/standin/fleet-standin.h
+++ b/standin/fleet-standin.h
@@ -17,6 +17,7 @@
 #include <string>
 #include <vector>
 
+#include "answer-writer.h"
 #include "fleet-emulator.h"
 #include "server-links.h"
 
@@ -67,8 +68,22 @@
   bool active = false;
 };
 
-/// Faults of the fleet. `fail_plain_calls` and `break_after_events` end by
-/// themselves; the others stay in effect until they are changed.
+/// How servers frame and break off the answers to requests that they run.
+struct shape_settings : server_selection {
+  bool active = false;
+  answer_shape shape;
+  /// Number of answers that are still to be broken off; the later ones are
+  /// whole. Negative: all are broken off.
+  int breaks = -1;
+  /// Whether streams end their lines with CR LF.
+  bool crlf = false;
+  /// Bytes sent after the last event of a stream.
+  std::string stream_tail;
+};
+
+/// Faults of the fleet. `fail_plain_calls`, `break_after_events` and the breaks
+/// of `shape` end by themselves; the others stay in effect until they are
+/// changed.
 struct fleet_faults {
   /// User agents whose calls of the store get 503.
   std::set<std::string> refused_nodes;
@@ -105,6 +120,9 @@
   rejection_settings rejection;
   departure_settings departure;
   silence_settings silence;
+  shape_settings shape;
+  /// Time between two events of a stream.
+  absl::Duration event_interval = absl::Milliseconds(15);
 };
 
 /// A request that a server has started to run, or that has arrived there.
@@ -240,6 +258,11 @@
   std::string advertised_limit(const host& h) const;
   /// Whether a host announces that it is leaving.
   bool is_leaving(const host& h) const;
+  /// The shape of the next answer of a host to a request that it runs.
+  answer_shape next_shape(const host& h);
+  /// Writes a plain answer in the shape that is set.
+  boost::asio::awaitable<bool> write_shaped(const host& h, socket_ptr socket,
+                                            const response& out, bool no_body);
   /// Waits while a host or the link of a connection is silent. Returns false if
   /// the other end has closed the connection meanwhile.
   boost::asio::awaitable<bool> wait_for_link(const host& h, socket_ptr socket);
