Log how responses are framed and how their bodies end

Ended attempts and requests now say so, and spokesail_responses_total counts responses by framing and end.

--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -123,9 +123,33 @@
       this->socket, this->buffer, *this->parser, use_tuple);
   if (error == http::error::need_buffer) error = {};
   this->record_bytes(size);
+  if (!error) this->record_framing();
   co_return error ? error.message() : std::string();
 }
 
+void exchange::record_framing() {
+  if (this->parser->is_done() && !this->parser->content_length()) {
+    this->body.framing = body_framing::none;
+  } else if (this->parser->chunked()) {
+    this->body.framing = body_framing::chunked;
+  } else if (this->parser->need_eof()) {
+    this->body.framing = body_framing::until_close;
+  } else {
+    this->body.framing = body_framing::length;
+  }
+  this->record_body_end({});
+}
+
+void exchange::record_body_end(const boost::system::error_code& error) {
+  if (error) {
+    this->body.end = body_end::failed;
+  } else if (this->parser->is_done()) {
+    this->body.end = this->body.framing == body_framing::until_close
+                         ? body_end::closed
+                         : body_end::framed;
+  }
+}
+
 net::awaitable<std::string> exchange::read_some(std::string& out) {
   auto& body = this->parser->get().body();
   body.data = this->chunk.data();
@@ -136,6 +160,7 @@
   if (error == http::error::need_buffer) error = {};
   this->record_bytes(size);
   out.append(this->chunk.data(), this->chunk.size() - body.size);
+  this->record_body_end(error);
   co_return error ? error.message() : std::string();
 }
 
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -13,6 +13,7 @@
 #include <string>
 
 #include "node-context.h"
+#include "spokesail/response-body.h"
 
 namespace spokesail {
 
@@ -141,6 +142,8 @@
   absl::Time sent_at = absl::InfiniteFuture();
   /// When the last event of a stream came.
   absl::Time last_event = absl::InfinitePast();
+  /// The response's body, as far as it was read.
+  body_evidence body;
   /// Expected time of a response (of a stream: its first event), in ms; 0 if
   /// unknown.
   double expected_ms = 0;
@@ -150,6 +153,10 @@
  private:
   /// Records that bytes were received.
   void record_bytes(size_t size);
+  /// Records how the body is framed, once the head was read.
+  void record_framing();
+  /// Records how a read of the body ended.
+  void record_body_end(const boost::system::error_code& error);
 
   /// Maximum size of one read: a few events of a stream.
   static constexpr size_t read_size = 16 << 10;
--- a/src/node-metrics.cc
+++ b/src/node-metrics.cc
@@ -32,6 +32,8 @@
                        "requests refused for lack of capacity")),
       attempts(counter(registry, "spokesail_attempts_total",
                        "attempts at backend servers by result")),
+      responses(counter(registry, "spokesail_responses_total",
+                        "responses of backend servers by framing and end")),
       retries(counter(registry, "spokesail_repeats_total",
                       "retried requests, and retries refused by the budget")),
       store_calls(counter(registry, "spokesail_store_calls_total",
@@ -94,6 +96,11 @@
   this->retries.Add({{"service", service}, {"event", event}}).Increment();
 }
 
+void node_metrics::count_response(const std::string& framing,
+                                  const std::string& end) {
+  this->responses.Add({{"framing", framing}, {"end", end}}).Increment();
+}
+
 void node_metrics::count_resume() { this->resumed.Increment(); }
 
 void node_metrics::count_store_call(const std::string& verb,
--- a/src/node-metrics.h
+++ b/src/node-metrics.h
@@ -25,6 +25,8 @@
   void count_refusal(const std::string& reason, const std::string& workspace);
   /// Counts a finished attempt at a server.
   void count_attempt(const std::string& end);
+  /// Counts a response by its body's framing and end.
+  void count_response(const std::string& framing, const std::string& end);
   /// Counts a retry, or a retry that the service's budget refused.
   void count_retry(const std::string& service, const std::string& event);
   /// Counts a stream that was resumed at another server.
@@ -78,6 +80,7 @@
   prometheus::Family<prometheus::Counter>& requests;
   prometheus::Family<prometheus::Counter>& refusals;
   prometheus::Family<prometheus::Counter>& attempts;
+  prometheus::Family<prometheus::Counter>& responses;
   prometheus::Family<prometheus::Counter>& retries;
   prometheus::Family<prometheus::Counter>& store_calls;
   prometheus::Family<prometheus::Counter>& orders;
--- a/src/request-answer.cc
+++ b/src/request-answer.cc
@@ -188,6 +188,7 @@
     bytes.clear();
     error = co_await ex.read_some(bytes);
     const auto events = splitter.feed(bytes);
+    ex.body.unfinished_bytes = splitter.remainder().size();
     if (!events) error = "event is too large";
     const bool has_events =
         events && events->events > 0 && ex.aborted == abort_cause::none;
--- a/src/request-handler.h
+++ b/src/request-handler.h
@@ -357,6 +357,8 @@
   /// When the last attempt ended; only set after one.
   absl::Time attempt_ended_at = absl::InfinitePast();
   std::string last_error;
+  /// The body of the last response; nothing if there was none.
+  std::optional<body_evidence> last_body;
   /// Node that the last attempt went through; empty if it was direct.
   std::string proxy;
   /// The last decision of admission; nothing if admission was not used.
--- a/src/request-log.cc
+++ b/src/request-log.cc
@@ -12,12 +12,30 @@
   return absl::StrCat(absl::ToInt64Milliseconds(d));
 }
 
+const char* framing_of(const std::optional<body_evidence>& body) {
+  return body ? body_framing_name(body->framing) : "";
+}
+
+const char* body_end_of(const std::optional<body_evidence>& body) {
+  return body ? body_end_name(body->end) : "";
+}
+
+std::string unfinished_of(const std::optional<body_evidence>& body) {
+  return body ? absl::StrCat(body->unfinished_bytes) : "";
+}
+
 }  // namespace
 
 void request_handler::log_attempt(const exchange& ex, const char* outcome,
                                   const std::string& error) {
   this->node.metrics.count_attempt(outcome);
   this->last_error = error;
+  this->last_body.reset();
+  if (ex.head_received) {
+    this->last_body = ex.body;
+    this->node.metrics.count_response(body_framing_name(ex.body.framing),
+                                      body_end_name(ex.body.end));
+  }
   if (std::string_view(outcome) == "whole") return;
   const absl::Time now = this->node.now();
   this->node.log.write(
@@ -31,6 +49,9 @@
        {"group", ex.endpoint.group},
        {"reused", ex.reused ? "1" : "0"},
        {"proxy", ex.proxy},
+       {"framing", framing_of(this->last_body)},
+       {"body_end", body_end_of(this->last_body)},
+       {"unfinished_bytes", unfinished_of(this->last_body)},
        {"backoff_left_ms", this->backoff_left_ms(ex)},
        {"last_event", absl::StrCat(this->last_event)},
        {"since_sent_ms", millis(now - std::min(now, ex.sent_at))},
@@ -169,6 +190,9 @@
         this->last_decision && this->last_decision->late ? "1" : "0"},
        {"place", this->chosen.endpoint},
        {"proxy", this->proxy},
+       {"framing", framing_of(this->last_body)},
+       {"body_end", body_end_of(this->last_body)},
+       {"unfinished_bytes", unfinished_of(this->last_body)},
        {"near", this->chosen.local ? "1" : "0"},
        {"place_running", absl::StrCat(this->chosen.running)},
        {"predicted_ms",
--- /dev/null
+++ b/src/response-body.cc
@@ -0,0 +1,33 @@
+#include "spokesail/response-body.h"
+
+namespace spokesail {
+
+const char* body_framing_name(body_framing framing) {
+  switch (framing) {
+    case body_framing::none:
+      return "none";
+    case body_framing::length:
+      return "length";
+    case body_framing::chunked:
+      return "chunked";
+    case body_framing::until_close:
+      return "until_close";
+  }
+  return "none";
+}
+
+const char* body_end_name(body_end end) {
+  switch (end) {
+    case body_end::open:
+      return "open";
+    case body_end::framed:
+      return "framed";
+    case body_end::closed:
+      return "closed";
+    case body_end::failed:
+      return "failed";
+  }
+  return "open";
+}
+
+}  // namespace spokesail
