Do not end streams that were cut inside an event as whole

A response with neither a length nor chunks ends with its connection; relay_stream wrote what the splitter held back, half an event, and the last chunk, whatever had ended the body. Chunks or a length that end inside an event did the same.

Whether a body is whole is now decided in one place, reason_incomplete, from how it was framed, how it ended and whether it ends inside an event; plain and streamed responses are passed on as whole only if it says so. A stream that was cut is resumed after its last whole event where that is allowed, otherwise the caller's connection is reset. A stream without a length that ends before its first event is not whole either. Events may end with CR, LF or CR LF; comments and empty lines after the last event are no cut. What was received is passed on, and a whole response delivered, also if the attempt was aborted at the same moment.

--- a/include/spokesail/response-body.h
+++ b/include/spokesail/response-body.h
@@ -40,9 +40,22 @@
 struct body_evidence {
   body_framing framing = body_framing::none;
   body_end end = body_end::open;
-  /// Of a stream: bytes after its last whole event.
+  /// Whether it is a stream of events.
+  bool event_stream = false;
+  /// Of a stream: whether a whole event has come.
+  bool events_seen = false;
+  /// Whether the stream resumes an earlier one, which may have no event left.
+  bool resumes = false;
+  /// Of a stream: bytes of an event or a line that has not ended.
   size_t unfinished_bytes = 0;
   auto operator<=>(const body_evidence&) const = default;
 };
 
+/// Why a body is not known to be whole; nullptr if it is. Only a whole body may
+/// be passed on in a way that looks whole to its reader. A stream that ends
+/// inside an event is broken off in every framing. A body that ends with its
+/// connection is whole if the connection was closed in an orderly way: nothing
+/// else tells of its end.
+const char* reason_incomplete(const body_evidence& body);
+
 }  // namespace spokesail
--- a/src/event-splitter.cc
+++ b/src/event-splitter.cc
@@ -9,13 +9,38 @@
 namespace spokesail {
 namespace {
 
+/// A line of a stream. Lines end with LF, CR LF or CR.
+struct text_line {
+  absl::string_view content;
+  /// Offset after its end.
+  size_t end = 0;
+  /// Whether it ends with CR alone.
+  bool bare_cr = false;
+};
+
+/// The line that begins at `from`; nothing if its end has not come. A CR that
+/// is the last byte may be half of a CR LF, unless the lines end with CR alone.
+std::optional<text_line> next_line(absl::string_view text, size_t from,
+                                   bool bare_cr) {
+  const size_t at = text.find_first_of("\r\n", from);
+  if (at == absl::string_view::npos) return std::nullopt;
+  const absl::string_view content = text.substr(from, at - from);
+  if (text[at] == '\n') return text_line{content, at + 1, false};
+  if (at + 1 == text.size()) {
+    if (!bare_cr) return std::nullopt;
+    return text_line{content, at + 1, true};
+  }
+  const bool pair = text[at + 1] == '\n';
+  return text_line{content, at + (pair ? 2 : 1), !pair};
+}
+
 /// The offset after the first empty line from `from` on; npos if there is none.
 size_t event_end(absl::string_view text, size_t from) {
-  for (size_t at = text.find('\n', from); at != absl::string_view::npos;
-       at = text.find('\n', at + 1)) {
-    const absl::string_view after = text.substr(at + 1);
-    if (absl::StartsWith(after, "\n")) return at + 2;
-    if (absl::StartsWith(after, "\r\n")) return at + 3;
+  bool bare_cr = false;
+  for (auto line = next_line(text, from, bare_cr); line;
+       line = next_line(text, line->end, bare_cr)) {
+    if (line->content.empty()) return line->end;
+    bare_cr = line->bare_cr;
   }
   return absl::string_view::npos;
 }
@@ -23,7 +48,8 @@
 /// The id of an event; -1 if it has none or it is not a number.
 int64_t event_id(absl::string_view event) {
   int64_t id = -1;
-  for (absl::string_view line : absl::StrSplit(event, '\n')) {
+  for (absl::string_view line :
+       absl::StrSplit(event, absl::ByAnyChar("\r\n"))) {
     if (!absl::ConsumePrefix(&line, "id:")) continue;
     if (!absl::SimpleAtoi(absl::StripAsciiWhitespace(line), &id)) return -1;
   }
@@ -51,4 +77,15 @@
   return out;
 }
 
+size_t event_splitter::unfinished_bytes() const {
+  size_t end = 0;
+  bool bare_cr = false;
+  while (const auto line = next_line(this->pending, end, bare_cr)) {
+    if (!absl::StartsWith(line->content, ":")) return this->pending.size();
+    end = line->end;
+    bare_cr = line->bare_cr;
+  }
+  return end == this->pending.size() ? 0 : this->pending.size();
+}
+
 }  // namespace spokesail
--- a/src/event-splitter.h
+++ b/src/event-splitter.h
@@ -29,9 +29,13 @@
   /// if an event is too large.
   std::optional<event_batch> feed(std::string_view bytes);
 
-  /// Bytes of the incomplete event.
+  /// Bytes that do not belong to a whole event.
   const std::string& remainder() const { return this->pending; }
 
+  /// Size of the remainder, or zero if a stream may end with it: it consists of
+  /// whole lines with comments.
+  size_t unfinished_bytes() const;
+
  private:
   std::string pending;
 };
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -85,8 +85,8 @@
   const boost::beast::http::response_header<>& head() const {
     return this->parser->get().base();
   }
-  /// Whether the whole body has been read.
-  bool body_done() const { return this->parser->is_done(); }
+  /// Whether there is nothing more of the body to read.
+  bool body_ended() const { return this->body.end != body_end::open; }
 
   /// Returns the connection to the pool if it can serve another request.
   void keep_connection(const answer_head& answer);
--- a/src/request-answer.cc
+++ b/src/request-answer.cc
@@ -44,8 +44,10 @@
 
 net::awaitable<attempt_result> request_handler::relay_response(
     exchange& ex, const answer_head& head) {
+  ex.body.event_stream = is_event_stream(ex.head());
+  ex.body.resumes = this->last_event >= 0;
   const bool stream = this->route->streaming && ex.head().result_int() == 200 &&
-                      is_event_stream(ex.head());
+                      ex.body.event_stream;
   if (stream) co_return co_await this->relay_stream(ex, head);
   co_return co_await this->relay_buffered(ex, head);
 }
@@ -78,16 +80,26 @@
     exchange& ex, const answer_head& head) {
   std::string body;
   answer_charge charge(this->node.held);
-  while (!ex.body_done()) {
+  std::string error;
+  while (!ex.body_ended() && body.size() <= max_buffered_response) {
     co_await this->wait_for_memory(ex, charge);
-    const std::string error = co_await ex.read_some(body);
+    error = co_await ex.read_some(body);
     charge.set(body.size());
-    if (!error.empty() || body.size() > max_buffered_response) {
-      ex.server_lost = !error.empty() && ex.aborted != abort_cause::path_lost;
-      this->log_attempt(ex, "broken",
-                        error.empty() ? "response is too large" : error);
-      co_return attempt_result::broken;
-    }
+  }
+  if (body.size() > max_buffered_response) {
+    this->log_attempt(ex, "broken", "response is too large");
+    co_return attempt_result::broken;
+  }
+  if (ex.body.event_stream) {
+    event_splitter splitter;
+    const auto events = splitter.feed(body);
+    ex.body.events_seen = events && events->events > 0;
+    ex.body.unfinished_bytes = splitter.unfinished_bytes();
+  }
+  if (const char* reason = reason_incomplete(ex.body)) {
+    ex.server_lost = ex.aborted != abort_cause::path_lost;
+    this->log_attempt(ex, "broken", error.empty() ? reason : error);
+    co_return attempt_result::broken;
   }
   const unsigned status = ex.head().result_int();
   const std::string status_text = absl::StrCat("status ", status);
@@ -184,15 +196,17 @@
   event_splitter splitter;
   std::string bytes;
   std::string error;
-  while (!ex.body_done() && error.empty()) {
+  while (!ex.body_ended() && error.empty()) {
     bytes.clear();
     error = co_await ex.read_some(bytes);
     const auto events = splitter.feed(bytes);
-    ex.body.unfinished_bytes = splitter.remainder().size();
+    ex.body.unfinished_bytes = splitter.unfinished_bytes();
     if (!events) error = "event is too large";
+    // What was received is passed on even if the exchange was aborted since.
     const bool has_events =
-        events && events->events > 0 && ex.aborted == abort_cause::none;
+        events && events->events > 0 && ex.aborted != abort_cause::caller_gone;
     if (!has_events) continue;
+    ex.body.events_seen = true;
     const bool written = co_await this->relay_events(ex, *events);
     if (!written) {
       ex.abort(abort_cause::caller_gone);
@@ -200,7 +214,9 @@
       co_return attempt_result::broken;
     }
   }
-  if (!error.empty() || ex.aborted != abort_cause::none) {
+  const char* reason = reason_incomplete(ex.body);
+  if (error.empty() && reason != nullptr) error = reason;
+  if (!error.empty() || ex.aborted == abort_cause::caller_gone) {
     // A server is not at fault for what its caller left unread.
     ex.server_lost =
         !ex.caller_not_reading && ex.aborted != abort_cause::path_lost;
--- a/src/response-body.cc
+++ b/src/response-body.cc
@@ -30,4 +30,23 @@
   return "open";
 }
 
+const char* reason_incomplete(const body_evidence& body) {
+  switch (body.end) {
+    case body_end::open:
+      return "response has not ended";
+    case body_end::failed:
+      return "connection failed";
+    case body_end::framed:
+    case body_end::closed:
+      break;
+  }
+  if (!body.event_stream) return nullptr;
+  if (body.unfinished_bytes > 0) return "stream ended inside an event";
+  const bool empty = !body.events_seen && !body.resumes;
+  if (body.end == body_end::closed && empty) {
+    return "stream ended before its first event";
+  }
+  return nullptr;
+}
+
 }  // namespace spokesail
