Do not take the end of a tunnel for that of a response

The node that asks for a tunnel now gives a random mark, which the proxy sends after the server has closed in an orderly way, and only then. A close without the mark is not taken for the end of a body that has neither length nor chunks; framed bodies need none. All other ends reset the tunnel. Nodes of an earlier version send no mark, so that what they carry without a length is repeated or fails until they are replaced.

--- a/include/spokesail/response-body.h
+++ b/include/spokesail/response-body.h
@@ -40,6 +40,9 @@
 struct body_evidence {
   body_framing framing = body_framing::none;
   body_end end = body_end::open;
+  /// Whether the close was the server's own: the connection was direct, or the
+  /// proxy says so.
+  bool close_confirmed = true;
   /// Whether it is a stream of events.
   bool event_stream = false;
   /// Of a stream: whether a whole event has come.
@@ -54,8 +57,8 @@
 /// Why a body is not known to be whole; nullptr if it is. Only a whole body may
 /// be passed on in a way that looks whole to its reader. A stream that ends
 /// inside an event is broken off in every framing. A body that ends with its
-/// connection is whole if the connection was closed in an orderly way: nothing
-/// else tells of its end.
+/// connection is whole if its server closed the connection in an orderly way:
+/// nothing else tells of its end.
 const char* reason_incomplete(const body_evidence& body);
 
 }  // namespace spokesail
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -88,6 +88,7 @@
   const connect_outcome outcome = co_await this->node.connector.connect(
       this->socket, address, this->deadline - now);
   this->proxy = outcome.proxy;
+  this->end_marks = end_mark_filter(outcome.end_mark);
   this->server_failed = outcome.server_failed;
   if (outcome.error) co_return outcome.error.message();
   if (this->aborted == abort_cause::none) co_return "";
@@ -144,6 +145,8 @@
   if (error) {
     this->body.end = body_end::failed;
   } else if (this->parser->is_done()) {
+    this->body.close_confirmed =
+        this->proxy.empty() || this->end_marks.marked();
     this->body.end = this->body.framing == body_framing::until_close
                          ? body_end::closed
                          : body_end::framed;
@@ -159,7 +162,14 @@
       this->socket, this->buffer, *this->parser, use_tuple);
   if (error == http::error::need_buffer) error = {};
   this->record_bytes(size);
-  out.append(this->chunk.data(), this->chunk.size() - body.size);
+  const std::string_view bytes(this->chunk.data(),
+                               this->chunk.size() - body.size);
+  // A framed body ends before the mark.
+  if (this->body.framing == body_framing::until_close) {
+    this->end_marks.feed(bytes, out);
+  } else {
+    out.append(bytes);
+  }
   this->record_body_end(error);
   co_return error ? error.message() : std::string();
 }
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <string>
 
+#include "end-mark.h"
 #include "node-context.h"
 #include "spokesail/response-body.h"
 
@@ -158,6 +159,9 @@
   /// Records how a read of the body ended.
   void record_body_end(const boost::system::error_code& error);
 
+  /// Finds the end of a body that ends with a connection through a proxy.
+  end_mark_filter end_marks;
+
   /// Maximum size of one read: a few events of a stream.
   static constexpr size_t read_size = 16 << 10;
 
--- a/src/response-body.cc
+++ b/src/response-body.cc
@@ -40,6 +40,9 @@
     case body_end::closed:
       break;
   }
+  if (body.end == body_end::closed && !body.close_confirmed) {
+    return "connection through a proxy ended";
+  }
   if (!body.event_stream) return nullptr;
   if (body.unfinished_bytes > 0) return "stream ended inside an event";
   const bool empty = !body.events_seen && !body.resumes;
--- a/src/server-connector.cc
+++ b/src/server-connector.cc
@@ -10,6 +10,7 @@
 
 #include "detail/socket-deadline.h"
 #include "detail/socket.h"
+#include "end-mark.h"
 #include "node-context.h"
 #include "tunnel.h"
 
@@ -69,11 +70,11 @@
 };
 
 struct server_connector::race {
-  race(net::io_context& loop, std::string to, absl::Duration lifetime)
-      : address(std::move(to)), lifetime(lifetime), changed(loop) {}
+  race(net::io_context& loop, tunnel_request request)
+      : asked(std::move(request)), changed(loop) {}
 
-  const std::string address;
-  const absl::Duration lifetime;
+  /// The server, and what proxies are asked for.
+  const tunnel_request asked;
   absl::Time begun;
   /// When the first proxy was asked, since the direct attempt had failed or was
   /// overdue.
@@ -157,7 +158,8 @@
                                                    std::shared_ptr<attempt> a) {
   using state = attempt::state;
   if (!a->proxy) {
-    const auto error = co_await this->node.dialer->dial(*a->socket, r->address);
+    const auto error =
+        co_await this->node.dialer->dial(*a->socket, r->asked.address);
     // At the end of a race it is aborted, which shows no more than its delay.
     if (!r->over) {
       a->error = error;
@@ -166,8 +168,8 @@
   } else {
     const detail::socket_deadline deadline(
         a->socket, proxy_timeout + this->node.loop_delay);
-    const tunnel_result result = co_await open_tunnel(
-        *a->socket, a->proxy->address, r->address, r->lifetime);
+    const tunnel_result result =
+        co_await open_tunnel(*a->socket, a->proxy->address, r->asked);
     a->result = result == tunnel_result::open ? state::connected
                 : result == tunnel_result::server_unreachable
                     ? state::server_unreachable
@@ -244,17 +246,18 @@
 
 net::awaitable<connect_outcome> server_connector::connect(
     tcp::socket& socket, std::string address, absl::Duration lifetime) {
-  return this->connect_within(socket, std::move(address), lifetime,
+  tunnel_request asked{std::move(address), lifetime,
+                       make_end_mark(this->node.random)};
+  return this->connect_within(socket, std::move(asked),
                               std::min(search_timeout, lifetime));
 }
 
 net::awaitable<connect_outcome> server_connector::connect_within(
-    tcp::socket& socket, std::string address, absl::Duration lifetime,
-    absl::Duration limit) {
-  const auto r = std::make_shared<race>(this->node.loop, address, lifetime);
+    tcp::socket& socket, tunnel_request asked, absl::Duration limit) {
+  const auto r = std::make_shared<race>(this->node.loop, std::move(asked));
   r->limit = limit;
-  r->direct_first =
-      !this->node.reachability.prefers_proxies(address, this->node.now());
+  r->direct_first = !this->node.reachability.prefers_proxies(r->asked.address,
+                                                             this->node.now());
   const connect_outcome out = co_await this->run_race(r);
   if (!out.error) socket = std::move(*r->winner()->socket);
   co_return out;
@@ -277,13 +280,14 @@
                                  : bypassed       ? direct_result::bypassed
                                                   : direct_result::failed;
     this->node.reachability.on_attempt(
-        r.address,
+        r.asked.address,
         {result, direct->begun, now, direct->result == state::pending});
   }
   if (direct_counts && winner != direct) this->log_failure(r, *direct, winner);
   if (winner != nullptr) {
     if (bypassed) {
       out.proxy = winner->proxy->candidate.name;
+      out.end_mark = r.asked.end_mark;
       this->node.reachability.on_proxied(out.proxy, now);
     }
     this->node.metrics.count_server_connection(bypassed ? "proxied" : "direct");
@@ -305,7 +309,7 @@
   const bool pending = direct.result == attempt::state::pending;
   this->node.log.state_change(
       "server_not_reached",
-      {{"address", r.address},
+      {{"address", r.asked.address},
        {"why", pending ? "no answer" : direct.error.message()},
        {"after_ms",
         absl::StrCat(absl::ToInt64Milliseconds(now - direct.begun))},
@@ -318,8 +322,9 @@
 
 net::awaitable<boost::system::error_code> server_connector::dial(
     tcp::socket& socket, std::string address) {
-  const connect_outcome out = co_await this->connect_within(
-      socket, std::move(address), call_lifetime, connect_timeout);
+  tunnel_request asked{std::move(address), call_lifetime, ""};
+  const connect_outcome out =
+      co_await this->connect_within(socket, std::move(asked), connect_timeout);
   co_return out.error;
 }
 
@@ -333,8 +338,8 @@
 }
 
 net::awaitable<void> server_connector::run_probe(std::string address) {
-  const auto r =
-      std::make_shared<race>(this->node.loop, address, call_lifetime);
+  const auto r = std::make_shared<race>(
+      this->node.loop, tunnel_request{std::move(address), call_lifetime, ""});
   const connect_outcome out = co_await this->run_race(r);
   if (!out.error) detail::close_ignoring_errors(*r->winner()->socket);
 }
--- a/src/server-connector.h
+++ b/src/server-connector.h
@@ -17,6 +17,7 @@
 namespace spokesail {
 
 struct node_context;
+struct tunnel_request;
 
 /// How a connection was opened, or why it was not.
 struct connect_outcome {
@@ -24,6 +25,9 @@
   boost::system::error_code error;
   /// Name of the node that the connection goes through; empty if it is direct.
   std::string proxy;
+  /// What a proxy sends after the server has closed the connection in an
+  /// orderly way; empty if the connection is direct.
+  std::string end_mark;
   /// Whether the server itself seems to be down, rather than this node's links.
   bool server_failed = false;
 };
@@ -83,8 +87,8 @@
   /// Connects as `connect` does; `limit` is how long it may take while this
   /// node's links are in doubt.
   boost::asio::awaitable<connect_outcome> connect_within(
-      boost::asio::ip::tcp::socket& socket, std::string address,
-      absl::Duration lifetime, absl::Duration limit);
+      boost::asio::ip::tcp::socket& socket, tunnel_request asked,
+      absl::Duration limit);
   boost::asio::awaitable<void> run_probe(std::string address);
   boost::asio::awaitable<void> run_direct_probe(std::string address);
   /// The proxies to try for one connection, in order.
--- a/src/tunnel.cc
+++ b/src/tunnel.cc
@@ -27,6 +27,10 @@
 using net::ip::tcp;
 
 constexpr char lifetime_header[] = "Lifetime-Ms";
+constexpr char end_mark_header[] = "End-Mark";
+
+/// Longest mark that a proxy sends, in bytes.
+constexpr size_t max_end_mark = 64;
 
 /// Time in which a proxy connects to a server; below the time that the node
 /// which asked waits for all its attempts.
@@ -52,15 +56,15 @@
 
 net::awaitable<tunnel_result> open_tunnel(tcp::socket& socket,
                                           const std::string& proxy_address,
-                                          const std::string& address,
-                                          absl::Duration lifetime) {
+                                          const tunnel_request& asked) {
   const auto error = co_await connect_to(socket, proxy_address);
   if (error) co_return tunnel_result::unavailable;
-  http::request<http::empty_body> request(http::verb::connect, address,
+  http::request<http::empty_body> request(http::verb::connect, asked.address,
                                           http_11);
-  request.set(http::field::host, address);
+  request.set(http::field::host, asked.address);
   request.set(lifetime_header,
-              absl::StrCat(absl::ToInt64Milliseconds(lifetime)));
+              absl::StrCat(absl::ToInt64Milliseconds(asked.lifetime)));
+  if (!asked.end_mark.empty()) request.set(end_mark_header, asked.end_mark);
   auto [failed, sent] = co_await http::async_write(socket, request, use_tuple);
   if (failed) co_return tunnel_result::unavailable;
   http::response_parser<http::empty_body> parser;
@@ -94,12 +98,18 @@
     this->parser.skip(true);
   }
 
+  /// Closes both connections. Any close resets that to the other node, also one
+  /// at a time limit or at the end of this process.
   void close() {
     detail::close_ignoring_errors(*this->peer);
     detail::close_ignoring_errors(*this->server);
   }
 
   const std::string address;
+  /// Sent after an orderly close by the server; empty if none was asked for.
+  std::string end_mark;
+  /// Whether the server has closed its connection in an orderly way.
+  bool response_ended = false;
   server_instance instance;
   std::shared_ptr<tcp::socket> peer;
   std::shared_ptr<tcp::socket> server;
@@ -189,6 +199,8 @@
   peer->set_option(tcp::no_delay(true), ignored);
   const auto t = std::make_shared<tunnel>(this->node.loop, address, peer);
   t->instance = *this->find_server(address);
+  const std::string end_mark(request[end_mark_header]);
+  if (end_mark.size() <= max_end_mark) t->end_mark = end_mark;
   const bool connected = co_await this->connect(*t);
   if (!connected) {
     this->node.metrics.count_tunnel("not_connected");
@@ -204,33 +216,54 @@
   this->node.tunnel_count = this->tunnels.size();
   this->node.metrics.count_tunnel("open");
   co_await this->answer(*peer, 200, "");
-  net::co_spawn(this->node.loop, this->forward(t, false), net::detached);
-  co_await this->forward(t, true);
+  peer->set_option(net::socket_base::linger(true, 0), ignored);
+  net::co_spawn(this->node.loop, this->forward_response(t), net::detached);
+  co_await this->forward_request(t);
   this->tunnels.erase(t.get());
   this->node.tunnel_count = this->tunnels.size();
 }
 
-net::awaitable<void> tunnel_service::forward(std::shared_ptr<tunnel> t,
-                                             bool from_server) {
-  tcp::socket& from = from_server ? *t->server : *t->peer;
-  tcp::socket& to = from_server ? *t->peer : *t->server;
+net::awaitable<void> tunnel_service::forward_request(
+    std::shared_ptr<tunnel> t) {
   std::vector<char> bytes(read_size);
   for (;;) {
     auto [error, size] =
-        co_await from.async_read_some(net::buffer(bytes), use_tuple);
+        co_await t->peer->async_read_some(net::buffer(bytes), use_tuple);
     if (error) break;
-    if (from_server) {
-      t->last_heard = this->node.now();
-      this->node.reachability.on_heard(t->address, t->last_heard);
-      this->observe_response(*t, bytes.data(), size);
-    }
     auto [failed, sent] = co_await net::async_write(
-        to, net::buffer(bytes.data(), size), use_tuple);
+        *t->server, net::buffer(bytes.data(), size), use_tuple);
     if (failed) break;
   }
   t->close();
 }
 
+net::awaitable<void> tunnel_service::forward_response(
+    std::shared_ptr<tunnel> t) {
+  std::vector<char> bytes(read_size);
+  for (;;) {
+    auto [error, size] =
+        co_await t->server->async_read_some(net::buffer(bytes), use_tuple);
+    t->response_ended = error == net::error::eof;
+    if (error) break;
+    t->last_heard = this->node.now();
+    this->node.reachability.on_heard(t->address, t->last_heard);
+    this->observe_response(*t, bytes.data(), size);
+    auto [failed, sent] = co_await net::async_write(
+        *t->peer, net::buffer(bytes.data(), size), use_tuple);
+    if (failed) break;
+  }
+  if (!t->response_ended) {
+    t->close();
+    co_return;
+  }
+  auto [failed, sent] =
+      co_await net::async_write(*t->peer, net::buffer(t->end_mark), use_tuple);
+  // The other node closes once it has read all; a close before could discard
+  // what is still on the way.
+  boost::system::error_code ignored;
+  if (!failed) t->peer->shutdown(tcp::socket::shutdown_send, ignored);
+}
+
 void tunnel_service::observe_response(tunnel& t, const char* data,
                                       size_t size) {
   if (t.head_observed) return;
@@ -251,13 +284,10 @@
 void tunnel_service::check(absl::Time now) {
   const std::vector<tunnel*> all(this->tunnels.begin(), this->tunnels.end());
   for (tunnel* t : all) {
-    if (!this->node.reachability.connection_lost(t->address, t->last_heard,
-                                                 now)) {
-      continue;
-    }
-    boost::system::error_code ignored;
-    t->peer->set_option(net::socket_base::linger(true, 0), ignored);
-    t->close();
+    const bool lost =
+        !t->response_ended &&
+        this->node.reachability.connection_lost(t->address, t->last_heard, now);
+    if (lost) t->close();
   }
 }
 
--- a/src/tunnel.h
+++ b/src/tunnel.h
@@ -27,12 +27,23 @@
   unavailable
 };
 
-/// Asks the node at `proxy_address` for a connection to the server at
-/// `address`, with HTTP's CONNECT method. The socket is unused; once the tunnel
-/// is open, it acts as a connection to that server.
+/// What a node asks a proxy for.
+struct tunnel_request {
+  /// Address of the server.
+  std::string address;
+  /// How long the tunnel may last.
+  absl::Duration lifetime;
+  /// Bytes that the proxy sends after the server has closed the connection in
+  /// an orderly way; none if empty.
+  std::string end_mark;
+};
+
+/// Asks the node at `proxy_address` for a connection to a server, with HTTP's
+/// CONNECT method. The socket is unused; once the tunnel is open, it acts as a
+/// connection to that server.
 boost::asio::awaitable<tunnel_result> open_tunnel(
     boost::asio::ip::tcp::socket& socket, const std::string& proxy_address,
-    const std::string& address, absl::Duration lifetime);
+    const tunnel_request& asked);
 
 /// Carries other nodes' connections to servers. Servers see them as this
 /// node's, so what they say of themselves to this node applies to them.
@@ -41,7 +52,8 @@
   explicit tunnel_service(node_context& node) : node(node) {}
 
   /// Answers a CONNECT request and carries the connection until either side
-  /// ends it.
+  /// ends it. Only an orderly close by the server ends the tunnel in an orderly
+  /// way, after the mark that was asked for; otherwise the tunnel is reset.
   boost::asio::awaitable<void> serve(
       std::shared_ptr<boost::asio::ip::tcp::socket> peer, http_request request);
 
@@ -62,9 +74,10 @@
   boost::asio::awaitable<unsigned> failure_status();
   boost::asio::awaitable<void> answer(boost::asio::ip::tcp::socket& peer,
                                       unsigned status, const char* reason);
-  /// Passes bytes on in one direction until the connection ends.
-  boost::asio::awaitable<void> forward(std::shared_ptr<tunnel> t,
-                                       bool from_server);
+  /// Passes bytes on to the server until the other node ends the tunnel.
+  boost::asio::awaitable<void> forward_request(std::shared_ptr<tunnel> t);
+  /// Passes bytes of the server on until its connection ends.
+  boost::asio::awaitable<void> forward_response(std::shared_ptr<tunnel> t);
   /// Reads the head of the server's response for what it says of the server.
   void observe_response(tunnel& t, const char* data, size_t size);
 
--- a/test/broken-response-test.cc
+++ b/test/broken-response-test.cc
@@ -3,6 +3,9 @@
 #include <absl/strings/match.h>
 
 #include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <memory>
 #include <optional>
 #include <vector>
 
@@ -67,6 +70,49 @@
   return closes && size > 0;
 }
 
+net::awaitable<void> copy_bytes(std::shared_ptr<tcp::socket> from,
+                                std::shared_ptr<tcp::socket> to) {
+  std::array<char, 4096> bytes;
+  for (;;) {
+    auto [error, size] =
+        co_await from->async_read_some(net::buffer(bytes), detail::use_tuple);
+    if (error) break;
+    auto [failed, sent] = co_await net::async_write(
+        *to, net::buffer(bytes.data(), size), detail::use_tuple);
+    if (failed) break;
+  }
+  detail::close_ignoring_errors(*from);
+  detail::close_ignoring_errors(*to);
+}
+
+net::awaitable<void> serve_tunnel(std::shared_ptr<tcp::socket> peer) {
+  boost::beast::flat_buffer buffer;
+  fleet_request asked;
+  auto [error, size] =
+      co_await http::async_read(*peer, buffer, asked, detail::use_tuple);
+  if (error) co_return;
+  auto server = std::make_shared<tcp::socket>(peer->get_executor());
+  const std::string address(asked.target());
+  if (co_await connect_to(*server, address)) co_return;
+  const std::string answer = "HTTP/1.1 200 OK\r\n\r\n";
+  co_await net::async_write(*peer, net::buffer(answer), detail::use_tuple);
+  net::co_spawn(peer->get_executor(), copy_bytes(peer, server), net::detached);
+  co_await copy_bytes(server, peer);
+}
+
+/// A proxy that closes tunnels in an orderly way, whatever has ended them, as
+/// the system does for a process that was killed.
+net::awaitable<void> serve_tunnels(std::shared_ptr<tcp::acceptor> acceptor) {
+  for (;;) {
+    auto [error, socket] = co_await acceptor->async_accept(detail::use_tuple);
+    if (error) co_return;
+    net::co_spawn(
+        acceptor->get_executor(),
+        serve_tunnel(std::make_shared<tcp::socket>(std::move(socket))),
+        net::detached);
+  }
+}
+
 class broken_response_test : public node_test {
  protected:
   broken_response_test() {
@@ -192,6 +238,23 @@
     }
   }
 
+  /// Makes the serving node use a proxy that does not tell how a server has
+  /// ended a connection.
+  void use_killed_proxy() {
+    this->on_loop([this] {
+      const auto acceptor = std::make_shared<tcp::acceptor>(
+          *this->loop, tcp::endpoint(net::ip::make_address("127.0.0.1"), 0));
+      net::co_spawn(*this->loop, serve_tunnels(acceptor), net::detached);
+      const proxy_node proxy{
+          {"node-0", "hall"},
+          absl::StrCat("127.0.0.1:", acceptor->local_endpoint().port())};
+      this->nodes[serving_node]->context().connector.proxies = [proxy] {
+        return std::vector<proxy_node>{proxy};
+      };
+      return 0;
+    });
+  }
+
   /// Sends requests whose answers are whole, in each framing.
   void expect_whole_answers() {
     for (const auto framing : framings) {
@@ -299,6 +362,28 @@
   this->expect_whole_answers();
 }
 
+// Guards against answers without a length that end because their proxy did, and
+// reach their callers as whole.
+TEST_F(broken_response_test, the_end_of_a_proxy_is_not_that_of_a_response) {
+  this->start_nodes(true);
+  this->use_killed_proxy();
+  for (const auto framing : framings) {
+    SCOPED_TRACE(absl::StrCat("framing ", static_cast<int>(framing)));
+    const bool framed = framing != answer_framing::until_close;
+    this->set_shape({framing, break_kind::close, std::nullopt});
+    EXPECT_EQ(this->call("/file/one").status, framed ? 200U : 502U);
+    EXPECT_EQ(this->call("/note/one").whole, framed);
+  }
+  for (const auto kind : break_kinds) {
+    this->set_shape({answer_framing::until_close, kind, 5});
+    EXPECT_EQ(this->call("/file/one").status, 502U);
+    this->set_shape({answer_framing::until_close, kind, 25});
+    const received stream = this->call("/note/one");
+    EXPECT_FALSE(stream.whole);
+    EXPECT_EQ(stream.body, stream_event(0, false));
+  }
+}
+
 // Guards against a broken stream that ends like a whole one for a caller
 // without chunks.
 TEST_F(broken_response_test, http_1_0_callers_are_reset) {
--- a/test/response-body-test.cc
+++ b/test/response-body-test.cc
@@ -47,6 +47,18 @@
   }
 }
 
+// Guards against the end of a proxy being taken for that of a response.
+TEST(response_body, is_not_whole_after_a_close_that_is_not_the_servers) {
+  body_evidence plain;
+  plain.framing = body_framing::until_close;
+  plain.end = body_end::closed;
+  plain.close_confirmed = false;
+  EXPECT_NE(reason_incomplete(plain), nullptr);
+  plain.framing = body_framing::length;
+  plain.end = body_end::framed;
+  EXPECT_EQ(reason_incomplete(plain), nullptr);
+}
+
 // Guards against half an event at the end of a stream in any framing.
 TEST(response_body, is_not_whole_inside_an_event) {
   for (const body_framing framing : framings) {
