Reset callers without chunks whose node ends during a stream

A caller that speaks HTTP/1.0 gets a stream that ends with its connection. If the process of the node ended meanwhile, by a kill or at the end of its grace time, the kernel closed the connection in an orderly way, and the caller had a stream that was cut and looked whole.

The connection is set to reset on any close (SO_LINGER with no time) before the first byte of such a stream, and set back after its last one.

--- a/src/caller-session.cc
+++ b/src/caller-session.cc
@@ -76,9 +76,13 @@
     detail::close_ignoring_errors(this->socket);
 }
 
-void caller_session::abort_connection() {
+void caller_session::set_reset_on_close(bool enabled) {
   boost::system::error_code ignored;
-  this->socket.set_option(net::socket_base::linger(true, 0), ignored);
+  this->socket.set_option(net::socket_base::linger(enabled, 0), ignored);
+}
+
+void caller_session::abort_connection() {
+  this->set_reset_on_close(true);
   detail::close_ignoring_errors(this->socket);
 }
 
--- a/src/caller-session.h
+++ b/src/caller-session.h
@@ -38,6 +38,10 @@
   /// Sends a part of a response. False if the caller has disconnected.
   boost::asio::awaitable<bool> write(const std::string& bytes);
 
+  /// Sets whether any close resets the connection, also one by the end of this
+  /// process. A response that ends with its connection needs it until its end.
+  void set_reset_on_close(bool enabled);
+
   /// Resets the connection, so that the caller cannot take a truncated response
   /// for a complete one.
   void abort_connection();
--- a/src/request-answer.cc
+++ b/src/request-answer.cc
@@ -134,6 +134,8 @@
                                                    bool last) {
   std::string out;
   if (!this->head_sent) out = std::move(this->stream_head);
+  if (!this->head_sent && !this->chunked)
+    this->session.set_reset_on_close(true);
   this->head_sent = true;
   if (!this->chunked) {
     out += bytes;
@@ -142,7 +144,10 @@
       append_buffers(out, http::make_chunk(net::buffer(bytes)));
     if (last) append_buffers(out, http::make_chunk_last());
   }
-  co_return co_await this->session.write(out);
+  const bool written = co_await this->session.write(out);
+  if (last && written && !this->chunked)
+    this->session.set_reset_on_close(false);
+  co_return written;
 }
 
 void request_handler::record_prediction_error(const exchange& ex,
