--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -129,13 +129,11 @@
 }
 
 void exchange::record_framing() {
-  if (this->parser->is_done() && !this->parser->content_length()) {
-    this->body.framing = body_framing::none;
-  } else if (this->parser->chunked()) {
+  if (this->parser->chunked()) {
     this->body.framing = body_framing::chunked;
   } else if (this->parser->need_eof()) {
     this->body.framing = body_framing::until_close;
-  } else {
+  } else if (this->parser->content_length()) {
     this->body.framing = body_framing::length;
   }
   this->record_body_end({});
