Send the mark of a tunnel's end only after responses without a length

Found on reading the change before it landed, not by callers. A proxy sent the mark after any orderly close, so that a body with a length that lacked up to 32 bytes was filled up with it and counted as whole, with the mark's bytes in it. broken-response now closes plain answers early after each byte in each framing, not only resets them: its test through a proxy failed for each cut of a body with a length (answers of 14 bytes), and passes now.

The proxy reads the response's head anyway, and sends the mark only if it has neither a length nor chunks, which is when the node that asked looks for it.

--- a/src/tunnel.cc
+++ b/src/tunnel.cc
@@ -108,6 +108,9 @@
   const std::string address;
   /// Sent after an orderly close by the server; empty if none was asked for.
   std::string end_mark;
+  /// Whether the response ends with its connection. A mark after any other one
+  /// could stand for what is missing of its body.
+  bool until_close = false;
   /// Whether the server has closed its connection in an orderly way.
   bool response_ended = false;
   server_instance instance;
@@ -256,8 +259,9 @@
     t->close();
     co_return;
   }
+  const std::string mark = t->until_close ? t->end_mark : "";
   auto [failed, sent] =
-      co_await net::async_write(*t->peer, net::buffer(t->end_mark), use_tuple);
+      co_await net::async_write(*t->peer, net::buffer(mark), use_tuple);
   // The other node closes once it has read all; a close before could discard
   // what is still on the way.
   boost::system::error_code ignored;
@@ -275,6 +279,7 @@
   if (error == http::error::need_more) return;
   t.head_observed = true;
   if (error || !t.parser.is_header_done()) return;
+  t.until_close = !t.parser.chunked() && !t.parser.content_length();
   const auto& head = t.parser.get().base();
   this->node.note_server_state(
       t.instance,
--- a/src/tunnel.h
+++ b/src/tunnel.h
@@ -33,8 +33,9 @@
   std::string address;
   /// How long the tunnel may last.
   absl::Duration lifetime;
-  /// Bytes that the proxy sends after the server has closed the connection in
-  /// an orderly way; none if empty.
+  /// Bytes that the proxy sends after a response with neither a length nor
+  /// chunks whose server has closed the connection in an orderly way; none if
+  /// empty.
   std::string end_mark;
 };
 
--- a/test/broken-response-test.cc
+++ b/test/broken-response-test.cc
@@ -222,22 +222,32 @@
     EXPECT_TRUE(absl::StartsWith(whole, in.body)) << in.body;
   }
 
-  /// Sends plain calls whose answers are reset after each number of bytes.
-  void reset_plain_answers(const std::string& target, bool repeatable) {
-    const std::string body = absl::StrCat("path ", target);
+  /// Sends plain calls whose answers are broken off after each number of bytes.
+  void break_plain_answers(const std::string& target, bool repeatable) {
+    const size_t length = absl::StrCat("path ", target).size();
     for (const auto framing : framings) {
-      for (size_t size = 0; size < body.size(); ++size) {
-        SCOPED_TRACE(
-            absl::StrCat("framing ", static_cast<int>(framing), " at ", size));
-        this->set_shape({framing, break_kind::reset, size});
-        const received in = this->call(target);
-        EXPECT_EQ(in.status, repeatable ? 200U : 502U);
-        EXPECT_TRUE(in.whole) << in.error.message();
-        EXPECT_TRUE(!repeatable || in.body == body) << in.body;
+      for (const auto kind : {break_kind::reset, break_kind::close}) {
+        const bool ends =
+            kind == break_kind::close && framing == answer_framing::until_close;
+        for (size_t size = 0; size < length && !ends; ++size)
+          this->break_plain_answer(target, repeatable, {framing, kind, size});
       }
     }
   }
 
+  void break_plain_answer(const std::string& target, bool repeatable,
+                          const answer_shape& shape) {
+    SCOPED_TRACE(absl::StrCat("framing ", static_cast<int>(shape.framing),
+                              ", break ", static_cast<int>(shape.kind), " at ",
+                              *shape.break_after));
+    this->set_shape(shape);
+    const received in = this->call(target);
+    EXPECT_EQ(in.status, repeatable ? 200U : 502U);
+    EXPECT_TRUE(in.whole) << in.error.message();
+    const bool whole = in.body == absl::StrCat("path ", target);
+    EXPECT_EQ(whole, repeatable) << in.body;
+  }
+
   /// Makes the serving node use a proxy that does not tell how a server has
   /// ended a connection.
   void use_killed_proxy() {
@@ -335,19 +345,21 @@
   }
 }
 
-// Guards against plain answers without a length that are reset and reach their
-// callers as whole.
-TEST_F(broken_response_test, plain_answers_that_are_reset_are_not_whole) {
+// Guards against plain answers that are broken off and reach their callers as
+// whole.
+TEST_F(broken_response_test, plain_answers_that_break_off_are_not_whole) {
   this->start_nodes(false);
-  this->reset_plain_answers("/look/now", true);
-  this->reset_plain_answers("/file/one", false);
+  this->break_plain_answers("/look/now", true);
+  this->break_plain_answers("/file/one", false);
 }
 
-// Guards against resets of servers that a proxy turns into an orderly close.
-TEST_F(broken_response_test, plain_answers_reset_behind_a_proxy_are_not_whole) {
+// Guards against resets of servers that a proxy turns into an orderly close,
+// and against bytes of a proxy that fill up what an answer lacks.
+TEST_F(broken_response_test,
+       plain_answers_broken_behind_a_proxy_are_not_whole) {
   this->start_nodes(true);
-  this->reset_plain_answers("/look/now", true);
-  this->reset_plain_answers("/file/one", false);
+  this->break_plain_answers("/look/now", true);
+  this->break_plain_answers("/file/one", false);
 }
 
 // Guards against a mend that refuses whole answers without a length.
