--- a/src/request-answer.cc
+++ b/src/request-answer.cc
@@ -40,6 +40,14 @@
   }
 }
 
+/// Records what the events of a body that was read at once show of its end.
+void record_events(const std::string& body, body_evidence& evidence) {
+  event_splitter splitter;
+  const auto events = splitter.feed(body);
+  evidence.events_seen = events && events->events > 0;
+  evidence.unfinished_bytes = splitter.unfinished_bytes();
+}
+
 }  // namespace
 
 net::awaitable<attempt_result> request_handler::relay_response(
@@ -90,12 +98,7 @@
     this->log_attempt(ex, "broken", "response is too large");
     co_return attempt_result::broken;
   }
-  if (ex.body.event_stream) {
-    event_splitter splitter;
-    const auto events = splitter.feed(body);
-    ex.body.events_seen = events && events->events > 0;
-    ex.body.unfinished_bytes = splitter.unfinished_bytes();
-  }
+  if (ex.body.event_stream) record_events(body, ex.body);
   if (const char* reason = reason_incomplete(ex.body)) {
     ex.server_lost = ex.aborted != abort_cause::path_lost;
     this->log_attempt(ex, "broken", error.empty() ? reason : error);
