--- a/include/spokesail/response-body.h
+++ b/include/spokesail/response-body.h
@@ -57,8 +57,8 @@
 /// Why a body is not known to be whole; nullptr if it is. Only a whole body may
 /// be passed on in a way that looks whole to its reader. A stream that ends
 /// inside an event is broken off in every framing. A body that ends with its
-/// connection is whole if its server closed the connection in an orderly way:
-/// nothing else tells of its end.
+/// connection is whole if its server closed the connection in an orderly way,
+/// since such a body has no other end.
 const char* reason_incomplete(const body_evidence& body);
 
 }  // namespace spokesail
--- a/test/broken-response-test.cc
+++ b/test/broken-response-test.cc
@@ -56,7 +56,7 @@
   return end == size;
 }
 
-/// Whether nothing in what was received tells that a stream is broken off: its
+/// Whether a stream that is broken off cannot be told from a whole one: its
 /// framing is complete, and it ends after an event.
 bool looks_whole(const answer_shape& shape, bool crlf) {
   const size_t size = *shape.break_after;
--- a/test/store-answers-test.cc
+++ b/test/store-answers-test.cc
@@ -86,7 +86,7 @@
   }
 }
 
-// Guards against the same in what a watch tells.
+// Guards against the same in the changes that a watch returns.
 TEST_F(store_answers, watches_that_are_cut_short_are_errors) {
   const std::string whole =
       R"({"events":[{"object":{"meta":{"name":"a","rev":8}},"gone":true}],)"
