Log why an attempt was given up and why no other followed

Hypotheses on the silent servers could not be told apart: request_ended gave "Operation canceled" for any attempt that this node had aborted, and nothing said why no other attempt followed.

request_ended gives the cause in `why` and the obstacle in `no_retry`, and spokesail_attempts_given_up_total counts both. No logic is changed.

--- a/src/node-metrics.cc
+++ b/src/node-metrics.cc
@@ -32,6 +32,9 @@
                        "requests refused for lack of capacity")),
       attempts(counter(registry, "spokesail_attempts_total",
                        "attempts at backend servers by result")),
+      given_up(counter(registry, "spokesail_attempts_given_up_total",
+                       "attempts aborted by this node by cause and by what "
+                       "followed")),
       responses(counter(registry, "spokesail_responses_total",
                         "responses of backend servers by framing and end")),
       retries(counter(registry, "spokesail_repeats_total",
@@ -98,6 +101,11 @@
   this->retries.Add({{"service", service}, {"event", event}}).Increment();
 }
 
+void node_metrics::count_given_up(const std::string& cause,
+                                  const std::string& next) {
+  this->given_up.Add({{"cause", cause}, {"next", next}}).Increment();
+}
+
 void node_metrics::count_response(const std::string& framing,
                                   const std::string& end) {
   this->responses.Add({{"framing", framing}, {"end", end}}).Increment();
--- a/src/node-metrics.h
+++ b/src/node-metrics.h
@@ -25,6 +25,9 @@
   void count_refusal(const std::string& reason, const std::string& workspace);
   /// Counts a finished attempt at a server.
   void count_attempt(const std::string& end);
+  /// Counts an attempt that this node aborted, by the cause and by what
+  /// followed: "retried", or why the request was not sent again.
+  void count_given_up(const std::string& cause, const std::string& next);
   /// Counts a response by its body's framing and end.
   void count_response(const std::string& framing, const std::string& end);
   /// Counts a retry, or a retry that the service's budget refused.
@@ -83,6 +86,7 @@
   prometheus::Family<prometheus::Counter>& requests;
   prometheus::Family<prometheus::Counter>& refusals;
   prometheus::Family<prometheus::Counter>& attempts;
+  prometheus::Family<prometheus::Counter>& given_up;
   prometheus::Family<prometheus::Counter>& responses;
   prometheus::Family<prometheus::Counter>& retries;
   prometheus::Family<prometheus::Counter>& store_calls;
--- a/src/request-handler.cc
+++ b/src/request-handler.cc
@@ -402,19 +402,26 @@
   }
 }
 
-bool request_handler::may_retry(attempt_result result) {
-  if (this->session.disconnected || this->attempts_made >= max_attempts)
-    return false;
-  if (this->time_left() <= absl::ZeroDuration()) return false;
+const char* request_handler::reason_not_to_retry(attempt_result result) {
+  if (this->session.disconnected) return "caller has left";
+  if (this->attempts_made >= max_attempts) return "too many attempts";
+  if (this->time_left() <= absl::ZeroDuration()) return "time is up";
   // A stream that has begun cannot be refused; a path may be found meanwhile.
-  if (this->no_path && !this->head_sent) return false;
-  if (this->quarantined()) return false;
-  if (result == attempt_result::broken &&
-      (!this->route->repeatable ||
-       this->possible_runs >= this->route->attempts)) {
-    return false;
-  }
-  return this->reserve_retry();
+  if (this->no_path && !this->head_sent) return "no path to the servers";
+  if (this->quarantined()) return "servers crashed under it";
+  if (result != attempt_result::broken) return nullptr;
+  if (!this->route->repeatable) return "route is not repeatable";
+  if (this->possible_runs >= this->route->attempts)
+    return "all attempts of the route used";
+  return nullptr;
+}
+
+bool request_handler::may_retry(attempt_result result) {
+  const char* reason = this->reason_not_to_retry(result);
+  if (reason == nullptr && !this->reserve_retry())
+    reason = "no retry left in the budget";
+  this->no_retry_reason = reason == nullptr ? "" : reason;
+  return reason == nullptr;
 }
 
 bool request_handler::reserve_retry() {
@@ -521,6 +528,8 @@
       this->queue_time = this->node.now() - this->arrived;
       this->node.metrics.observe_queue(absl::ToDoubleSeconds(this->queue_time));
     }
+    if (!endpoint && this->attempts_made > 0)
+      this->no_retry_reason = "no server can take it";
     if (this->session.disconnected || !endpoint) break;
     // A trait may have been suspected or quarantined while the request waited.
     if (!this->may_run()) continue;
@@ -534,7 +543,9 @@
     }
     // The endpoint itself may be sound and reached on another path.
     if (this->path_lost) this->tried_endpoints.erase(endpoint->load_key());
-    if (!this->may_retry(result)) break;
+    const bool retries = this->may_retry(result);
+    if (this->last_abort != abort_cause::none) this->count_given_up(retries);
+    if (!retries) break;
   }
   co_return co_await this->finish_unserved(result);
 }
--- a/src/request-handler.h
+++ b/src/request-handler.h
@@ -109,7 +109,11 @@
   /// a refusal, by its id or its address; none if it names no member.
   void suspect_member(const endpoint_target& endpoint,
                       const std::string& named);
+  /// Why the request may not be sent again after an attempt with this result,
+  /// apart from the retry budget; null if it may.
+  const char* reason_not_to_retry(attempt_result result);
   /// Whether the request may be sent again after an attempt with this result.
+  /// If so, a retry is reserved.
   bool may_retry(attempt_result result);
   /// Reserves a retry in the budget; the reservation is held while the endpoint
   /// is chosen. Returns false if no retry is left.
@@ -142,6 +146,9 @@
                    const answer_head& head);
   /// Logs a response of a server that announces its end.
   void log_leaving(const exchange& ex, const answer_head& head);
+  /// Counts the last attempt, which this node aborted; `retries` says whether
+  /// the request may be sent again.
+  void count_given_up(bool retries);
   /// Remaining backoff of the server, in ms for the log; empty if it has none.
   std::string backoff_left_ms(const exchange& ex) const;
   /// Time since anything was received from any server, in ms for the log.
@@ -399,7 +406,12 @@
   std::optional<retry_reservation> reserved;
   /// When the last attempt ended; only set after one.
   absl::Time attempt_ended_at = absl::InfinitePast();
+  /// Why the last attempt failed.
   std::string last_error;
+  /// Why this node aborted the last attempt; none if it did not.
+  abort_cause last_abort = abort_cause::none;
+  /// Why the last attempt was not followed by another; empty if it was.
+  const char* no_retry_reason = "";
   /// The body of the last response; nothing if there was none.
   std::optional<body_evidence> last_body;
   /// Node that the last attempt went through; empty if it was direct.
--- a/src/request-log.cc
+++ b/src/request-log.cc
@@ -37,7 +37,10 @@
 void request_handler::log_attempt(const exchange& ex, const char* outcome,
                                   const std::string& error) {
   this->node.metrics.count_attempt(outcome);
-  this->last_error = error;
+  this->last_abort = ex.aborted;
+  const std::string reason =
+      ex.aborted == abort_cause::none ? error : abort_cause_name(ex.aborted);
+  this->last_error = reason;
   this->last_body.reset();
   if (ex.head_received) {
     this->last_body = ex.body;
@@ -52,8 +55,7 @@
        {"identity", to_text(this->identity())},
        {"parts", join_traits(this->part_traits)},
        {"end", outcome},
-       {"why",
-        ex.aborted == abort_cause::none ? error : abort_cause_name(ex.aborted)},
+       {"why", reason},
        {"server", ex.endpoint.server},
        {"group", ex.endpoint.group},
        {"reused", ex.reused ? "1" : "0"},
@@ -74,6 +76,12 @@
       now);
 }
 
+void request_handler::count_given_up(bool retries) {
+  this->node.metrics.count_given_up(
+      abort_cause_name(this->last_abort),
+      retries ? "retried" : this->no_retry_reason);
+}
+
 void request_handler::log_limit(const char* event, const exchange& ex,
                                 std::optional<double> before,
                                 std::optional<double> after) {
@@ -193,6 +201,7 @@
        {"outcome", outcome},
        {"status", absl::StrCat(status)},
        {"why", reason},
+       {"no_retry", this->no_retry_reason},
        {"route", this->route == nullptr ? "" : this->route->name},
        {"due_ms", this->route == nullptr ? "" : millis(this->route->goal)},
        {"longest_gap_ms", this->route == nullptr || !this->route->streaming
