Give up an attempt only for one that can be had

Cause: an attempt was ended on a guess, before it was known whether anything better could be had. A probe that was not answered within 90 ms ended all attempts at a group, a lost path those whose route can be repeated, and a plain call was cut at 2.2 times its goal; only then was the request found to have no attempt left, no retry in the budget, or no server that was not silent as well.

Silence is now a doubt. stall_detector raises it for each cause, and request-failover is the one place that answers: another attempt must be allowed by the route, granted by the budget, placed at another endpoint and that endpoint's servers must have answered a probe since; then the first attempt is given up. Otherwise it is kept, with a line that says why. Only proof ends an attempt without another one: a member that refuses connections and has not announced its end, or another server or a later incarnation at its address. A suspected request that is to wait for its trial needs its retry first as well. Probes allow for the delay of the node's own loop, and a late node concludes nothing. failover_pacer bounds the probes of searches where many servers are silent at once.

Tests that asserted the guess: stall-watch asserts a doubt at the same times instead of an abort, and that the exchange is not aborted; in repeat-limit the member of the lost group is killed, since one that is only unreachable ends no stream any more and no retry was made.

--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -36,6 +36,10 @@
       return "time_up";
     case abort_cause::stalled:
       return "stalled";
+    case abort_cause::server_gone:
+      return "server_gone";
+    case abort_cause::slow:
+      return "slow";
     case abort_cause::path_lost:
       return "path_lost";
     case abort_cause::suspected:
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -9,6 +9,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -44,12 +45,17 @@
   }
 };
 
-/// Why this node aborted an exchange.
+/// Why this node aborted an exchange, or is in doubt about it.
 enum class abort_cause {
   none,
   caller_gone,
   time_up,
+  /// The server, or a member of its group, is silent for longer than expected.
   stalled,
+  /// The server, or a member of its group, has ended.
+  server_gone,
+  /// The response takes much longer than the route's goal.
+  slow,
   /// This node has lost its link to the server.
   path_lost,
   /// Servers crashed under requests with one of its traits, and its answer has
@@ -102,6 +108,12 @@
   /// Records an event of a stream.
   void record_event();
 
+  /// Whether the request was sent and this node has not aborted it.
+  bool running() const {
+    return this->sent_at != absl::InfiniteFuture() &&
+           this->aborted == abort_cause::none;
+  }
+
   /// Whether the server can be at fault if it ended prematurely.
   bool server_at_fault() const {
     return this->aborted != abort_cause::path_lost &&
@@ -162,6 +174,11 @@
   double expected_ms = 0;
   /// When the first event is overdue.
   absl::Time first_event_deadline = absl::InfiniteFuture();
+  /// From when the response counts as slow.
+  absl::Time slow_at = absl::InfiniteFuture();
+  /// Called while this node doubts that the server will answer, with the cause
+  /// of the doubt. The exchange goes on unless it is aborted.
+  std::function<void(abort_cause)> on_doubt;
 
  private:
   /// Records that bytes were received.
--- a/src/http-fetch.cc
+++ b/src/http-fetch.cc
@@ -82,6 +82,7 @@
                            : co_await options.dialer->dial(*socket, address);
     if (error) {
       out.error = error.message();
+      out.refused = error == net::error::connection_refused;
       co_return out;
     }
   }
--- a/src/http-fetch.h
+++ b/src/http-fetch.h
@@ -43,6 +43,8 @@
   /// Whether the other end had accepted the connection and then sent nothing
   /// until the timeout.
   bool silent = false;
+  /// Whether the other end refused the connection.
+  bool refused = false;
 };
 
 /// How a call gets its connection.
--- a/src/node-context.h
+++ b/src/node-context.h
@@ -20,12 +20,14 @@
 #include "node-metrics.h"
 #include "node-settings.h"
 #include "server-connector.h"
+#include "server-prober.h"
 #include "spokesail/byte-budget.h"
 #include "spokesail/crash-tracker.h"
 #include "spokesail/crash-trials.h"
 #include "spokesail/demand-table.h"
 #include "spokesail/demand-window.h"
 #include "spokesail/engine-model.h"
+#include "spokesail/failover.h"
 #include "spokesail/fleet-size.h"
 #include "spokesail/grant-client.h"
 #include "spokesail/hall-evacuations.h"
@@ -87,6 +89,9 @@
   /// Which servers this node reaches over its own links.
   server_reachability reachability;
   server_connector connector{*this};
+  server_prober prober{*this};
+  /// Paces the searches for other endpoints of running attempts.
+  failover_pacer failovers;
   /// Number of other nodes' connections to servers that this node carries.
   size_t tunnel_count = 0;
   random_stream random;
--- a/src/node-metrics.cc
+++ b/src/node-metrics.cc
@@ -35,6 +35,8 @@
       given_up(counter(registry, "spokesail_attempts_given_up_total",
                        "attempts aborted by this node by cause and by what "
                        "followed")),
+      kept(counter(registry, "spokesail_attempts_kept_total",
+                   "attempts kept in doubt by cause and reason")),
       responses(counter(registry, "spokesail_responses_total",
                         "responses of backend servers by framing and end")),
       retries(counter(registry, "spokesail_repeats_total",
@@ -106,6 +108,11 @@
   this->given_up.Add({{"cause", cause}, {"next", next}}).Increment();
 }
 
+void node_metrics::count_kept(const std::string& cause,
+                              const std::string& reason) {
+  this->kept.Add({{"cause", cause}, {"reason", reason}}).Increment();
+}
+
 void node_metrics::count_response(const std::string& framing,
                                   const std::string& end) {
   this->responses.Add({{"framing", framing}, {"end", end}}).Increment();
--- a/src/node-metrics.h
+++ b/src/node-metrics.h
@@ -28,6 +28,9 @@
   /// Counts an attempt that this node aborted, by the cause and by what
   /// followed: "retried", or why the request was not sent again.
   void count_given_up(const std::string& cause, const std::string& next);
+  /// Counts an attempt that was kept although it was in doubt, by the cause of
+  /// the doubt and the reason.
+  void count_kept(const std::string& cause, const std::string& reason);
   /// Counts a response by its body's framing and end.
   void count_response(const std::string& framing, const std::string& end);
   /// Counts a retry, or a retry that the service's budget refused.
@@ -87,6 +90,7 @@
   prometheus::Family<prometheus::Counter>& refusals;
   prometheus::Family<prometheus::Counter>& attempts;
   prometheus::Family<prometheus::Counter>& given_up;
+  prometheus::Family<prometheus::Counter>& kept;
   prometheus::Family<prometheus::Counter>& responses;
   prometheus::Family<prometheus::Counter>& retries;
   prometheus::Family<prometheus::Counter>& store_calls;
--- a/src/request-crash.cc
+++ b/src/request-crash.cc
@@ -186,10 +186,10 @@
 
 net::awaitable<void> request_handler::record_run_result(const exchange& ex,
                                                         attempt_result result) {
-  const bool aborted_by_caller = ex.aborted == abort_cause::caller_gone ||
-                                 ex.aborted == abort_cause::time_up;
-  if (result == attempt_result::broken && ex.server_lost &&
-      !aborted_by_caller) {
+  const bool ran_out_of_time = ex.aborted == abort_cause::caller_gone ||
+                               ex.aborted == abort_cause::time_up ||
+                               ex.aborted == abort_cause::slow;
+  if (result == attempt_result::broken && ex.server_lost && !ran_out_of_time) {
     if (this->may_have_run(ex)) co_await this->record_server_loss(ex);
     this->server_lost_before = true;
   }
--- a/src/request-handler.cc
+++ b/src/request-handler.cc
@@ -18,9 +18,8 @@
 /// Grace period for a response that is about to arrive at the deadline.
 constexpr absl::Duration response_grace = absl::Milliseconds(150);
 
-/// A retryable plain call is aborted after this many times the route's goal
-/// while another attempt is left.
-constexpr double first_attempt_goal_factor = 2.2;
+/// A plain call is slow if it takes this many times the route's goal.
+constexpr double slow_response_goal_factor = 2.2;
 
 /// Retry delay for callers refused for lack of capacity: groups reopen or free
 /// a slot within about this time.
@@ -220,10 +219,8 @@
   ex.may_wait_for_trial =
       ex.repeatable && attempts_left && !this->in_trial && !this->ran_untried;
   if (!this->service->engine) {
-    if (!this->route->repeatable || !attempts_left) return;
-    ex.deadline =
-        std::min(ex.deadline, this->node.now() + first_attempt_goal_factor *
-                                                     this->route->goal);
+    ex.slow_at =
+        this->node.now() + slow_response_goal_factor * this->route->goal;
     return;
   }
   const endpoint_load load =
@@ -241,9 +238,20 @@
       first_event_factor * absl::Milliseconds(predicted * slowness);
 }
 
+std::shared_ptr<exchange> request_handler::make_exchange(
+    const endpoint_target& endpoint) const {
+  return std::make_shared<exchange>(this->node, endpoint,
+                                    this->info.prompt_tokens);
+}
+
 net::awaitable<attempt_result> request_handler::attempt(
-    endpoint_target endpoint) {
-  exchange ex(this->node, std::move(endpoint), this->info.prompt_tokens);
+    std::shared_ptr<exchange> running) {
+  exchange& ex = *running;
+  ex.on_doubt = [this, weak = std::weak_ptr(running)](abort_cause cause) {
+    this->on_doubt(weak, cause);
+  };
+  this->searching = false;
+  this->kept_reason = "";
   this->session.current_exchange = &ex;
   struct detach {
     caller_session& session;
@@ -523,18 +531,24 @@
   } leave_trial_at_end{*this};
   attempt_result result = attempt_result::not_run;
   while (co_await this->wait_for_trial()) {
-    const auto endpoint = co_await this->find_endpoint();
+    std::shared_ptr<exchange> next = std::move(this->placed);
+    if (next != nullptr) {
+      this->chosen = this->placed_choice;
+    } else if (const auto endpoint = co_await this->find_endpoint()) {
+      next = this->make_exchange(*endpoint);
+    }
     if (this->attempts_made == 0) {
       this->queue_time = this->node.now() - this->arrived;
       this->node.metrics.observe_queue(absl::ToDoubleSeconds(this->queue_time));
     }
-    if (!endpoint && this->attempts_made > 0)
+    if (next == nullptr && this->attempts_made > 0)
       this->no_retry_reason = "no server can take it";
-    if (this->session.disconnected || !endpoint) break;
+    if (this->session.disconnected || next == nullptr) break;
     // A trait may have been suspected or quarantined while the request waited.
     if (!this->may_run()) continue;
-    this->tried_endpoints.insert(endpoint->load_key());
-    result = co_await this->attempt(*endpoint);
+    const std::string endpoint = next->endpoint.load_key();
+    this->tried_endpoints.insert(endpoint);
+    result = co_await this->attempt(std::move(next));
     this->attempt_ended_at = this->node.now();
     this->leave_trial();
     this->ran_untried = false;
@@ -542,7 +556,7 @@
       co_return this->keep_alive && !this->node.stopping();
     }
     // The endpoint itself may be sound and reached on another path.
-    if (this->path_lost) this->tried_endpoints.erase(endpoint->load_key());
+    if (this->path_lost) this->tried_endpoints.erase(endpoint);
     const bool retries = this->may_retry(result);
     if (this->last_abort != abort_cause::none) this->count_given_up(retries);
     if (!retries) break;
--- a/src/request-handler.h
+++ b/src/request-handler.h
@@ -77,9 +77,13 @@
   /// The refusal for a route or key that this node's configuration lacks.
   refusal unknown_refusal(unsigned status, const char* reason) const;
   std::optional<refusal> match_service();
+  /// An attempt at an endpoint, at which it is counted from now on.
+  std::shared_ptr<exchange> make_exchange(
+      const endpoint_target& endpoint) const;
   /// Sends the request to one endpoint, relays the response and records what
   /// the attempt shows about the request.
-  boost::asio::awaitable<attempt_result> attempt(endpoint_target endpoint);
+  boost::asio::awaitable<attempt_result> attempt(
+      std::shared_ptr<exchange> running);
   boost::asio::awaitable<attempt_result> run_exchange(exchange& ex);
   /// Sets the deadlines and the expected time of an attempt.
   void prepare_exchange(exchange& ex, const endpoint_target& endpoint) const;
@@ -203,6 +207,26 @@
   /// decides whether the request may be retried.
   boost::asio::awaitable<void> record_server_loss(const exchange& ex);
 
+  // Choice between a running attempt and another one: request-failover.cc.
+
+  /// Called while it is in doubt whether a running attempt will be answered.
+  /// Searches for another endpoint, unless a search is running.
+  void on_doubt(const std::weak_ptr<exchange>& running, abort_cause cause);
+  /// Searches for an endpoint that could take the request over, and aborts the
+  /// running attempt only if there is one.
+  boost::asio::awaitable<void> search_endpoint(node_context& state,
+                                               std::weak_ptr<exchange> running,
+                                               abort_cause cause);
+  /// Why no other attempt may follow a running one; null if one may.
+  const char* obstacle_to_failover(const exchange& running, abort_cause cause);
+  /// Chooses an endpoint and counts an attempt there; null if there is none.
+  /// After a lost path it may be that of the running attempt.
+  std::shared_ptr<exchange> place_attempt(const exchange& running,
+                                          abort_cause cause);
+  /// Logs that a running attempt is kept in spite of a doubt, once a reason.
+  void note_kept(const exchange& running, abort_cause cause,
+                 const char* reason);
+
   // Speed measurements of endpoints: request-speed.cc.
 
   /// Records the time to a response, or to the first event of a stream.
@@ -404,6 +428,14 @@
   bool path_lost = false;
   /// A retry reserved in the budget for this request.
   std::optional<retry_reservation> reserved;
+  /// The next attempt, if its endpoint was chosen while the last one ran.
+  std::shared_ptr<exchange> placed;
+  /// The choice of its endpoint.
+  endpoint_choice placed_choice;
+  /// Whether another endpoint is being searched for during an attempt.
+  bool searching = false;
+  /// Why the running attempt was last kept in spite of a doubt.
+  const char* kept_reason = "";
   /// When the last attempt ended; only set after one.
   absl::Time attempt_ended_at = absl::InfinitePast();
   /// Why the last attempt failed.
--- a/src/stall-detector.cc
+++ b/src/stall-detector.cc
@@ -17,8 +17,8 @@
 /// members are probed: network delay and late timers.
 constexpr absl::Duration silence_slack = absl::Milliseconds(70);
 
-/// Probe timeout: a live member responds within a few milliseconds.
-constexpr absl::Duration probe_timeout = absl::Milliseconds(90);
+/// Time in which the result of a probe is known on an idle node.
+constexpr absl::Duration probe_time = absl::Milliseconds(90);
 
 /// Minimum interval between probes of one group by one node, since each probe
 /// has a cost.
@@ -28,6 +28,10 @@
 /// members that do not reach each other.
 constexpr absl::Duration max_unexplained_silence = absl::Milliseconds(1200);
 
+/// How long is remembered what was found out about a group; longer than any
+/// request may take.
+constexpr absl::Duration group_memory = absl::Minutes(1);
+
 /// If nothing is received from any server for this long, the servers of begun
 /// streams, and after the longer time those of other requests, are probed.
 constexpr absl::Duration min_path_silence = absl::Milliseconds(50);
@@ -92,20 +96,28 @@
   return groups;
 }
 
-void stall_detector::end_lost_paths(absl::Time now) {
+abort_cause stall_detector::doubt_about(const exchange& ex,
+                                        absl::Time now) const {
+  if (!ex.running() || ex.waiting_for_caller) return abort_cause::none;
+  const bool path_lost =
+      ex.proxy.empty() && this->node.reachability.connection_lost(
+                              ex.endpoint.address, ex.last_heard, now);
+  if (path_lost) return abort_cause::path_lost;
+  const auto suspected = this->suspected_at.find(ex.endpoint.group);
+  if (suspected != this->suspected_at.end() &&
+      ex.last_heard < suspected->second) {
+    return abort_cause::stalled;
+  }
+  const bool slow = now >= ex.slow_at && !ex.head_received;
+  return slow ? abort_cause::slow : abort_cause::none;
+}
+
+void stall_detector::raise_doubts(absl::Time now) {
   const std::vector<exchange*> all(this->node.exchanges.begin(),
                                    this->node.exchanges.end());
-  for (exchange* ex : all) {
-    const bool waits = ex->aborted == abort_cause::none && ex->proxy.empty() &&
-                       ex->last_heard != absl::InfiniteFuture() &&
-                       !ex->waiting_for_caller;
-    // An attempt that cannot be repeated is left to its deadline: its response
-    // may still arrive.
-    if (!waits || !ex->repeatable) continue;
-    if (this->node.reachability.connection_lost(ex->endpoint.address,
-                                                ex->last_heard, now)) {
-      ex->abort(abort_cause::path_lost);
-    }
+  for (const exchange* ex : all) {
+    const abort_cause cause = this->doubt_about(*ex, now);
+    if (cause != abort_cause::none && ex->on_doubt) ex->on_doubt(cause);
   }
 }
 
@@ -142,12 +154,21 @@
   this->last_check = now;
   this->end_overdue(now);
   if (loop_delayed) return;
-  this->end_lost_paths(now);
   this->check_paths(now);
   if (!this->node.routes) return;
   for (const auto& [group, activity] : this->observe_groups(now)) {
     if (activity.expects_event) this->check_group(group, activity, now);
   }
+  this->raise_doubts(now);
+  this->forget_old_groups(now);
+}
+
+void stall_detector::forget_old_groups(absl::Time now) {
+  const auto is_old = [&](const auto& item) {
+    return now - item.second >= group_memory;
+  };
+  std::erase_if(this->last_probe, is_old);
+  std::erase_if(this->suspected_at, is_old);
 }
 
 void stall_detector::check_group(const std::string& group,
@@ -158,13 +179,14 @@
   absl::Time& probed_at =
       this->last_probe.try_emplace(group, absl::InfinitePast()).first->second;
   if (now - probed_at < min_probe_interval) {
-    // Unresponsive members are found by their own probes.
+    // Members that do not answer are found by their own probes.
     const bool probes_answered =
-        now - probed_at > probe_timeout + node_timing::tick;
-    const bool members_isolated =
-        probes_answered && silence > max_unexplained_silence;
+        now - probed_at > probe_time + node_timing::tick;
+    const bool members_isolated = probes_answered &&
+                                  silence > max_unexplained_silence &&
+                                  !this->node.avoided(group);
     if (members_isolated)
-      this->abandon_group(group, "silent although all members respond");
+      this->suspect_group(group, "silent although all members answer");
     return;
   }
   probed_at = now;
@@ -178,45 +200,42 @@
 net::awaitable<void> stall_detector::probe_member(std::string group,
                                                   std::string server,
                                                   bool notify_peers) {
-  const server_entry* entry = this->node.directory.find(server);
-  if (entry == nullptr) {
-    this->abandon_group(group, "a member is no longer listed", server);
-    co_return;
-  }
-  const std::string address = entry->address;
-  const http_request request = this->node.adapter.write_report_request(server);
-  const fetch_result result =
-      co_await this->node.call_server(address, request, probe_timeout);
-  if (result.status == fetch_status::ok &&
-      this->node.adapter.read_report(result.response)) {
-    co_return;
-  }
-  // Without a path to the servers, silence does not show which has failed.
-  if (this->node.reachability.in_doubt(this->node.now()) &&
-      result.status != fetch_status::ok) {
+  const probe_result result = co_await this->node.prober.probe(server);
+  if (result == probe_result::answered) co_return;
+  if (result == probe_result::unknown) {
+    // A server that is no longer listed may serve for a while, but it leaves.
+    if (this->node.directory.find(server) == nullptr)
+      this->suspect_group(group, absl::StrCat(server, " is no longer listed"));
     co_return;
   }
   this->node.suspect_server(server);
   if (this->on_suspect) this->on_suspect(server);
-  if (result.silent) {
-    // A sound server may pause. Streams go on elsewhere, but it is not lost.
-    this->abandon_group(group, absl::StrCat(server, " is silent"));
+  if (result == probe_result::silent) {
+    this->suspect_group(group, absl::StrCat(server, " is silent"));
     co_return;
   }
   if (notify_peers && this->on_loss) this->on_loss({{server}, group});
-  this->abandon_group(group, absl::StrCat(server, " does not respond"), server);
+  if (result == probe_result::gone) {
+    this->abandon_group(group, server);
+  } else {
+    this->suspect_group(group, absl::StrCat(server, " does not respond"),
+                        server);
+  }
 }
 
-bool stall_detector::has_exchange(const std::string& group) const {
-  return std::any_of(this->node.exchanges.begin(), this->node.exchanges.end(),
-                     [&](const exchange* ex) {
-                       return ex->endpoint.group == group &&
-                              ex->aborted == abort_cause::none;
-                     });
+std::vector<exchange*> stall_detector::exchanges_with(
+    const std::string& group) const {
+  std::vector<exchange*> out;
+  for (exchange* ex : this->node.exchanges) {
+    if (ex->endpoint.group == group && ex->aborted == abort_cause::none)
+      out.push_back(ex);
+  }
+  return out;
 }
 
 void stall_detector::handle_suspicion(const suspicion& report) {
-  if (report.group.empty() || !this->has_exchange(report.group)) return;
+  if (report.group.empty() || this->exchanges_with(report.group).empty())
+    return;
   const absl::Time now = this->node.now();
   absl::Time& probed_at =
       this->last_probe.try_emplace(report.group, absl::InfinitePast())
@@ -229,27 +248,35 @@
   }
 }
 
-void stall_detector::abandon_group(const std::string& group,
+void stall_detector::suspect_group(const std::string& group,
                                    const std::string& reason,
                                    const std::string& unresponsive) {
-  const absl::Time now = this->node.now();
-  int streams = 0;
-  const std::vector<exchange*> all(this->node.exchanges.begin(),
-                                   this->node.exchanges.end());
-  for (exchange* ex : all) {
-    if (ex->endpoint.group != group || ex->aborted != abort_cause::none)
-      continue;
-    ++streams;
+  const bool known = this->node.avoided(group);
+  this->suspected_at[group] = this->node.now();
+  this->node.avoid_endpoint(group);
+  for (exchange* ex : this->exchanges_with(group))
     ex->unresponsive_member = unresponsive;
-    ex->abort(abort_cause::stalled);
+  if (!known) this->log_group("group_suspected", group, reason);
+}
+
+void stall_detector::abandon_group(const std::string& group,
+                                   const std::string& member) {
+  this->log_group("group_given_up", group, absl::StrCat(member, " has ended"));
+  for (exchange* ex : this->exchanges_with(group)) {
+    ex->unresponsive_member = member;
+    ex->abort(abort_cause::server_gone);
   }
-  if (streams == 0 && this->node.avoided(group)) return;
   this->node.avoid_endpoint(group);
+}
+
+void stall_detector::log_group(const char* event, const std::string& group,
+                               const std::string& reason) {
+  const size_t streams = this->exchanges_with(group).size();
   this->node.metrics.count_stall();
   this->node.log.state_change(
-      "group_given_up",
+      event,
       {{"group", group}, {"why", reason}, {"streams", absl::StrCat(streams)}},
-      now);
+      this->node.now());
 }
 
 }  // namespace spokesail
--- a/src/stall-detector.h
+++ b/src/stall-detector.h
@@ -7,15 +7,18 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "exchange.h"
 #include "node-context.h"
 
 namespace spokesail {
 
-/// Aborts exchanges whose deadline has passed or whose group has lost a member.
-/// When the streams of a group are silent for longer than its engine explains,
-/// its members are probed; one that does not respond proves the loss.
+/// Aborts exchanges whose deadline has passed or whose group has lost a member,
+/// and raises doubts about those whose server may not answer. When the streams
+/// of a group are silent for longer than its engine explains, its members are
+/// probed. One that has ended proves the loss; one that only does not answer
+/// may go on.
 class stall_detector {
  public:
   explicit stall_detector(node_context& node) : node(node) {}
@@ -28,7 +31,7 @@
   /// the silence up to half a second later and probe all members.
   void handle_suspicion(const suspicion& report);
 
-  /// Called with a server that does not respond.
+  /// Called with a server that does not answer.
   std::function<void(const std::string&)> on_suspect;
   /// Called with a loss that this node itself found.
   std::function<void(const suspicion&)> on_loss;
@@ -53,37 +56,46 @@
       return now - (none ? this->first_overdue_sent : this->last_event);
     }
   };
-  /// Whether this node has an exchange with a group.
-  bool has_exchange(const std::string& group) const;
+  /// The exchanges with a group that this node has not aborted.
+  std::vector<exchange*> exchanges_with(const std::string& group) const;
   /// Aborts exchanges whose deadline has passed.
   void end_overdue(absl::Time now);
-  /// Aborts repeatable exchanges whose connections hang because this node has
-  /// lost its links.
-  void end_lost_paths(absl::Time now);
+  /// Why it is in doubt that an exchange will be answered; none if it is not.
+  abort_cause doubt_about(const exchange& ex, absl::Time now) const;
+  /// Reports doubts to those who wait for the exchanges.
+  void raise_doubts(absl::Time now);
   /// Probes servers if nothing is received from any.
   void check_paths(absl::Time now);
   /// The state of all groups with exchanges, by name.
   std::map<std::string, group_activity> observe_groups(absl::Time now);
-  /// Probes the members of a group that is silent for too long, or abandons the
+  /// Probes the members of a group that is silent for too long, or suspects the
   /// group.
   void check_group(const std::string& group, const group_activity& activity,
                    absl::Time now);
   /// The longest silence of a group's streams that does not indicate a fault.
   absl::Duration predict_silence(const endpoint_target& endpoint) const;
-  /// Probes one member by requesting its report. If none comes, abandons the
-  /// group and, if `notify_peers` is set, reports the loss to the peers.
+  /// Probes one member and draws the conclusion. Reports a loss to the peers if
+  /// `notify_peers` is set.
   boost::asio::awaitable<void> probe_member(std::string group,
                                             std::string server,
                                             bool notify_peers);
-  /// Aborts all exchanges with a group and avoids it for a while;
-  /// `unresponsive` is the unresponsive member, if one was found.
-  void abandon_group(const std::string& group, const std::string& reason,
+  /// Avoids a group for a while and doubts its exchanges, which go on;
+  /// `unresponsive` is the member that cannot be reached, if any.
+  void suspect_group(const std::string& group, const std::string& reason,
                      const std::string& unresponsive = "");
+  /// Aborts all exchanges with a group that has lost `member`.
+  void abandon_group(const std::string& group, const std::string& member);
+  /// Forgets what was found out long ago.
+  void forget_old_groups(absl::Time now);
+  void log_group(const char* event, const std::string& group,
+                 const std::string& reason);
 
   node_context& node;
   absl::Time last_check = absl::InfinitePast();
   /// When the members of a group were last probed.
   std::map<std::string, absl::Time> last_probe;
+  /// When a group was last found silent without an explanation.
+  std::map<std::string, absl::Time> suspected_at;
 };
 
 }  // namespace spokesail
--- a/src/trial-coordinator.cc
+++ b/src/trial-coordinator.cc
@@ -67,12 +67,15 @@
   if (tracker.revision() == this->revision) return;
   this->revision = tracker.revision();
   const absl::Time now = this->node.now();
-  for (exchange* ex : this->node.exchanges) {
+  const std::vector<exchange*> all(this->node.exchanges.begin(),
+                                   this->node.exchanges.end());
+  for (exchange* ex : all) {
     if (ex->head_received || !ex->repeatable) continue;
     const crash_verdict verdict = tracker.judge(ex->parts, now).verdict;
     const bool waits =
         verdict == crash_verdict::suspected && ex->may_wait_for_trial;
-    if (waits || verdict == crash_verdict::quarantined)
+    if (waits && ex->on_doubt) ex->on_doubt(abort_cause::suspected);
+    if (verdict == crash_verdict::quarantined)
       ex->abort(abort_cause::suspected);
   }
 }
--- a/test/repeat-limit-test.cc
+++ b/test/repeat-limit-test.cc
@@ -157,7 +157,7 @@
   ASSERT_TRUE(this->wait_until(
       [this] { return this->fleet->record.all_runs.size() == streams; }));
   this->on_loop([&] {
-    this->fleet->engines().set_isolated(member, true);
+    this->fleet->kill(member);
     return 0;
   });
   for (auto& socket : sockets) {
--- a/test/stall-watch-test.cc
+++ b/test/stall-watch-test.cc
@@ -54,10 +54,21 @@
   std::unique_ptr<exchange> send(absl::Duration due) {
     auto out = std::make_unique<exchange>(this->node, endpoint(), 100);
     out->sent_at = this->started;
+    out->last_heard = this->started;
     out->first_event_deadline = this->started + due;
+    out->on_doubt = [this, ex = out.get()](abort_cause cause) {
+      this->doubts[ex] = cause;
+    };
     return out;
   }
 
+  /// The last doubt about an exchange; none if there was none. Silence alone
+  /// ends no exchange.
+  abort_cause doubt(const std::unique_ptr<exchange>& ex) {
+    EXPECT_EQ(ex->aborted, abort_cause::none);
+    return this->doubts[ex.get()];
+  }
+
   /// Checks at every tick between `from` and `until` after the start.
   void check_ticks(absl::Duration from, absl::Duration until) {
     for (absl::Duration at = from; at < until; at += node_timing::tick) {
@@ -72,29 +83,30 @@
   http_fetcher fetcher{loop.get_executor(), "test"};
   node_context node{settings, loop, *adapter, store, fetcher, test_log()};
   stall_detector watch{node};
+  std::map<const exchange*, abort_cause> doubts;
   absl::Time started = node.now();
 };
 
-TEST_F(stall_test, an_attempt_without_any_event_is_aborted) {
+TEST_F(stall_test, an_attempt_without_any_event_is_in_doubt) {
   const auto attempt = this->send(absl::Milliseconds(400));
   this->check_ticks(absl::ZeroDuration(), absl::Milliseconds(1200));
-  EXPECT_EQ(attempt->aborted, abort_cause::none);
+  EXPECT_EQ(this->doubt(attempt), abort_cause::none);
   this->check_ticks(absl::Milliseconds(1200), absl::Milliseconds(1500));
-  EXPECT_EQ(attempt->aborted, abort_cause::stalled);
+  EXPECT_EQ(this->doubt(attempt), abort_cause::stalled);
 }
 
-TEST_F(stall_test, an_attempt_whose_first_event_is_not_due_is_not_aborted) {
+TEST_F(stall_test, an_attempt_whose_first_event_is_not_due_is_not_in_doubt) {
   const auto attempt = this->send(absl::Milliseconds(3000));
   this->check_ticks(absl::ZeroDuration(), absl::Milliseconds(2900));
-  EXPECT_EQ(attempt->aborted, abort_cause::none);
+  EXPECT_EQ(this->doubt(attempt), abort_cause::none);
 }
 
-TEST_F(stall_test, members_have_time_to_respond_before_a_group_is_abandoned) {
+TEST_F(stall_test, members_have_time_to_respond_before_a_group_is_suspected) {
   const auto attempt = this->send(absl::Milliseconds(1500));
   this->check_ticks(absl::ZeroDuration(), absl::Milliseconds(1600));
-  EXPECT_EQ(attempt->aborted, abort_cause::none);
+  EXPECT_EQ(this->doubt(attempt), abort_cause::none);
   this->check_ticks(absl::Milliseconds(1600), absl::Milliseconds(1800));
-  EXPECT_EQ(attempt->aborted, abort_cause::stalled);
+  EXPECT_EQ(this->doubt(attempt), abort_cause::stalled);
 }
 
 TEST_F(stall_test, an_attempt_not_yet_due_does_not_age_another) {
@@ -102,8 +114,8 @@
   const auto later_attempt = this->send(absl::Milliseconds(1800));
   later_attempt->sent_at = this->started + absl::Milliseconds(1300);
   this->check_ticks(absl::ZeroDuration(), absl::Milliseconds(2400));
-  EXPECT_EQ(later_attempt->aborted, abort_cause::none);
-  EXPECT_EQ(earlier->aborted, abort_cause::none);
+  EXPECT_EQ(this->doubt(later_attempt), abort_cause::none);
+  EXPECT_EQ(this->doubt(earlier), abort_cause::none);
 }
 
 TEST_F(stall_test, a_later_attempt_does_not_hide_an_earlier_silence) {
@@ -112,10 +124,10 @@
   const auto later = this->send(absl::Milliseconds(1400));
   later->sent_at = this->started + absl::Milliseconds(1000);
   this->check_ticks(absl::Milliseconds(1000), absl::Milliseconds(1500));
-  EXPECT_EQ(attempt->aborted, abort_cause::stalled);
+  EXPECT_EQ(this->doubt(attempt), abort_cause::stalled);
 }
 
-TEST_F(stall_test, an_attempt_in_a_group_that_serves_others_is_not_aborted) {
+TEST_F(stall_test, an_attempt_in_a_group_that_serves_others_is_not_in_doubt) {
   const auto attempt = this->send(absl::Milliseconds(400));
   const auto other = this->send(absl::Milliseconds(400));
   other->events_started = true;
@@ -123,7 +135,7 @@
     other->last_event = this->started + absl::Milliseconds(at);
     this->watch.check(this->started + absl::Milliseconds(at));
   }
-  EXPECT_EQ(attempt->aborted, abort_cause::none);
+  EXPECT_EQ(this->doubt(attempt), abort_cause::none);
 }
 
 }  // namespace
