Drop a server's error only for a server that can take the request

Callers got 502 "server broke off" in place of the complete answer of a server (a 500, say) if no other server could take their request.

A 5xx that another attempt may follow was dropped once a retry was reserved, before another server was chosen; a search of up to 1.5 s could find none.

The other server is chosen first now, and the answer relayed if there is none. relays_failure_if_no_other_server_can_take_the_request failed before (502 after 1.5 s) and passes.

--- a/src/request-answer.cc
+++ b/src/request-answer.cc
@@ -60,11 +60,16 @@
   co_return co_await this->relay_buffered(ex, head);
 }
 
-bool request_handler::retry_instead(unsigned status) {
-  if (status < first_server_error) return false;
+bool request_handler::retry_instead(const exchange& ex) {
+  if (ex.head().result_int() < first_server_error) return false;
   const bool wants_retry = this->service->engine.has_value() ||
                            this->node.settings.policy.repeat_failed_calls;
-  return wants_retry && this->may_retry(attempt_result::broken);
+  if (!wants_retry || !this->may_retry(attempt_result::broken)) return false;
+  this->placed = this->place_attempt(ex, abort_cause::none);
+  if (this->placed != nullptr) return true;
+  this->reserved.reset();
+  this->no_retry_reason = "no server can take it";
+  return false;
 }
 
 net::awaitable<void> request_handler::wait_for_memory(
@@ -111,7 +116,7 @@
     this->log_attempt(ex, "broken", status_text);
     co_return attempt_result::broken;
   }
-  if (this->retry_instead(status)) {
+  if (this->retry_instead(ex)) {
     this->log_attempt(ex, "broken", status_text);
     ex.keep_connection(head);
     co_return attempt_result::broken;
--- a/src/request-handler.h
+++ b/src/request-handler.h
@@ -348,8 +348,9 @@
   /// server addresses this node, not its callers, whom other servers may serve
   /// sooner.
   void replace_retry_after(http_response& out) const;
-  /// Whether a response with this status is dropped and the request retried.
-  bool retry_instead(unsigned status);
+  /// Whether a complete response is dropped and the request sent again: it
+  /// reports a fault of the server, and another one can take the request.
+  bool retry_instead(const exchange& ex);
   /// Relays a stream event by event.
   boost::asio::awaitable<attempt_result> relay_stream(exchange& ex,
                                                       const answer_head& head);
--- a/test/node-test.cc
+++ b/test/node-test.cc
@@ -172,6 +172,23 @@
   EXPECT_EQ(this->runs("r2"), 1);
 }
 
+// Guards against answers of servers that are dropped for another attempt for
+// which no server is left: the caller got 502 in place of the server's answer.
+TEST_F(node_test, relays_failure_if_no_other_server_can_take_the_request) {
+  this->start(1);
+  this->on_loop([&] {
+    this->fleet->kill("p1");
+    return this->fleet->faults.fail_plain_calls = 2;
+  });
+  ASSERT_TRUE(this->wait_until([this] {
+    return this->nodes[0]->context().directory.find("p1") == nullptr;
+  }));
+  const auto answer = this->send_request(request("r1", "/look/minutes"));
+  EXPECT_EQ(answer.result_int(), 500U);
+  EXPECT_EQ(answer["X-Response-Stamp"], "stamp-p0");
+  EXPECT_EQ(this->runs("r1"), 1);
+}
+
 TEST_F(node_test, relays_failure_if_policy_disables_retries) {
   this->policy.repeat_failed_calls = false;
   this->start(1);
