Let doubts end with their reason, and searches hold nothing

- A suspicion began when a probe ended, so that an event which came during the probe did not clear it, nor did later events of the group or answered probes.
It begins with the probe now, and ends with an event or an answer.
- A probe that showed nothing (a late node, links in doubt) made the node avoid the endpoint that was probed.
- A member that did not answer stayed recorded as lost on exchanges that went on, and would have counted as crashed if they broke later.
- Searches held their retries for 90 ms, which a stream of a crashed server could need.
The budget is looked at first and the retry reserved last.
- The placement is checked once more before the attempt is given up.
- A search that the budget refused was repeated and logged at every tick; it has an interval now.
Exchanges come in random order, and searches are paced by service, so that no attempt always comes last.
- A plain call is not moved if less time is left than its route's goal.
- Groups that have just sent an event to this node are preferred and need no probe.

--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -74,6 +74,8 @@
 
 void exchange::record_event() {
   this->last_event = this->node.now();
+  if (!this->endpoint.group.empty())
+    this->node.prober.note_event(this->endpoint.group, this->last_event);
   if (this->events_started) return;
   this->events_started = true;
   this->node.loads.finish_prefill(this->endpoint.load_key(),
@@ -83,6 +85,8 @@
 net::awaitable<std::string> exchange::connect(bool reuse) {
   const std::string& address = this->endpoint.address;
   const absl::Time now = this->node.now();
+  if (this->aborted != abort_cause::none)
+    co_return abort_cause_name(this->aborted);
   if (reuse && this->node.reachability.may_reuse(address, now)) {
     auto kept = this->node.pool.take(this->endpoint.server, now);
     if (kept) {
--- a/src/node-context.h
+++ b/src/node-context.h
@@ -90,8 +90,8 @@
   server_reachability reachability;
   server_connector connector{*this};
   server_prober prober{*this};
-  /// Paces the searches for other endpoints of running attempts.
-  failover_pacer failovers;
+  /// Paces the searches for other endpoints of running attempts, by service.
+  std::map<std::string, failover_pacer> failovers;
   /// Number of other nodes' connections to servers that this node carries.
   size_t tunnel_count = 0;
   random_stream random;
--- a/src/request-crash.cc
+++ b/src/request-crash.cc
@@ -224,7 +224,9 @@
           {part, {run_progress::start, ex.head_received, repeated}});
     }
   }
-  const bool decides = had_crash || lost.traits.size() > 1;
+  // An attempt that was given up for another one has its server already.
+  const bool decides = (had_crash || lost.traits.size() > 1) &&
+                       ex.aborted != abort_cause::stalled;
   auto check = check_crash(this->node, std::move(lost));
   if (decides) {
     co_await std::move(check);
--- a/src/request-failover.cc
+++ b/src/request-failover.cc
@@ -13,6 +13,9 @@
 
 namespace net = boost::asio;
 
+/// Interval between two searches for one attempt.
+constexpr absl::Duration search_interval = absl::Milliseconds(60);
+
 }  // namespace
 
 const char* request_handler::obstacle_to_failover(const exchange& running,
@@ -25,8 +28,11 @@
     return reason;
   // An attempt is counted as a possible run once its response head has come.
   const int runs = this->possible_runs + (running.head_received ? 0 : 1);
-  return runs < this->route->attempts ? nullptr
-                                      : "all attempts of the route used";
+  if (runs >= this->route->attempts) return "all attempts of the route used";
+  const bool plain = !this->service->engine.has_value();
+  if (plain && this->time_left() < this->route->goal)
+    return "too little time is left";
+  return nullptr;
 }
 
 std::shared_ptr<exchange> request_handler::place_attempt(
@@ -34,7 +40,11 @@
   const endpoint_choice before = this->chosen;
   const std::string& current = running.endpoint.load_key();
   if (cause == abort_cause::path_lost) this->tried_endpoints.erase(current);
-  const auto endpoint = this->pick();
+  // A group that sends events needs no probe.
+  this->only_heard_groups = this->service->engine.has_value();
+  auto endpoint = this->pick();
+  this->only_heard_groups = false;
+  if (!endpoint) endpoint = this->pick();
   this->tried_endpoints.insert(current);
   this->placed_choice = this->chosen;
   this->chosen = before;
@@ -50,43 +60,45 @@
   } else if (cause == abort_cause::suspected) {
     // It waits for its trial before a server is chosen.
     if (this->reserve_retry()) ex->abort(cause);
-  } else if (!this->searching &&
-             this->node.failovers.try_begin(this->node.now())) {
+  } else if (!this->searching && this->node.now() >= this->next_search) {
+    if (!this->failovers().try_begin(this->node.now())) return;
     this->searching = true;
-    net::co_spawn(this->node.loop,
-                  this->search_endpoint(this->node, running, cause),
-                  net::detached);
+    net::co_spawn(
+        this->node.loop,
+        this->search_endpoint(this->node, this->failovers(), running, cause),
+        net::detached);
   }
 }
 
+failover_pacer& request_handler::failovers() {
+  return this->node.failovers[this->service->name];
+}
+
 net::awaitable<void> request_handler::search_endpoint(
-    node_context& state, std::weak_ptr<exchange> running, abort_cause cause) {
+    node_context& state, failover_pacer& pacer, std::weak_ptr<exchange> running,
+    abort_cause cause) {
   const absl::Time begun = state.now();
   std::shared_ptr<exchange> next;
   failover_chance chance;
   // The handler lives as long as its running attempt.
   if (const auto ex = running.lock()) {
-    chance.granted = this->reserve_retry();
+    chance.granted = this->current_retry_usage().remaining >= 1;
     if (chance.granted) next = this->place_attempt(*ex, cause);
     chance.placed = next != nullptr;
   }
-  // Plain servers have no report.
-  chance.confirmed = chance.placed;
-  const bool probes = chance.placed && !next->endpoint.group.empty();
-  if (probes) {
-    chance.confirmed = co_await state.prober.all_answer(next->endpoint.members);
-    state.failovers.end(chance.confirmed, state.now());
-    if (!chance.confirmed) state.avoid_endpoint(next->endpoint.load_key());
-  } else {
-    state.failovers.end_without_probe();
-  }
+  chance.confirmed = co_await confirm(state, pacer, next.get());
   const auto ex = running.lock();
   if (ex == nullptr || !ex->running()) co_return;
   this->searching = false;
+  this->next_search = state.now() + search_interval;
   chance.obstacle = this->obstacle_to_failover(*ex, cause);
+  chance.placed = chance.placed && this->may_start(*next);
   chance.recovered = ex->last_heard > begun || ex->waiting_for_caller;
-  if (const char* reason = reason_to_keep(chance)) {
-    this->reserved.reset();
+  const char* reason = reason_to_keep(chance);
+  // Reserved last, so that searches hold no retry that a lost attempt needs.
+  if (reason == nullptr && !this->reserve_retry())
+    reason = "no retry left in the budget";
+  if (reason != nullptr) {
     this->note_kept(*ex, cause, reason);
     co_return;
   }
@@ -94,6 +106,33 @@
   ex->abort(cause);
 }
 
+net::awaitable<bool> request_handler::confirm(node_context& state,
+                                              failover_pacer& pacer,
+                                              const exchange* next) {
+  // Plain servers have no report.
+  const bool probes = next != nullptr && !next->endpoint.group.empty();
+  probe_result result = probe_result::unknown;
+  if (probes) {
+    result = co_await state.prober.probe_group(next->endpoint.group,
+                                               next->endpoint.members);
+  }
+  if (result == probe_result::unknown) {
+    pacer.end_without_probe();
+    co_return next != nullptr && !probes;
+  }
+  const bool answers = result == probe_result::answered;
+  pacer.end(answers, state.now());
+  if (!answers) state.avoid_endpoint(next->endpoint.group);
+  co_return answers;
+}
+
+bool request_handler::may_start(const exchange& next) const {
+  const endpoint_target& to = next.endpoint;
+  return next.aborted == abort_cause::none &&
+         !this->node.avoided(to.load_key()) && this->node.now() < to.send_by &&
+         this->node.reason_to_withhold({to.server, to.incarnation}) == nullptr;
+}
+
 void request_handler::note_kept(const exchange& running, abort_cause cause,
                                 const char* reason) {
   if (std::string_view(reason) == this->kept_reason) return;
--- a/src/request-handler.cc
+++ b/src/request-handler.cc
@@ -251,6 +251,7 @@
     this->on_doubt(weak, cause);
   };
   this->searching = false;
+  this->next_search = absl::InfinitePast();
   this->kept_reason = "";
   this->session.current_exchange = &ex;
   struct detach {
--- a/src/request-handler.h
+++ b/src/request-handler.h
@@ -215,15 +215,26 @@
   /// Searches for an endpoint that could take the request over, and aborts the
   /// running attempt only if there is one.
   boost::asio::awaitable<void> search_endpoint(node_context& state,
+                                               failover_pacer& pacer,
                                                std::weak_ptr<exchange> running,
                                                abort_cause cause);
+  /// Whether the servers of an attempt's endpoint answer, and ends the search.
+  /// Does not refer to a handler, which may end meanwhile.
+  static boost::asio::awaitable<bool> confirm(node_context& state,
+                                              failover_pacer& pacer,
+                                              const exchange* next);
+  /// Whether a placed attempt may still be sent.
+  bool may_start(const exchange& next) const;
+  /// Paces the searches of the request's service.
+  failover_pacer& failovers();
   /// Why no other attempt may follow a running one; null if one may.
   const char* obstacle_to_failover(const exchange& running, abort_cause cause);
   /// Chooses an endpoint and counts an attempt there; null if there is none.
   /// After a lost path it may be that of the running attempt.
   std::shared_ptr<exchange> place_attempt(const exchange& running,
                                           abort_cause cause);
-  /// Logs that a running attempt is kept in spite of a doubt, once a reason.
+  /// Logs that a running attempt is kept in spite of a doubt, unless the last
+  /// reason was the same.
   void note_kept(const exchange& running, abort_cause cause,
                  const char* reason);
 
@@ -433,8 +444,12 @@
   std::shared_ptr<exchange> placed;
   /// The choice of its endpoint.
   endpoint_choice placed_choice;
+  /// Whether only groups are eligible that this node has just heard.
+  bool only_heard_groups = false;
   /// Whether another endpoint is being searched for during an attempt.
   bool searching = false;
+  /// When the next search for the running attempt may begin.
+  absl::Time next_search = absl::InfinitePast();
   /// Why the running attempt was last kept in spite of a doubt.
   const char* kept_reason = "";
   /// When the last attempt ended; only set after one.
--- a/src/request-routing.cc
+++ b/src/request-routing.cc
@@ -68,6 +68,8 @@
   if (!this->is_able(group)) return false;
   if (this->tried_endpoints.count(group.name) != 0) return false;
   if (this->node.avoided(group.name)) return false;
+  if (this->only_heard_groups && !this->node.prober.heard_recently(group.name))
+    return false;
   if (!this->has_connection_slot(group.name)) return false;
   return !this->backoff_of(*this->node.directory.find(group.head()));
 }
--- a/src/server-prober.h
+++ b/src/server-prober.h
@@ -8,6 +8,8 @@
 #include <string>
 #include <vector>
 
+#include "http-fetch.h"
+
 namespace spokesail {
 
 struct node_context;
@@ -22,8 +24,8 @@
   /// It has ended: its host refuses connections, or another server or a later
   /// incarnation answers.
   gone,
-  /// Nothing, since this node was late or may have lost its links, or since the
-  /// server is not listed.
+  /// Nothing: this node was late or may have lost its links, or the server is
+  /// not listed.
   unknown
 };
 
@@ -35,17 +37,26 @@
   /// Probes a server, given by its id.
   boost::asio::awaitable<probe_result> probe(std::string server);
 
-  /// Whether all these servers answer. Those that have answered a short while
-  /// ago are not probed again.
-  boost::asio::awaitable<bool> all_answer(std::vector<std::string> servers);
+  /// Probes the members of a group until one does not answer, and returns its
+  /// result. Nothing is probed again that was heard a short while ago.
+  boost::asio::awaitable<probe_result> probe_group(
+      std::string group, std::vector<std::string> members);
+
+  /// Records an event of a group, which takes all of its members.
+  void note_event(const std::string& group, absl::Time now) {
+    this->heard_at[group] = now;
+  }
+
+  /// Whether a server or group was heard a short while ago.
+  bool heard_recently(const std::string& name) const;
 
  private:
-  /// Whether a server has answered a short while ago.
-  bool answered_recently(const std::string& server) const;
+  boost::asio::awaitable<fetch_result> fetch_report(std::string server,
+                                                    std::string address);
 
   node_context& node;
-  /// When servers last answered a probe.
-  std::map<std::string, absl::Time> answered_at;
+  /// When servers last answered a probe, and groups sent an event.
+  std::map<std::string, absl::Time> heard_at;
 };
 
 }  // namespace spokesail
--- a/src/stall-detector.cc
+++ b/src/stall-detector.cc
@@ -28,10 +28,6 @@
 /// members that do not reach each other.
 constexpr absl::Duration max_unexplained_silence = absl::Milliseconds(1200);
 
-/// How long is remembered what was found out about a group; longer than any
-/// request may take.
-constexpr absl::Duration group_memory = absl::Minutes(1);
-
 /// If nothing is received from any server for this long, the servers of begun
 /// streams, and after the longer time those of other requests, are probed.
 constexpr absl::Duration min_path_silence = absl::Milliseconds(50);
@@ -103,21 +99,31 @@
       ex.proxy.empty() && this->node.reachability.connection_lost(
                               ex.endpoint.address, ex.last_heard, now);
   if (path_lost) return abort_cause::path_lost;
-  const auto suspected = this->suspected_at.find(ex.endpoint.group);
-  if (suspected != this->suspected_at.end() &&
-      ex.last_heard < suspected->second) {
-    return abort_cause::stalled;
-  }
+  if (this->suspicion_of(ex) != nullptr) return abort_cause::stalled;
   const bool slow = now >= ex.slow_at && !ex.head_received;
   return slow ? abort_cause::slow : abort_cause::none;
 }
 
+const stall_detector::group_suspicion* stall_detector::suspicion_of(
+    const exchange& ex) const {
+  const auto found = this->suspicions.find(ex.endpoint.group);
+  const bool applies =
+      found != this->suspicions.end() && ex.last_heard < found->second.since;
+  return applies ? &found->second : nullptr;
+}
+
 void stall_detector::raise_doubts(absl::Time now) {
-  const std::vector<exchange*> all(this->node.exchanges.begin(),
-                                   this->node.exchanges.end());
-  for (const exchange* ex : all) {
+  std::vector<exchange*> all(this->node.exchanges.begin(),
+                             this->node.exchanges.end());
+  // Searches are limited, so that none must always come last.
+  std::shuffle(all.begin(), all.end(), this->node.random.engine);
+  for (exchange* ex : all) {
     const abort_cause cause = this->doubt_about(*ex, now);
-    if (cause != abort_cause::none && ex->on_doubt) ex->on_doubt(cause);
+    if (cause == abort_cause::none || !ex->on_doubt) continue;
+    const group_suspicion* suspicion = this->suspicion_of(*ex);
+    const bool unreachable = suspicion != nullptr && suspicion->unreachable;
+    ex->unresponsive_member = unreachable ? suspicion->member : "";
+    ex->on_doubt(cause);
   }
 }
 
@@ -156,19 +162,40 @@
   if (loop_delayed) return;
   this->check_paths(now);
   if (!this->node.routes) return;
-  for (const auto& [group, activity] : this->observe_groups(now)) {
+  const auto groups = this->observe_groups(now);
+  for (const auto& [group, activity] : groups) {
     if (activity.expects_event) this->check_group(group, activity, now);
+    this->check_suspicion(group, activity, now);
   }
+  this->forget_groups(groups);
   this->raise_doubts(now);
-  this->forget_old_groups(now);
 }
 
-void stall_detector::forget_old_groups(absl::Time now) {
-  const auto is_old = [&](const auto& item) {
-    return now - item.second >= group_memory;
+void stall_detector::forget_groups(
+    const std::map<std::string, group_activity>& groups) {
+  const auto is_unused = [&](const auto& item) {
+    return groups.count(item.first) == 0;
   };
-  std::erase_if(this->last_probe, is_old);
-  std::erase_if(this->suspected_at, is_old);
+  std::erase_if(this->suspicions, is_unused);
+}
+
+void stall_detector::check_suspicion(const std::string& group,
+                                     const group_activity& activity,
+                                     absl::Time now) {
+  const auto found = this->suspicions.find(group);
+  if (found == this->suspicions.end()) return;
+  if (activity.last_event > found->second.since) {
+    this->suspicions.erase(found);
+    return;
+  }
+  absl::Time& probed_at =
+      this->last_probe.try_emplace(group, absl::InfinitePast()).first->second;
+  if (found->second.member.empty() || now - probed_at < min_probe_interval)
+    return;
+  probed_at = now;
+  net::co_spawn(this->node.loop,
+                this->probe_member(group, found->second.member, false),
+                net::detached);
 }
 
 void stall_detector::check_group(const std::string& group,
@@ -186,7 +213,8 @@
                                   silence > max_unexplained_silence &&
                                   !this->node.avoided(group);
     if (members_isolated)
-      this->suspect_group(group, "silent although all members answer");
+      this->suspect_group(group, "silent although all members answer",
+                          {now, ""});
     return;
   }
   probed_at = now;
@@ -200,18 +228,28 @@
 net::awaitable<void> stall_detector::probe_member(std::string group,
                                                   std::string server,
                                                   bool notify_peers) {
+  const absl::Time begun = this->node.now();
   const probe_result result = co_await this->node.prober.probe(server);
-  if (result == probe_result::answered) co_return;
+  if (result == probe_result::answered) {
+    const auto found = this->suspicions.find(group);
+    const bool was_reason =
+        found != this->suspicions.end() && found->second.member == server;
+    if (was_reason) this->suspicions.erase(found);
+    co_return;
+  }
   if (result == probe_result::unknown) {
     // A server that is no longer listed may serve for a while, but it leaves.
-    if (this->node.directory.find(server) == nullptr)
-      this->suspect_group(group, absl::StrCat(server, " is no longer listed"));
+    if (this->node.directory.find(server) == nullptr) {
+      this->suspect_group(group, absl::StrCat(server, " is no longer listed"),
+                          {begun, server});
+    }
     co_return;
   }
   this->node.suspect_server(server);
   if (this->on_suspect) this->on_suspect(server);
   if (result == probe_result::silent) {
-    this->suspect_group(group, absl::StrCat(server, " is silent"));
+    this->suspect_group(group, absl::StrCat(server, " is silent"),
+                        {begun, server});
     co_return;
   }
   if (notify_peers && this->on_loss) this->on_loss({{server}, group});
@@ -219,7 +257,7 @@
     this->abandon_group(group, server);
   } else {
     this->suspect_group(group, absl::StrCat(server, " does not respond"),
-                        server);
+                        {begun, server, true});
   }
 }
 
@@ -250,12 +288,10 @@
 
 void stall_detector::suspect_group(const std::string& group,
                                    const std::string& reason,
-                                   const std::string& unresponsive) {
-  const bool known = this->node.avoided(group);
-  this->suspected_at[group] = this->node.now();
+                                   group_suspicion suspicion) {
+  const bool known =
+      !this->suspicions.insert_or_assign(group, std::move(suspicion)).second;
   this->node.avoid_endpoint(group);
-  for (exchange* ex : this->exchanges_with(group))
-    ex->unresponsive_member = unresponsive;
   if (!known) this->log_group("group_suspected", group, reason);
 }
 
--- a/src/stall-detector.h
+++ b/src/stall-detector.h
@@ -37,6 +37,15 @@
   std::function<void(const suspicion&)> on_loss;
 
  private:
+  /// Why a group may not answer.
+  struct group_suspicion {
+    /// Since when its silence has no explanation.
+    absl::Time since;
+    /// The member that did not answer; empty if all have.
+    std::string member;
+    /// Whether that member cannot be reached.
+    bool unreachable = false;
+  };
   /// State of one group's streams.
   struct group_activity {
     absl::Time last_event = absl::InfinitePast();
@@ -62,6 +71,9 @@
   void end_overdue(absl::Time now);
   /// Why it is in doubt that an exchange will be answered; none if it is not.
   abort_cause doubt_about(const exchange& ex, absl::Time now) const;
+  /// The suspicion of an exchange's group; null if there is none, or if the
+  /// exchange has received something since.
+  const group_suspicion* suspicion_of(const exchange& ex) const;
   /// Reports doubts to those who wait for the exchanges.
   void raise_doubts(absl::Time now);
   /// Probes servers if nothing is received from any.
@@ -79,14 +91,16 @@
   boost::asio::awaitable<void> probe_member(std::string group,
                                             std::string server,
                                             bool notify_peers);
-  /// Avoids a group for a while and doubts its exchanges, which go on;
-  /// `unresponsive` is the member that cannot be reached, if any.
+  /// Avoids a group for a while and doubts its exchanges, which go on.
   void suspect_group(const std::string& group, const std::string& reason,
-                     const std::string& unresponsive = "");
+                     group_suspicion suspicion);
+  /// Ends or renews the suspicion of a group that this node has exchanges with.
+  void check_suspicion(const std::string& group, const group_activity& activity,
+                       absl::Time now);
   /// Aborts all exchanges with a group that has lost `member`.
   void abandon_group(const std::string& group, const std::string& member);
-  /// Forgets what was found out long ago.
-  void forget_old_groups(absl::Time now);
+  /// Forgets groups that this node has no exchanges with any more.
+  void forget_groups(const std::map<std::string, group_activity>& groups);
   void log_group(const char* event, const std::string& group,
                  const std::string& reason);
 
@@ -94,8 +108,8 @@
   absl::Time last_check = absl::InfinitePast();
   /// When the members of a group were last probed.
   std::map<std::string, absl::Time> last_probe;
-  /// When a group was last found silent without an explanation.
-  std::map<std::string, absl::Time> suspected_at;
+  /// By group. Ends when the member answers or the group sends an event.
+  std::map<std::string, group_suspicion> suspicions;
 };
 
 }  // namespace spokesail
