Explain why an attempt was kept and a request not sent again

explain knew nothing of the doubts about an attempt: it left out the lines in which a group is suspected, and its sentence gave neither why a silent attempt was kept nor why no other one followed.

--- a/src/explain.cc
+++ b/src/explain.cc
@@ -18,6 +18,7 @@
 
 /// Events about a group, with the field that names the group.
 const std::map<std::string, std::string> group_events = {
+    {"group_suspected", "group"},
     {"group_given_up", "group"},
     {"group_dissolved", "subject"},
     {"group_forming", "subject"},
@@ -37,7 +38,35 @@
           std::min(r.text.size(), r.text.find("event=") + 6 + r.event.size())));
 }
 
-std::string cause_of(const log_record& end, const log_record* attempt) {
+/// The last records about a request, by kind.
+struct request_records {
+  const log_record* end = nullptr;
+  /// The last attempt that failed; null if there is none.
+  const log_record* attempt = nullptr;
+  /// The last attempt that was kept in spite of a doubt; null if there is none.
+  const log_record* kept = nullptr;
+};
+
+std::string describe_attempt(const log_record& attempt) {
+  std::string out = absl::StrCat("; its last failed attempt was at server ",
+                                 attempt.value("server"));
+  if (!attempt.value("group").empty()) {
+    absl::StrAppend(&out, " of group ", attempt.value("group"));
+  }
+  absl::StrAppend(&out, " and ended ", attempt.value("end"), " (",
+                  attempt.value("why"), ")");
+  return out;
+}
+
+std::string describe_kept(const log_record& kept) {
+  return absl::StrCat("; its attempt at server ", kept.value("server"),
+                      " was in doubt (", kept.value("cause"), ", silent for ",
+                      kept.value("silent_ms"),
+                      " ms) and was kept because: ", kept.value("why"));
+}
+
+std::string cause_of(const request_records& records) {
+  const log_record& end = *records.end;
   const std::string outcome = end.value("outcome");
   std::string out = absl::StrCat("The request ended as ", outcome);
   if (end.value("status") != "0") {
@@ -46,17 +75,14 @@
   if (!end.value("why").empty()) {
     absl::StrAppend(&out, " because: ", end.value("why"));
   }
+  if (!end.value("no_retry").empty()) {
+    absl::StrAppend(&out,
+                    "; it was not sent again because: ", end.value("no_retry"));
+  }
   absl::StrAppend(&out, ". It was sent ", end.value("sends"),
                   " time(s) and may have run ", end.value("runs"), " time(s)");
-  if (attempt != nullptr) {
-    absl::StrAppend(&out, "; its last failed attempt was at server ",
-                    attempt->value("server"));
-    if (!attempt->value("group").empty()) {
-      absl::StrAppend(&out, " of group ", attempt->value("group"));
-    }
-    absl::StrAppend(&out, " and ended ", attempt->value("end"), " (",
-                    attempt->value("why"), ")");
-  }
+  if (records.kept != nullptr) out += describe_kept(*records.kept);
+  if (records.attempt != nullptr) out += describe_attempt(*records.attempt);
   absl::StrAppend(&out, ". The node then had configuration ",
                   end.value("config"), ", verified ",
                   end.value("config_age_ms"),
@@ -74,22 +100,22 @@
       [](const auto& a, const auto& b) { return a.time < b.time; });
   std::set<std::string> nodes;
   std::set<std::string> groups;
-  const log_record* end = nullptr;
-  const log_record* attempt = nullptr;
+  request_records own;
   for (const auto& r : records) {
     if (r.value("id") != id) continue;
     nodes.insert(r.node);
     if (!r.value("group").empty()) groups.insert(r.value("group"));
-    if (r.event == "request_ended") end = &r;
-    if (r.event == "attempt_ended") attempt = &r;
+    if (r.event == "request_ended") own.end = &r;
+    if (r.event == "attempt_ended") own.attempt = &r;
+    if (r.event == "attempt_kept") own.kept = &r;
   }
   explanation out;
-  if (end == nullptr) return out;
+  if (own.end == nullptr) return out;
   // The latest state change of each kind before the end, by node and event.
   std::map<std::string, const log_record*> state_changes;
   std::vector<const log_record*> selected;
   for (const auto& r : records) {
-    if (r.time > end->time) break;
+    if (r.time > own.end->time) break;
     if (r.value("id") == id || concerns_group(r, groups)) {
       selected.push_back(&r);
     } else if (node_state_events.count(r.event) != 0 &&
@@ -104,7 +130,7 @@
       selected.begin(), selected.end(),
       [](const auto* a, const auto* b) { return a->time < b->time; });
   for (const auto* r : selected) out.lines.push_back(format_record(*r));
-  out.cause = cause_of(*end, attempt);
+  out.cause = cause_of(own);
   return out;
 }
 
--- a/test/explain-test.cc
+++ b/test/explain-test.cc
@@ -57,6 +57,46 @@
             std::string::npos);
 }
 
+const std::vector<std::string> kept_sample = {
+    "time=T0 node=n1 event=group_suspected group=m.4 why=\"s9 is silent\"",
+    "time=T1 node=n1 event=group_suspected group=m.5 why=\"s1 is silent\"",
+    "time=T2 node=n1 event=attempt_kept id=r1 cause=stalled "
+    "why=\"no retry left in the budget\" server=s1 group=m.5 silent_ms=340",
+    "time=T3 node=n1 event=attempt_ended id=r1 end=broken why=server_gone "
+    "server=s1 group=m.5",
+    "time=T4 node=n1 event=request_ended id=r1 outcome=broken_off status=0 "
+    "why=server_gone no_retry=\"all attempts of the route used\" sends=2 "
+    "runs=2"};
+
+explanation explain_kept() {
+  std::vector<log_record> parsed;
+  for (const auto& line : kept_sample) parsed.push_back(parse_log_line(line));
+  return explain_request("r1", parsed);
+}
+
+// Guards against an explanation that leaves out why a silent attempt was kept.
+TEST(explain, lists_suspected_groups_and_kept_attempts) {
+  const auto result = explain_kept();
+  ASSERT_EQ(result.lines.size(), 4U);
+  EXPECT_EQ(result.lines[0].substr(0, 21), "T1 n1 group_suspected");
+  EXPECT_EQ(result.lines[1].substr(0, 18), "T2 n1 attempt_kept");
+  EXPECT_NE(result.cause.find("its attempt at server s1 was in doubt (stalled, "
+                              "silent for 340 ms) and was kept because: no "
+                              "retry left in the budget"),
+            std::string::npos);
+}
+
+// Guards against an end whose obstacle has to be looked up in the lines.
+TEST(explain, states_why_a_request_was_not_sent_again) {
+  EXPECT_NE(explain_kept().cause.find(
+                "The request ended as broken_off because: server_gone; it was "
+                "not sent again because: all attempts of the route used. It "
+                "was sent 2 time(s)"),
+            std::string::npos);
+  EXPECT_EQ(explain_request("r1", records()).cause.find("not sent again"),
+            std::string::npos);
+}
+
 TEST(explain, has_no_cause_for_an_unknown_request) {
   EXPECT_EQ(explain_request("r9", records()).cause, "");
 }
