--- a/test/failover-test.cc
+++ b/test/failover-test.cc
@@ -23,11 +23,26 @@
   return out == nullptr ? "" : out;
 }
 
+/// The first time from `now` at which a search may begin, which is begun;
+/// infinite future if there is none within a pause.
+absl::Time begin_search(failover_pacer& pacer, absl::Time now) {
+  constexpr absl::Duration poll_interval = absl::Milliseconds(1);
+  const int polls =
+      static_cast<int>(2 * failover_pacer::max_delay / poll_interval);
+  for (int i = 0; i <= polls; ++i) {
+    if (pacer.try_begin(now)) return now;
+    now += poll_interval;
+  }
+  return absl::InfiniteFuture();
+}
+
 /// Fails `count` searches one after the other, each as soon as it may begin.
-/// Returns the time at which the last one failed.
+/// Returns the time at which the last one failed; infinite future if one could
+/// not begin.
 absl::Time fail_searches(failover_pacer& pacer, int count, absl::Time now) {
   for (int i = 0; i < count; ++i) {
-    while (!pacer.try_begin(now)) now += absl::Milliseconds(1);
+    now = begin_search(pacer, now);
+    if (now == absl::InfiniteFuture()) return now;
     pacer.end(false, now);
   }
   return now;
@@ -81,14 +96,15 @@
 }
 
 // Guards against any combination of steps that ends an attempt too early.
-RC_GTEST_PROP(reason_to_keep, only_a_full_chance_ends_an_attempt, ()) {
-  failover_chance chance;
-  chance.obstacle = *rc::gen::arbitrary<bool>() ? "time is up" : nullptr;
-  chance.granted = *rc::gen::arbitrary<bool>();
-  chance.placed = *rc::gen::arbitrary<bool>();
-  chance.confirmed = *rc::gen::arbitrary<bool>();
-  chance.recovered = *rc::gen::arbitrary<bool>();
-  RC_ASSERT((reason_to_keep(chance) == nullptr) == (chance == full_chance()));
+TEST(reason_to_keep, only_a_full_chance_ends_an_attempt) {
+  constexpr unsigned combinations = 1U << 5U;
+  for (unsigned bits = 0; bits < combinations; ++bits) {
+    const auto step = [bits](unsigned at) { return (bits >> at & 1U) != 0; };
+    const failover_chance chance{step(0) ? "time is up" : nullptr, step(1),
+                                 step(2), step(3), step(4)};
+    EXPECT_EQ(reason_to_keep(chance) == nullptr, chance == full_chance())
+        << bits;
+  }
 }
 
 // Guards against searches that together load the servers with probes.
@@ -172,6 +188,17 @@
   EXPECT_TRUE(pacer.try_begin(failed + failover_pacer::min_delay));
 }
 
+// Guards against a pause that outlasts the success of a search beside it.
+TEST(failover_pacer, one_success_ends_a_pause) {
+  failover_pacer pacer;
+  ASSERT_TRUE(pacer.try_begin(start));
+  ASSERT_TRUE(pacer.try_begin(start));
+  pacer.end(false, start);
+  EXPECT_FALSE(pacer.try_begin(start));
+  pacer.end(true, start);
+  EXPECT_TRUE(pacer.try_begin(start));
+}
+
 // Guards against a pace that a search without a probe slows or restores.
 TEST(failover_pacer, learns_nothing_from_a_search_without_a_probe) {
   failover_pacer pacer;
