Refuse requests for want of a path only if no server was reached

Cause: its group's server had crashed 3 s before and refused the connection. A second server was not reached meanwhile, so that the node was in doubt about its own links (unreached=2 reached=1 in server_not_reached), and one of the two nodes that it asked gave no verdict. Then the request was refused for want of a path to any server, with one of four attempts made. request_ended says sends=1 runs=0 servers_silent_ms=0: the node had heard a server in that very millisecond.

A request is now refused for want of a path only if, since its attempt began, no server was heard and none was connected through another node. Otherwise it goes on to another server. Where nothing is reached, it is refused at once as before.

crashed-servers has a new case: three heads of groups crash at nodes that are in doubt after their links were refused for a moment.

--- a/include/spokesail/server-reachability.h
+++ b/include/spokesail/server-reachability.h
@@ -3,6 +3,7 @@
 
 #include <absl/time/time.h>
 
+#include <algorithm>
 #include <cstddef>
 #include <map>
 #include <string>
@@ -114,6 +115,11 @@
   /// When any server was last heard.
   absl::Time last_heard() const { return this->heard_at; }
 
+  /// When any server was last heard, or connected through another node.
+  absl::Time last_reached() const {
+    return std::max(this->heard_at, this->last_proxied);
+  }
+
   /// Whether a partitioned node should try a direct connection now.
   bool probe_due(absl::Time now) const;
   void on_probe(absl::Time now) { this->probed_at = now; }
@@ -163,6 +169,7 @@
   std::map<std::string, absl::Time> reached_at;
   std::map<std::string, absl::Time> heard;
   absl::Time heard_at = absl::InfinitePast();
+  absl::Time last_proxied = absl::InfinitePast();
   absl::Time probed_at = absl::InfinitePast();
   std::map<std::string, absl::Time> demoted_until;
   /// When nodes were proxies for this one.
--- a/src/request-handler.cc
+++ b/src/request-handler.cc
@@ -294,6 +294,7 @@
   // connections are likely to hang as well.
   const bool reuse =
       this->route->repeatable && !this->server_lost_before && !this->path_lost;
+  const absl::Time begun = this->node.now();
   const std::string error = co_await ex.connect(reuse);
   this->proxy = ex.proxy;
   if (error.empty()) {
@@ -305,7 +306,11 @@
     co_return false;
   }
   this->log_attempt(ex, "not_connected", error);
-  this->no_path = !ex.server_failed && ex.aborted == abort_cause::none;
+  // Servers that were reached meanwhile can take the request, even if it is in
+  // doubt why this one was not.
+  const bool others_reached = this->node.reachability.last_reached() >= begun;
+  this->no_path =
+      !ex.server_failed && !others_reached && ex.aborted == abort_cause::none;
   if (ex.server_failed) {
     this->node.avoid_endpoint(ex.endpoint.load_key());
     this->node.suspect_server(ex.endpoint.server);
--- a/src/request-handler.h
+++ b/src/request-handler.h
@@ -432,8 +432,8 @@
   int attempts_made = 0;
   /// Attempts that got a connection, so that a server may have received them.
   int connected_attempts = 0;
-  /// Whether the last attempt found no path to its server, over this node's
-  /// links or through another node.
+  /// Whether the last attempt found no path to its server or any other, over
+  /// this node's links or through another node.
   bool no_path = false;
   /// Whether the last attempt was aborted because this node had lost its link,
   /// or broke off at a proxy.
--- a/src/server-reachability.cc
+++ b/src/server-reachability.cc
@@ -181,6 +181,7 @@
 void server_reachability::on_proxied(const std::string& name, absl::Time now) {
   this->demoted_until.erase(name);
   this->proxied_at[name] = now;
+  this->last_proxied = now;
 }
 
 void server_reachability::demote_proxy(const std::string& name,
--- a/test/crashed-servers-test.cc
+++ b/test/crashed-servers-test.cc
@@ -39,6 +39,17 @@
     });
   }
 
+  /// Their addresses.
+  std::vector<std::string> head_addresses() {
+    const std::vector<std::string> found = this->heads();
+    return this->on_loop([&] {
+      std::vector<std::string> out;
+      for (const auto& id : found)
+        out.push_back(this->nodes[0]->context().directory.find(id)->address);
+      return out;
+    });
+  }
+
   /// Ends some heads of groups without notice, and returns their addresses.
   std::vector<std::string> crash_heads() {
     const std::vector<std::string> found = this->heads();
@@ -61,6 +72,50 @@
         .get();
   }
 
+  bool in_doubt(node_process& node) {
+    return this->on_loop([&] {
+      node_context& state = node.context();
+      return state.reachability.in_doubt(state.now());
+    });
+  }
+
+  /// Refuses all connections of the nodes to servers for a moment, in which
+  /// each node tries to reach those at `addresses`.
+  void interrupt_links(const std::vector<std::string>& addresses) {
+    this->set_links(standin::link_state::refusing);
+    std::vector<std::thread> dials;
+    for (auto& node : this->nodes) {
+      for (const auto& address : addresses)
+        dials.emplace_back([&] { this->dial(node->context(), address); });
+    }
+    for (auto& thread : dials) thread.join();
+    this->set_links(standin::link_state::up);
+  }
+
+  void set_links(standin::link_state state) {
+    this->on_loop([&, this] {
+      for (int node = 0; node < node_count; ++node)
+        this->fleet->set_links(absl::StrCat("node-", node), state);
+      return 0;
+    });
+  }
+
+  /// Sends requests to each node, all at once, and returns the number of those
+  /// that were not served.
+  int count_unserved_at_once(int per_node) {
+    std::atomic<int> unserved = 0;
+    std::vector<std::thread> callers;
+    for (int i = 0; i < node_count * per_node; ++i) {
+      callers.emplace_back([&, i] {
+        const auto answer = this->send_request(
+            stream_request(absl::StrCat("at-once-", i)), i % node_count);
+        unserved += event_ids(answer.body()) != all_ids();
+      });
+    }
+    for (auto& caller : callers) caller.join();
+    return unserved;
+  }
+
   /// Sends a request to each node at once, several times, and returns the
   /// number of those that were not served.
   int count_unserved(int rounds) {
@@ -86,6 +141,17 @@
   EXPECT_EQ(this->count_unserved(8), 0);
 }
 
+// Guards against requests that are refused for want of a path because their
+// server has crashed at a node that is in doubt about its links, but reaches
+// other servers.
+TEST_F(crashed_servers_test, requests_are_served_by_other_groups_in_doubt) {
+  this->start(node_count, 2 * lost_groups + 1);
+  this->interrupt_links(this->head_addresses());
+  this->crash_heads();
+  for (auto& node : this->nodes) EXPECT_TRUE(this->in_doubt(*node));
+  EXPECT_EQ(this->count_unserved_at_once(8), 0);
+}
+
 TEST_F(crashed_servers_test, cast_no_doubt_on_the_links_of_nodes) {
   this->start(node_count, 2 * lost_groups + 1);
   const std::vector<std::string> addresses = this->crash_heads();
@@ -93,10 +159,7 @@
     for (const auto& address : addresses) {
       for (auto& node : this->nodes) {
         this->dial(node->context(), address);
-        EXPECT_FALSE(this->on_loop([&] {
-          return node->context().reachability.in_doubt(node->context().now());
-        })) << "round "
-            << round;
+        EXPECT_FALSE(this->in_doubt(*node)) << "round " << round;
       }
     }
   }
--- a/test/server-reachability-test.cc
+++ b/test/server-reachability-test.cc
@@ -73,6 +73,19 @@
   EXPECT_TRUE(view.prefers_proxies("unknown", start));
 }
 
+// Guards against requests that are refused for want of a path although other
+// nodes connect this one to servers.
+TEST(server_reachability, servers_are_reached_directly_or_through_other_nodes) {
+  server_reachability view;
+  EXPECT_EQ(view.last_reached(), absl::InfinitePast());
+  view.on_attempt("a", attempt(direct_result::failed, start));
+  EXPECT_EQ(view.last_reached(), absl::InfinitePast());
+  view.on_proxied("node", start + absl::Milliseconds(1));
+  EXPECT_EQ(view.last_reached(), start + absl::Milliseconds(1));
+  view.on_heard("b", start + absl::Milliseconds(2));
+  EXPECT_EQ(view.last_reached(), start + absl::Milliseconds(2));
+}
+
 // Guards against idle connections that are used though they hang.
 TEST(server_reachability, connections_heard_before_a_silent_bypass_hang) {
   server_reachability view;
