Cut no streams of a server that is only silent

Callers saw answers of sound servers end after a silence of two to four seconds. The holder of the lease took a server that accepts connections but is silent for 2 s for lost and dissolved its group; the order to leave was carried out when the server went on, and cut the streams that it would have gone on with. The same order took the hosts of silent spare groups for a repair.

"Gets no new requests" and "is lost" are separate now. A silent server is unresponsive after 2 s, as before, and lost once the platform's stall time (bounds.stall_ms, now in the node's settings) has passed: whatever depended on it has been cut by the engines then, so that an order can cut no more. Until then its group counts as standing. streams_may_end is the only place that decides whether an order may cut running streams. Servers that cannot be reached are found as before; a server that hangs for good is replaced 3 s later than before.

--- a/include/spokesail/group-controller-options.h
+++ b/include/spokesail/group-controller-options.h
@@ -59,8 +59,12 @@
   /// most data halls is itself isolated and gives up its lease.
   double isolation_threshold = 0.3;
   /// A server that accepts connections may be silent for this long before it
-  /// counts as unresponsive.
+  /// counts as unresponsive and gets no new requests.
   absl::Duration pause_tolerance = absl::Seconds(2);
+  /// What depends on a server that is dead or cut off stands still for this
+  /// long, and is then cut by the engine itself. A silent server's streams may
+  /// go on until then.
+  absl::Duration stall_time = absl::Seconds(5);
   bool operator==(const group_controller_options&) const = default;
 };
 
--- a/include/spokesail/group-controller.h
+++ b/include/spokesail/group-controller.h
@@ -115,7 +115,8 @@
   void suspect(const std::string& server, absl::Time now);
 
   /// Records that a server accepted a connection and did not answer. A sound
-  /// server may pause, so it counts as unresponsive only if that goes on.
+  /// server may pause, so it counts as unresponsive only if that goes on, and
+  /// as lost only once the engines have cut off what depends on it.
   void on_silence(const std::string& server, absl::Time now);
 
   /// Records that a server could not be probed for want of a path to it.
@@ -237,6 +238,11 @@
   bool is_isolated(const server_directory& directory) const;
   /// Whether the server answers and has not announced its stop.
   bool usable(const server_entry& entry) const;
+  /// Whether the requests that depend on a server have ended or will never
+  /// end: it cannot be reached, or has been silent for the stall time.
+  bool is_lost(const server_track& track, absl::Time now) const;
+  /// Whether a group cannot serve at the moment since a member does not answer.
+  bool lacks_answers(const service_state& s, const group_view& group) const;
   /// Whether the server is in a closed data hall.
   bool in_closed_hall(const server_entry& entry) const {
     return this->closed_halls.count(entry.hall) != 0;
@@ -285,11 +291,18 @@
   /// Sends the next order needed to dissolve a group.
   void dissolve(const service_state& s, const group_view& group,
                 const std::string& reason, absl::Time now, group_actions& out);
-  /// Dissolves a group through its head, which answers. `since` is when this
-  /// began.
-  void dissolve_through_head(const service_state& s, const group_view& group,
-                             absl::Time since, absl::Time now,
-                             group_actions& out);
+  /// Whether the running streams of a group can still end properly: its head
+  /// may have some, no member is lost, and they have not had their time.
+  /// `since` is when the group began to be dissolved. Nothing else decides
+  /// whether an order may cut streams.
+  bool streams_may_end(const service_state& s, const group_view& group,
+                       absl::Time since, absl::Time now) const;
+  /// Orders the head of a group, which answers, to take no more requests.
+  void close_group(const service_state& s, const group_view& group,
+                   group_actions& out);
+  /// Orders the head of a group, which answers, to leave it.
+  void release_head(const service_state& s, const group_view& group,
+                    group_actions& out);
   /// Orders the members of a group whose head does not answer to leave.
   void release_members(const service_state& s, const group_view& group,
                        group_actions& out);
--- a/src/group-controller.cc
+++ b/src/group-controller.cc
@@ -159,6 +159,7 @@
   server_track& track = found->second;
   if (!report) {
     track.unresponsive = true;
+    track.silent_since = absl::InfiniteFuture();
     track.probe_at = now + this->options.probe_retry_interval;
     return;
   }
@@ -179,18 +180,16 @@
 }
 
 void group_controller::on_silence(const std::string& server, absl::Time now) {
+  this->pending_probes.on_ended(server, false, this->loop_delay, now);
   const auto found = this->tracks.find(server);
-  const bool known = found != this->tracks.end();
-  if (known)
-    found->second.silent_since = std::min(found->second.silent_since, now);
-  const bool pauses =
-      known && !found->second.unresponsive &&
-      now - found->second.silent_since < this->options.pause_tolerance;
-  if (pauses) {
-    this->on_probe_failed(server, now);
-  } else {
-    this->on_report(server, std::nullopt, now);
-  }
+  if (found == this->tracks.end()) return;
+  server_track& track = found->second;
+  track.silent_since = std::min(track.silent_since, now);
+  const bool pauses = !track.unresponsive &&
+                      now - track.silent_since < this->options.pause_tolerance;
+  track.unresponsive = !pauses;
+  track.probe_at =
+      now + (pauses ? refused_probe_delay : this->options.probe_retry_interval);
 }
 
 void group_controller::on_probe_failed(const std::string& server,
@@ -227,6 +226,21 @@
          !found->second.unresponsive;
 }
 
+bool group_controller::is_lost(const server_track& track,
+                               absl::Time now) const {
+  if (!track.unresponsive) return false;
+  const bool silent = track.silent_since != absl::InfiniteFuture();
+  return !silent || now - track.silent_since >= this->options.stall_time;
+}
+
+bool group_controller::lacks_answers(const service_state& s,
+                                     const group_view& group) const {
+  return std::any_of(group.members.begin(), group.members.end(),
+                     [&](const auto& id) {
+                       return s.has_server(id) && s.track(id).unresponsive;
+                     });
+}
+
 bool group_controller::in_closed_hall(const service_state& s,
                                       const group_view& group) const {
   return this->in_closed_hall(s, group.members);
--- a/src/group-repair.cc
+++ b/src/group-repair.cc
@@ -81,7 +81,10 @@
     const server_entry& entry = s.entry(id);
     if (entry.draining && this->may_keep_serving(s, group, id, now)) continue;
     if (entry.draining) return absl::StrCat(id, " is leaving");
-    if (!this->usable(entry)) return absl::StrCat(id, " does not answer");
+    const bool lost = has_running_requests(group.head_phase)
+                          ? this->is_lost(s.track(id), now)
+                          : s.track(id).unresponsive;
+    if (lost) return absl::StrCat(id, " does not answer");
   }
   return std::nullopt;
 }
@@ -112,36 +115,46 @@
     this->stopped_groups.insert(group.name);
     return;
   }
-  if (head_known && !s.track(head).unresponsive) {
-    this->dissolve_through_head(s, group, since->second, now, out);
-    return;
+  const bool head_answers = head_known && !s.track(head).unresponsive;
+  if (this->streams_may_end(s, group, since->second, now)) {
+    if (head_answers) this->close_group(s, group, out);
+  } else if (head_answers) {
+    this->release_head(s, group, out);
+  } else {
+    this->release_members(s, group, out);
   }
-  this->release_members(s, group, out);
 }
 
-void group_controller::dissolve_through_head(const service_state& s,
-                                             const group_view& group,
-                                             absl::Time since, absl::Time now,
-                                             group_actions& out) {
-  const server_entry& head = s.entry(group.head());
-  const member_phase phase = head.membership.phase;
-  if (!phase_may_serve(phase)) {
-    this->stopped_groups.insert(group.name);
-    return;
-  }
-  // Streams can only end properly if all members answer.
-  const bool all_answer = std::all_of(
-      group.members.begin(), group.members.end(), [&](const auto& id) {
-        return !id.empty() && s.has_server(id) && !s.track(id).unresponsive;
-      });
+bool group_controller::streams_may_end(const service_state& s,
+                                       const group_view& group,
+                                       absl::Time since, absl::Time now) const {
+  if (!has_running_requests(group.head_phase)) return false;
+  const bool all_stay = std::all_of(group.members.begin(), group.members.end(),
+                                    [&](const auto& id) {
+                                      return !id.empty() && s.has_server(id) &&
+                                             !this->is_lost(s.track(id), now);
+                                    });
   const absl::Duration timeout = this->reassigned_groups.count(group.name) != 0
                                      ? this->options.reassign_drain_timeout
                                      : this->options.drain_timeout;
-  if (all_answer && has_running_requests(phase) && now - since < timeout) {
-    if (phase == member_phase::closing) return;
-    const group_order close =
-        make_group_order(group_order_kind::close, group.name, group.epoch);
-    this->send(head, close, out);
+  return all_stay && now - since < timeout;
+}
+
+void group_controller::close_group(const service_state& s,
+                                   const group_view& group,
+                                   group_actions& out) {
+  if (group.head_phase == member_phase::closing) return;
+  const group_order close =
+      make_group_order(group_order_kind::close, group.name, group.epoch);
+  this->send(s.entry(group.head()), close, out);
+}
+
+void group_controller::release_head(const service_state& s,
+                                    const group_view& group,
+                                    group_actions& out) {
+  const server_entry& head = s.entry(group.head());
+  if (!phase_may_serve(head.membership.phase)) {
+    this->stopped_groups.insert(group.name);
     return;
   }
   const group_order leave =
--- a/src/group-spares.cc
+++ b/src/group-spares.cc
@@ -21,7 +21,8 @@
     if (group.model != model.name) continue;
     if (this->dissolving.count(group.name) != 0) continue;
     if (this->warmups.count(group.name) != 0) continue;
-    if (this->in_closed_hall(s, group)) continue;
+    if (this->in_closed_hall(s, group) || this->lacks_answers(s, group))
+      continue;
     const auto without_weights = std::count_if(
         group.members.begin(), group.members.end(), [&](const auto& id) {
           return s.has_server(id) && !staged_on(s.entry(id), model);
--- a/src/node-settings.cc
+++ b/src/node-settings.cc
@@ -44,6 +44,7 @@
   if (evacuate > none) staleness.evacuate_deadline = evacuate;
   group_controller_options& groups = out.groups;
   groups.leaving_member_grace = leave_hold_fraction * staleness.drain_deadline;
+  groups.stall_time = milliseconds(bounds, "stall_ms", groups.stall_time);
   groups.load_window = seconds(bounds, "load_window_s", groups.load_window);
   groups.load_excess = bounds.number("load_excess", groups.load_excess, 0, 10);
   bounds.check_unknown_keys();
--- a/standin/fleet-emulator.cc
+++ b/standin/fleet-emulator.cc
@@ -72,6 +72,21 @@
   this->servers.at(id).isolated = isolated;
 }
 
+void fleet_emulator::set_silent(const std::string& id, bool silent) {
+  server& s = this->servers.at(id);
+  s.silent = silent;
+  if (silent) return;
+  for (const auto& order : s.unread)
+    this->late.push_back({order, absl::InfinitePast()});
+  s.unread.clear();
+}
+
+bool fleet_emulator::is_silent(const std::string& id) const {
+  const auto found = this->servers.find(id);
+  return found != this->servers.end() && found->second.alive &&
+         found->second.silent;
+}
+
 void fleet_emulator::drain(const std::string& id, absl::Time now) {
   server& s = this->servers.at(id);
   if (!s.alive) return;
@@ -223,6 +238,17 @@
   }
 }
 
+void fleet_emulator::check_leave(const server& s) {
+  const auto head = this->servers.find(s.members.front());
+  if (head == this->servers.end() || !head->second.alive) return;
+  const group_membership& membership = head->second.entry.membership;
+  const bool runs = membership.phase == member_phase::open ||
+                    membership.phase == member_phase::closing;
+  if (!runs || membership.group != s.entry.membership.group) return;
+  if (!this->group_complete(head->first)) return;
+  this->cut.push_back(membership.group);
+}
+
 order_result fleet_emulator::join(server& s, const group_order& order,
                                   absl::Time now) {
   if (order.epoch < s.max_epoch) return order_result::outdated_epoch;
@@ -299,6 +325,7 @@
       return order_result::begun;
     case group_order_kind::leave:
       if (!is_member) break;
+      this->check_leave(s);
       membership = {};
       s.phase_end = absl::InfiniteFuture();
       return order_result::already_done;
@@ -316,6 +343,10 @@
     return order_result::unreachable;
   }
   if (found->second.isolated) return no_answer;
+  if (found->second.silent) {
+    found->second.unread.push_back(order);
+    return no_answer;
+  }
   const double draw = this->random.unit();
   if (draw < this->faults.late) {
     this->late.push_back(
--- a/standin/fleet-emulator.h
+++ b/standin/fleet-emulator.h
@@ -62,6 +62,12 @@
   /// Isolates a server from callers and from its group, or ends the isolation.
   void set_isolated(const std::string& id, bool isolated);
 
+  /// Has a server accept connections without answering, or ends that. Its
+  /// streams stand still meanwhile; orders that it is sent are executed when it
+  /// goes on.
+  void set_silent(const std::string& id, bool silent);
+  bool is_silent(const std::string& id) const;
+
   /// Marks a server as draining in its entry.
   void drain(const std::string& id, absl::Time now);
 
@@ -92,6 +98,10 @@
   /// Descriptions of the rules that orders or openings have broken.
   const std::vector<std::string>& breaches() const { return this->breach_list; }
 
+  /// Groups that were left by a member, in this order, although their streams
+  /// would have gone on.
+  const std::vector<std::string>& cut_groups() const { return this->cut; }
+
   order_faults faults;
   /// Factor on the time of a load from the weight store.
   double load_factor = 1;
@@ -103,6 +113,9 @@
     server_entry entry;
     bool alive = true;
     bool isolated = false;
+    bool silent = false;
+    /// Orders that it was sent while it was silent.
+    std::vector<group_order> unread;
     /// Number of orders that it has started.
     int64_t orders = 0;
     /// Highest epoch of the groups it has joined.
@@ -140,6 +153,8 @@
   /// Records a breach if the group does not have its model's size or a member
   /// was never ready in it.
   void check_open(const server& head);
+  /// Records a cut if a server that leaves its group cuts running streams.
+  void check_leave(const server& s);
   /// Identifies a server's group by name, epoch and list of members.
   static std::string membership_key(const server& s);
   /// Whether a server is reachable and belongs to `head`'s group.
@@ -164,6 +179,7 @@
   std::vector<pending_change> pending;
   server_directory visible;
   std::vector<std::string> breach_list;
+  std::vector<std::string> cut;
   int64_t revision = 0;
   int next_id = 0;
 };
--- a/test/fleet-run.h
+++ b/test/fleet-run.h
@@ -65,7 +65,11 @@
           [](const auto& a, const auto& b) { return a.at < b.at; });
     }
     for (const auto& id : actions.report_requests) {
-      this->controller.on_report(id, this->fleet.report(id), this->now);
+      if (this->fleet.is_silent(id)) {
+        this->controller.on_silence(id, this->now);
+      } else {
+        this->controller.on_report(id, this->fleet.report(id), this->now);
+      }
     }
   }
 
--- a/test/group-controller-test.cc
+++ b/test/group-controller-test.cc
@@ -311,6 +311,75 @@
   EXPECT_EQ(run.fleet.serving("large"), 6);
 }
 
+/// A sound server that is silent for some seconds: the order to leave its group
+/// cut the streams that it would have gone on with.
+TEST(group_controller, cuts_no_streams_of_a_server_that_pauses) {
+  for (const int rank : {0, 1}) {
+    fleet_run run = serving_fleet(3, idle_spares());
+    const std::string id = member_of(run, "large", rank);
+    run.fleet.set_silent(id, true);
+    run.report_suspect(id);
+    run.run_for(absl::Seconds(4));
+    // It gets no new requests meanwhile.
+    EXPECT_EQ(run.controller.unresponsive_servers(),
+              std::vector<std::string>{id});
+    run.fleet.set_silent(id, false);
+    run.run_for(absl::Seconds(2));
+    EXPECT_TRUE(run.controller.unresponsive_servers().empty());
+    EXPECT_TRUE(run.fleet.cut_groups().empty()) << "rank " << rank;
+    EXPECT_EQ(run.fleet.serving("large"), 6);
+    EXPECT_TRUE(run.fleet.breaches().empty());
+  }
+}
+
+/// A repair during the silence must not take the hosts of silent spare groups.
+TEST(group_controller, cuts_no_streams_of_paused_spares_for_a_repair) {
+  fleet_run run = serving_fleet(2);
+  std::set<std::string> silent;
+  for (const auto& id : run.fleet.live_servers()) {
+    const server_entry* entry = run.fleet.directory().find(id);
+    const bool small = group_model(entry->membership.group) == "small";
+    if (!small || entry->domain != "d0") continue;
+    if (entry->membership.rank != 1) continue;
+    run.fleet.set_silent(id, true);
+    run.report_suspect(id);
+    silent.insert(id);
+  }
+  ASSERT_FALSE(silent.empty());
+  run.run_for(absl::Milliseconds(2500));
+  std::string lost;
+  for (const auto& id : run.fleet.live_servers()) {
+    const server_entry* entry = run.fleet.directory().find(id);
+    const bool large = group_model(entry->membership.group) == "large";
+    if (large && entry->domain == "d0" && entry->membership.rank == 1)
+      lost = id;
+  }
+  run.fleet.kill(lost, run.now);
+  run.report_suspect(lost);
+  run.run_for(absl::Milliseconds(1500));
+  for (const auto& id : silent) run.fleet.set_silent(id, false);
+  run.run_for(absl::Milliseconds(200));
+  EXPECT_TRUE(run.fleet.cut_groups().empty());
+  EXPECT_TRUE(run.fleet.breaches().empty());
+}
+
+/// A server that hangs for good: the engines cut off what depends on it, and
+/// its group is replaced after that.
+TEST(group_controller, replaces_a_group_whose_member_hangs) {
+  fleet_run run = serving_fleet(3, idle_spares());
+  const std::string id = member_of(run, "large", 1);
+  const std::string group = run.fleet.directory().find(id)->membership.group;
+  run.fleet.set_silent(id, true);
+  run.report_suspect(id);
+  run.run_for(absl::Milliseconds(7600));
+  for (const auto& other : run.fleet.live_servers()) {
+    if (other == id) continue;
+    EXPECT_NE(run.fleet.directory().find(other)->membership.group, group);
+  }
+  EXPECT_EQ(run.fleet.serving("large"), 6);
+  EXPECT_TRUE(run.fleet.breaches().empty());
+}
+
 TEST(group_controller, a_new_holder_does_not_reuse_hosts_whose_head_may_serve) {
   fleet_run run = serving_fleet(4);
   const std::string head = member_of(run, "large", 0);
--- a/test/node-settings-test.cc
+++ b/test/node-settings-test.cc
@@ -54,6 +54,7 @@
                "cores: 0.125\nmemory_mb: 160\n"
                "bounds:\n  keys_fail_closed: false\n  repeat_slack: 7\n"
                "  config_ms: 4000\n  drain_ms: 3000\n  evacuate_ms: 5000\n"
+               "  stall_ms: 4000\n"
                "policy:\n  repeat_failed_calls: false\n  spare_share: 0.3\n"
                "  spares_serve: false\n  warm_spares: false\n"
                "  smaller_yield: true\n  admit_in_time: true\n"
@@ -69,6 +70,7 @@
   EXPECT_EQ(settings.bounds.config_deadline, absl::Seconds(4));
   EXPECT_EQ(settings.bounds.drain_deadline, absl::Seconds(3));
   EXPECT_EQ(settings.groups.leaving_member_grace, absl::Milliseconds(2100));
+  EXPECT_EQ(settings.groups.stall_time, absl::Seconds(4));
   EXPECT_TRUE(settings.groups.smaller_yield);
   EXPECT_FALSE(settings.keys_fail_closed);
   EXPECT_EQ(settings.retries.slack, 7);
