Let streams end when a member of their group stops

Callers of a group with a member that announced its stop saw their streams end about 3 s later although server and member were sound: running streams got 1.5 s after the order to close, and then the head was ordered to leave, which cuts them. The platform says that a member that drains stays for as long as the head has work, at most 10 s.

The streams of such a group now get 8 s, the time that the streams of hosts that go to another model had already: after the 1.4 s in which the group still serves, that is within the 10 s. The head says itself when the last one has ended, and the hosts are free then, so that they are held only as long as an answer lasts.

lets_streams_end_when_a_member_stops (streams of 4 s; head and member) fails on the code before: cut_groups is not empty. group-controller-test: 35 of 35 pass.

--- a/include/spokesail/group-controller-options.h
+++ b/include/spokesail/group-controller-options.h
@@ -16,7 +16,7 @@
   absl::Duration probe_retry_interval = absl::Milliseconds(500);
   /// Time allowed for a group to form beyond what its slowest member needs.
   absl::Duration formation_slack = absl::Seconds(3);
-  /// How long running streams may take to end when a member is about to leave.
+  /// How long running streams may take to end when a repair needs their hosts.
   absl::Duration drain_timeout = absl::Milliseconds(1500);
   /// Maximum time for which a group keeps serving after a member has announced
   /// its stop: most of the time for which such a server still serves. Hosts
@@ -46,8 +46,9 @@
   /// Thresholds for changes of that allocation.
   reallocation_rules reallocation;
   /// How long the streams of a group may take to end when its hosts go to
-  /// another model: as long as callers wait for the longest answers.
-  absl::Duration reassign_drain_timeout = absl::Seconds(8);
+  /// another model or one of them stops: as long as callers wait for the
+  /// longest answers. A member that stops stays for somewhat longer.
+  absl::Duration long_drain_timeout = absl::Seconds(8);
   /// Window in which loads from the weight store are counted, and the factor by
   /// which the store's rate may be exceeded.
   absl::Duration load_window = absl::Seconds(5);
--- a/src/group-repair.cc
+++ b/src/group-repair.cc
@@ -129,15 +129,14 @@
                                        const group_view& group,
                                        absl::Time since, absl::Time now) const {
   if (!has_running_requests(group.head_phase)) return false;
-  const bool all_stay = std::all_of(group.members.begin(), group.members.end(),
-                                    [&](const auto& id) {
-                                      return !id.empty() && s.has_server(id) &&
-                                             !this->is_lost(s.track(id), now);
-                                    });
-  const absl::Duration timeout = this->reassigned_groups.count(group.name) != 0
-                                     ? this->options.reassign_drain_timeout
-                                     : this->options.drain_timeout;
-  return all_stay && now - since < timeout;
+  bool hosts_needed = this->reassigned_groups.count(group.name) == 0;
+  for (const auto& id : group.members) {
+    if (id.empty() || !s.has_server(id)) return false;
+    if (this->is_lost(s.track(id), now)) return false;
+    if (s.entry(id).draining) hosts_needed = false;
+  }
+  return now - since < (hosts_needed ? this->options.drain_timeout
+                                     : this->options.long_drain_timeout);
 }
 
 void group_controller::close_group(const service_state& s,
--- a/standin/fleet-emulator.cc
+++ b/standin/fleet-emulator.cc
@@ -14,9 +14,6 @@
 constexpr absl::Duration min_late_delay = absl::Seconds(2);
 constexpr absl::Duration late_delay_range = absl::Seconds(10);
 
-/// Time from the order to close a group until its running streams have ended.
-constexpr absl::Duration closing_time = absl::Seconds(1);
-
 /// The result that the sender of an order gets if no answer arrives.
 constexpr order_result no_answer = order_result::unknown;
 
@@ -321,7 +318,7 @@
     case group_order_kind::close:
       if (!is_member || membership.phase != member_phase::open) break;
       membership.phase = member_phase::closing;
-      s.phase_end = now + closing_time;
+      s.phase_end = now + this->closing_time;
       return order_result::begun;
     case group_order_kind::leave:
       if (!is_member) break;
--- a/standin/fleet-emulator.h
+++ b/standin/fleet-emulator.h
@@ -103,6 +103,8 @@
   const std::vector<std::string>& cut_groups() const { return this->cut; }
 
   order_faults faults;
+  /// Time from the order to close a group until its running streams have ended.
+  absl::Duration closing_time = absl::Seconds(1);
   /// Factor on the time of a load from the weight store.
   double load_factor = 1;
   /// Start times of the loads from the weight store.
--- a/test/group-controller-test.cc
+++ b/test/group-controller-test.cc
@@ -408,6 +408,20 @@
   EXPECT_TRUE(run.fleet.breaches().empty());
 }
 
+/// A member that stops stays until the running streams have ended: the order to
+/// leave cut those that took longer than 1.5 s.
+TEST(group_controller, lets_streams_end_when_a_member_stops) {
+  for (const int rank : {0, 1}) {
+    fleet_run run = serving_fleet(5, idle_spares());
+    run.fleet.closing_time = absl::Seconds(4);
+    run.fleet.drain(member_of(run, "small", rank), run.now);
+    run.run_for(absl::Seconds(8));
+    EXPECT_TRUE(run.fleet.cut_groups().empty()) << "rank " << rank;
+    EXPECT_EQ(run.fleet.serving("small"), 6) << "rank " << rank;
+    EXPECT_TRUE(run.fleet.breaches().empty());
+  }
+}
+
 /// A release: members of several groups announce their stop at once, and keep
 /// serving for a while.
 TEST(group_controller, groups_keep_serving_while_a_member_is_about_to_leave) {
