Take no stopping server that no longer listens for lost

Callers of a group with a member that was about to stop saw their streams end when another node took the lease. A server that stops refuses connections before its last answers end; a new holder, which asks all servers for a report, took that for a loss and ordered the head to leave, which cut the streams.

A server that has announced its stop and cannot be reached is lost only if nodes have seen it fail in traffic, as they do when the streams of its group stand still, or after the 10 s for which such a server stays at most. One that crashes while it stops is found as before.

--- a/include/spokesail/group-controller.h
+++ b/include/spokesail/group-controller.h
@@ -161,6 +161,8 @@
     absl::Time assumed_until = absl::InfinitePast();
     /// Whether the last probe went unanswered.
     bool unresponsive = false;
+    /// Whether it was reported to fail in traffic since its last report.
+    bool suspected = false;
     /// Since when it accepts connections without answering.
     absl::Time silent_since = absl::InfiniteFuture();
     /// Whether it was executing an order at the last probe.
@@ -239,7 +241,8 @@
   /// Whether the server answers and has not announced its stop.
   bool usable(const server_entry& entry) const;
   /// Whether the requests that depend on a server have ended or will never
-  /// end: it cannot be reached, or has been silent for the stall time.
+  /// end: it cannot be reached, or has been silent for the stall time. That a
+  /// server which stops no longer listens does not show it.
   bool is_lost(const server_track& track, absl::Time now) const;
   /// Whether a group cannot serve at the moment since a member does not answer.
   bool lacks_answers(const service_state& s, const group_view& group) const;
--- a/src/group-controller.cc
+++ b/src/group-controller.cc
@@ -22,6 +22,10 @@
 /// itself is isolated, however small the fleet is.
 constexpr size_t max_ignored_unresponsive = 2;
 
+/// A server that has announced its stop stays for this long at most while a
+/// group that it is in has running requests.
+constexpr absl::Duration max_leaving_time = absl::Seconds(10);
+
 /// Period of the summary of models; short enough to see in a log why a group
 /// was missing when a request found none.
 constexpr absl::Duration summary_period = absl::Seconds(2);
@@ -105,7 +109,9 @@
 void group_controller::suspect(const std::string& server, absl::Time now) {
   if (!this->active()) return;
   const auto found = this->tracks.find(server);
-  if (found == this->tracks.end() || found->second.unresponsive) return;
+  if (found == this->tracks.end()) return;
+  found->second.suspected = true;
+  if (found->second.unresponsive) return;
   found->second.probe_at = std::min(found->second.probe_at, now);
 }
 
@@ -171,6 +177,7 @@
   if (report->incarnation > track.incarnation)
     this->reset_after_restart(track, *report, now);
   track.unresponsive = false;
+  track.suspected = false;
   track.silent_since = absl::InfiniteFuture();
   track.probe_at = absl::InfiniteFuture();
   if (!track.pending) track.orders_started = report->orders_started;
@@ -229,6 +236,9 @@
 bool group_controller::is_lost(const server_track& track,
                                absl::Time now) const {
   if (!track.unresponsive) return false;
+  const bool leaving = track.leaving_since != absl::InfiniteFuture() &&
+                       now - track.leaving_since < max_leaving_time;
+  if (leaving && !track.suspected) return false;
   const bool silent = track.silent_since != absl::InfiniteFuture();
   return !silent || now - track.silent_since >= this->options.stall_time;
 }
--- a/standin/fleet-emulator.cc
+++ b/standin/fleet-emulator.cc
@@ -78,6 +78,10 @@
   s.unread.clear();
 }
 
+void fleet_emulator::stop_listening(const std::string& id) {
+  this->servers.at(id).listens = false;
+}
+
 bool fleet_emulator::is_silent(const std::string& id) const {
   const auto found = this->servers.find(id);
   return found != this->servers.end() && found->second.alive &&
@@ -336,7 +340,8 @@
 order_result fleet_emulator::send_order(const group_order& order,
                                         absl::Time now) {
   const auto found = this->servers.find(order.server);
-  if (found == this->servers.end() || !found->second.alive) {
+  if (found == this->servers.end() || !found->second.alive ||
+      !found->second.listens) {
     return order_result::unreachable;
   }
   if (found->second.isolated) return no_answer;
@@ -361,7 +366,7 @@
     const std::string& id) const {
   const auto found = this->servers.find(id);
   if (found == this->servers.end() || !found->second.alive ||
-      found->second.isolated) {
+      !found->second.listens || found->second.isolated) {
     return std::nullopt;
   }
   server_report out;
--- a/standin/fleet-emulator.h
+++ b/standin/fleet-emulator.h
@@ -68,6 +68,10 @@
   void set_silent(const std::string& id, bool silent);
   bool is_silent(const std::string& id) const;
 
+  /// Has a server accept no more connections, as at the end of its drain time.
+  /// The streams of its group go on.
+  void stop_listening(const std::string& id);
+
   /// Marks a server as draining in its entry.
   void drain(const std::string& id, absl::Time now);
 
@@ -116,6 +120,7 @@
     bool alive = true;
     bool isolated = false;
     bool silent = false;
+    bool listens = true;
     /// Orders that it was sent while it was silent.
     std::vector<group_order> unread;
     /// Number of orders that it has started.
--- a/test/group-controller-test.cc
+++ b/test/group-controller-test.cc
@@ -422,6 +422,40 @@
   }
 }
 
+/// A server that stops refuses connections before its last answers end. A new
+/// holder, which asks all servers for a report, took it for lost, and the order
+/// to leave cut the streams.
+TEST(group_controller, lets_streams_end_when_a_member_no_longer_listens) {
+  for (const int rank : {0, 1}) {
+    fleet_run run = serving_fleet(5, idle_spares());
+    run.fleet.closing_time = absl::Seconds(4);
+    const std::string leaving = member_of(run, "small", rank);
+    run.fleet.drain(leaving, run.now);
+    run.run_for(absl::Seconds(2));
+    run.fleet.stop_listening(leaving);
+    run.begin_term();
+    run.run_for(absl::Seconds(6));
+    EXPECT_TRUE(run.fleet.cut_groups().empty()) << "rank " << rank;
+    EXPECT_EQ(run.fleet.serving("small"), 6) << "rank " << rank;
+    EXPECT_TRUE(run.fleet.breaches().empty());
+  }
+}
+
+/// A server that crashes while it stops: its group must not keep the others.
+TEST(group_controller, replaces_a_group_whose_member_crashes_while_it_stops) {
+  for (const int rank : {0, 1}) {
+    fleet_run run = serving_fleet(5, idle_spares());
+    const std::string leaving = member_of(run, "small", rank);
+    run.fleet.drain(leaving, run.now);
+    run.run_for(absl::Seconds(1));
+    run.fleet.kill(leaving, run.now);
+    run.report_suspect(leaving);
+    run.run_for(absl::Milliseconds(7600));
+    EXPECT_EQ(run.fleet.serving("small"), 6) << "rank " << rank;
+    EXPECT_TRUE(run.fleet.breaches().empty());
+  }
+}
+
 /// A release: members of several groups announce their stop at once, and keep
 /// serving for a while.
 TEST(group_controller, groups_keep_serving_while_a_member_is_about_to_leave) {
