Let the stand-in's servers be silent or slow as its control calls say

Which servers, from when and for how long, and one after the other could not be set from outside, there were no slow servers, and the configuration could be changed in its keys only.

The record lists the requests that have reached a server, even a silent one.

--- a/standin/fleet-control.cc
+++ b/standin/fleet-control.cc
@@ -1,17 +1,43 @@
 // Implementation of the control calls.
 #include "fleet-control.h"
 
+#include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
 
 namespace spokesail::standin {
 
 using json = nlohmann::json;
 
+namespace {
+
+/// Selects the servers and the period that `body` gives; no server by default.
+void read_selection(const json& body, server_selection& out) {
+  out.servers = body.value("servers", std::set<std::string>());
+  out.service = body.value("service", "");
+  out.share = body.value("share", 0.0);
+  out.from = absl::Now() + absl::Milliseconds(body.value("from_ms", 0));
+  out.until = body.contains("for_ms")
+                  ? out.from + absl::Milliseconds(body.at("for_ms").get<int>())
+                  : absl::InfiniteFuture();
+}
+
+bool selects_servers(const server_selection& selection) {
+  return !selection.servers.empty() || selection.share > 0;
+}
+
+}  // namespace
+
 json fleet_control::handle(const std::string& call, const json& body) {
   if (call == "/address") return {{"store", this->fleet.store_address()}};
   if (call == "/record") return this->record();
   if (call == "/keys") {
-    this->fleet.configure(this->fleet.sample_config(body));
+    this->keys = body;
+    this->configure();
+    return json::object();
+  }
+  if (call == "/configure") {
+    this->changes.update(body);
+    this->configure();
     return json::object();
   }
   if (call == "/faults") return this->set_faults(body);
@@ -20,9 +46,11 @@
     return json::object();
   }
   if (call == "/silent") {
-    silence_settings& silence = this->fleet.faults.silence;
-    silence.servers = body.at("servers").get<std::set<std::string>>();
-    silence.active = !silence.servers.empty();
+    this->set_silence(body);
+    return json::object();
+  }
+  if (call == "/slow") {
+    this->set_slowness(body);
     return json::object();
   }
   if (call == "/drain") {
@@ -34,12 +62,45 @@
 
 json fleet_control::record() const {
   return {{"runs", this->fleet.record.runs},
+          {"received", this->fleet.record.received},
           {"workspaces", this->fleet.record.workspaces},
           {"breaches", this->fleet.engines().breaches()},
           {"servers", this->fleet.engines().live_servers()},
           {"serving", this->fleet.serving("large")}};
 }
 
+void fleet_control::set_silence(const json& body) {
+  silence_settings& silence = this->fleet.faults.silence;
+  read_selection(body, silence);
+  silence.active = selects_servers(silence);
+  silence.gap = absl::Milliseconds(body.value("gap_ms", 0));
+}
+
+void fleet_control::set_slowness(const json& body) {
+  slowness_settings& slowness = this->fleet.faults.slowness;
+  read_selection(body, slowness);
+  slowness.active = selects_servers(slowness);
+  slowness.max_delay = absl::Milliseconds(body.value("max_delay_ms", 0));
+}
+
+void fleet_control::configure() {
+  json spec = this->fleet.sample_config(this->keys);
+  json& limits = spec["limits"];
+  limits["idle_timeout_ms"] =
+      this->changes.value("idle_timeout_ms", limits["idle_timeout_ms"]);
+  for (json& route : spec["routes"]) {
+    route["timeout_ms"] =
+        this->changes.value("timeout_ms", route["timeout_ms"]);
+  }
+  for (int i = 0; i < this->changes.value("added_routes", 0); ++i) {
+    json route = spec["routes"].back();
+    route["name"] = absl::StrCat("added-", i);
+    route["prefix"] = absl::StrCat("/added-", i, "/");
+    spec["routes"].push_back(route);
+  }
+  this->fleet.configure(spec);
+}
+
 json fleet_control::set_faults(const json& body) {
   fleet_faults& f = this->fleet.faults;
   f.store_silent = body.value("store_silent", f.store_silent);
--- a/standin/fleet-control.h
+++ b/standin/fleet-control.h
@@ -22,8 +22,16 @@
   nlohmann::json record() const;
   /// Sets the faults given in `body`; others are unchanged.
   nlohmann::json set_faults(const nlohmann::json& body);
+  /// Silences servers, or makes them slow, as `body` says; see soak/README.md.
+  void set_silence(const nlohmann::json& body);
+  void set_slowness(const nlohmann::json& body);
+  /// Writes a new version of the configuration, with the changes of all calls.
+  void configure();
 
   fleet_standin& fleet;
+  nlohmann::json keys = {"key-1", "key-2"};
+  /// Settings that differ from the sample configuration.
+  nlohmann::json changes = nlohmann::json::object();
 };
 
 }  // namespace spokesail::standin
--- a/standin/fleet-main.cc
+++ b/standin/fleet-main.cc
@@ -56,6 +56,8 @@
           "delay from startup until they fall silent");
 ABSL_FLAG(absl::Duration, silent_for, absl::Seconds(1),
           "how long they are silent");
+ABSL_FLAG(absl::Duration, silent_gap, absl::ZeroDuration(),
+          "delay from the silence of one of them to that of the next");
 
 ABSL_FLAG(std::string, framing, "",
           "framing of answers, chunked, length or close; empty for the usual");
@@ -166,6 +168,7 @@
                 absl::GetFlag(FLAGS_silent_from),
                 absl::GetFlag(FLAGS_silent_for));
   out.active = out.share > 0;
+  out.gap = absl::GetFlag(FLAGS_silent_gap);
   return out;
 }
 
--- a/standin/fleet-standin.cc
+++ b/standin/fleet-standin.cc
@@ -239,6 +239,7 @@
     auto [error, size] =
         co_await http::async_read(*socket, buffer, in, use_tuple);
     if (error) break;
+    this->record.received.insert(header_value(in, "X-Request-Id"));
     if (!co_await this->wait_for_link(h, socket)) break;
     const bool stream = !h.plain && this->emulator.is_open_head(h.id) &&
                         in.method() == http::verb::post &&
@@ -288,10 +289,7 @@
   this->record.requests_by_hall[h.hall]++;
 }
 
-bool fleet_standin::is_selected(const host& h,
-                                const server_selection& selection) {
-  const absl::Time now = absl::Now();
-  if (now < selection.from || now >= selection.until) return false;
+bool fleet_standin::contains(const server_selection& selection, const host& h) {
   if (!selection.servers.empty()) return selection.servers.count(h.id) != 0;
   const bool is_engine = selection.service == engine_service_name;
   if (!selection.service.empty() && is_engine == h.plain) return false;
@@ -300,6 +298,13 @@
          selection.share * buckets;
 }
 
+bool fleet_standin::is_selected(const host& h,
+                                const server_selection& selection) {
+  const absl::Time now = absl::Now();
+  return now >= selection.from && now < selection.until &&
+         contains(selection, h);
+}
+
 std::string fleet_standin::advertised_limit(const host& h) const {
   const limit_settings& settings = this->faults.limit;
   return is_selected(h, settings) ? settings.per_s : "";
@@ -312,7 +317,19 @@
 
 bool fleet_standin::is_silent(const host& h) const {
   const silence_settings& settings = this->faults.silence;
-  return settings.active && is_selected(h, settings);
+  if (!settings.active || !contains(settings, h)) return false;
+  absl::Time now = absl::Now();
+  for (const auto& other : this->hosts) {
+    if (other.get() == &h) break;
+    if (contains(settings, *other)) now -= settings.gap;
+  }
+  return now >= settings.from && now < settings.until;
+}
+
+absl::Duration fleet_standin::draw_delay(const host& h) {
+  const slowness_settings& settings = this->faults.slowness;
+  const bool slow = settings.active && is_selected(h, settings);
+  return slow ? settings.max_delay * this->random.unit() : absl::ZeroDuration();
 }
 
 bool fleet_standin::rejects(const host& h) const {
@@ -396,6 +413,8 @@
   const bool wrong_id = this->faults.cross_plain_answers && h.plain;
   if (!id.empty()) out.set("X-Request-Id", wrong_id ? "another" : id);
   this->add_state_headers(h, out);
+  const absl::Duration delay = this->draw_delay(h);
+  if (delay > absl::ZeroDuration()) co_await sleep_for(delay);
   if (!co_await this->wait_for_link(h, socket)) co_return false;
   const bool ran = out.find("X-Response-Stamp") != out.end();
   if (ran && this->faults.shape.active && is_selected(h, this->faults.shape)) {
@@ -511,7 +530,7 @@
   if (!begun) co_return false;
   int sent = 0;
   for (const std::string& event : events) {
-    co_await sleep_for(this->faults.event_interval);
+    co_await sleep_for(this->faults.event_interval + this->draw_delay(h));
     while (!this->emulator.group_complete(h.id) ||
            this->faults.stalled_head == h.id) {
       if (!socket->is_open()) co_return false;
--- a/standin/fleet-standin.h
+++ b/standin/fleet-standin.h
@@ -20,6 +20,7 @@
 #include "answer-writer.h"
 #include "fleet-emulator.h"
 #include "server-links.h"
+#include "spokesail/hash.h"
 
 namespace spokesail::standin {
 
@@ -66,6 +67,17 @@
 /// happened.
 struct silence_settings : server_selection {
   bool active = false;
+  /// Delay from the silence of one selected server to that of the next; zero if
+  /// all are silent at once.
+  absl::Duration gap;
+};
+
+/// Servers that are late with each answer, reports included, and with each
+/// event of a stream, as on a busy machine.
+struct slowness_settings : server_selection {
+  bool active = false;
+  /// Upper bound of the delays, which are random.
+  absl::Duration max_delay;
 };
 
 /// How servers frame and break off the answers to requests that they run.
@@ -130,6 +142,7 @@
   rejection_settings rejection;
   departure_settings departure;
   silence_settings silence;
+  slowness_settings slowness;
   shape_settings shape;
   crash_part_settings crash_part;
   /// Time between two events of a stream.
@@ -151,6 +164,8 @@
   /// Requests that reached their intended server, whether run or rejected, in
   /// order of arrival.
   std::vector<server_run> arrivals;
+  /// Ids of the requests that have reached a server, even if it is silent.
+  std::set<std::string> received;
   /// Requests that a server turned away because of `rejection`, in order.
   std::vector<server_run> rejections;
   /// Number of runs by request id.
@@ -264,6 +279,8 @@
                                             const request& in);
   /// Records that a server starts to run a request.
   void record_run(const host& h, const std::string& id);
+  /// Whether a selection contains a host, at any time.
+  static bool contains(const server_selection& selection, const host& h);
   /// Whether a host is selected at the current time.
   static bool is_selected(const host& h, const server_selection& selection);
   /// Adds the headers by which a host reports its own state.
@@ -282,6 +299,8 @@
   boost::asio::awaitable<bool> wait_for_link(const host& h, socket_ptr socket);
   /// Whether a host neither reads nor writes.
   bool is_silent(const host& h) const;
+  /// How late a host is with its next answer or event.
+  absl::Duration draw_delay(const host& h);
   /// Whether a host turns all requests away.
   bool rejects(const host& h) const;
   /// Records that a host turns a request away, and returns its answer.
@@ -317,6 +336,7 @@
   std::map<std::string, std::map<std::string, stored_object>> objects_by_kind;
   int64_t revision = 0;
   std::vector<std::unique_ptr<host>> hosts;
+  random_stream random{std::mt19937_64(1)};
 };
 
 }  // namespace spokesail::standin
