Soak sound servers that are silent or slow beside planned work

A first half of each run has planned stops only; through both halves go a series of changes of the configuration, SIGHUP and bursts of callers, and one of silent and slow servers. No request that a server has received may be cut off, and none may fail, unless an unplanned fault may have done so or, beside late servers, its deadline has passed. Callers leave it to the node to close connections.

--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -5,6 +5,8 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -25,7 +27,6 @@
 constexpr uint64_t request_kinds = 3;
 /// Number of events in each stream of the emulated engines.
 constexpr int stream_events = 12;
-constexpr absl::Duration request_deadline = absl::Seconds(4);
 /// A caller closes its connection this long after the deadline of a request.
 constexpr absl::Duration response_grace = absl::Seconds(2);
 /// Longest pause between two requests of one caller.
@@ -148,6 +149,14 @@
   return out;
 }
 
+void caller::keep_until_closed() {
+  auto kept = std::make_shared<tcp::socket>(std::move(this->socket));
+  auto wait = [](std::shared_ptr<tcp::socket> open) -> net::awaitable<void> {
+    co_await open->async_wait(tcp::socket::wait_read, use_tuple);
+  };
+  net::co_spawn(this->loop, wait(std::move(kept)), net::detached);
+}
+
 net::awaitable<void> caller::send_one() {
   const bool connected = this->socket.is_open() || co_await this->connect();
   if (!connected) {
@@ -166,11 +175,12 @@
   record.ended = boot_now();
   if (complete) {
     record.outcome = this->classify(id, info, in);
+    record.status = in.result_int();
   } else if (info.kind == request_kind::stream && in.result_int() == 200) {
     this->check_events(id, in.body(), false);
   }
-  if (!complete || !in.keep_alive())
-    detail::close_ignoring_errors(this->socket);
+  if (!complete) detail::close_ignoring_errors(this->socket);
+  if (complete && !in.keep_alive()) this->keep_until_closed();
 }
 
 net::awaitable<void> caller::run() {
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -20,6 +20,9 @@
 
 namespace spokesail::soak {
 
+/// The deadline of each request.
+inline constexpr absl::Duration request_deadline = absl::Seconds(4);
+
 /// The route of a request, and how often it may run.
 enum class request_kind {
   /// A stream that may be resumed at another server.
@@ -53,6 +56,8 @@
   absl::Time sent;
   absl::Time ended = absl::InfiniteFuture();
   request_outcome outcome = request_outcome::cut;
+  /// Status of the response; 0 if it was not complete.
+  unsigned status = 0;
   bool operator==(const sent_request&) const = default;
 };
 
@@ -90,6 +95,8 @@
   /// response was complete.
   boost::asio::awaitable<bool> read_response(response& in);
   request compose(const std::string& id, const sent_request& info) const;
+  /// Leaves it to the node to close the connection.
+  void keep_until_closed();
   /// Checks a complete response. Returns the outcome of the request.
   request_outcome classify(const std::string& id, const sent_request& info,
                            const response& in);
--- a/soak/soak-checks.cc
+++ b/soak/soak-checks.cc
@@ -95,25 +95,31 @@
 }
 
 bool soak_run::may_be_fault_effect(const sent_request& r) const {
-  return std::any_of(this->fault_windows.begin(), this->fault_windows.end(),
-                     [&](const auto& fault) {
-                       return !fault.planned &&
-                              fault.from <= r.ended + margin_before_fault &&
-                              fault.to + margin_after_fault >= r.sent;
-                     });
+  const bool overdue = r.ended - r.sent >= request_deadline;
+  return std::any_of(
+      this->fault_windows.begin(), this->fault_windows.end(),
+      [&](const auto& fault) {
+        const bool ends_requests = !fault.planned || (fault.delays && overdue);
+        return ends_requests && fault.from <= r.ended + margin_before_fault &&
+               fault.to + margin_after_fault >= r.sent;
+      });
 }
 
 void soak_run::check_planned_stops(const nlohmann::json& record) {
-  const auto runs = record.value("runs", std::map<std::string, int>());
+  const auto received = record.value("received", std::set<std::string>());
   for (const auto& c : this->callers) {
     for (const auto& [id, r] : c->requests()) {
       // A request that reached no server may have been sent while the node was
       // closing the connection, which is allowed.
-      if (r.outcome != request_outcome::cut || runs.count(id) == 0) continue;
+      const bool cut =
+          r.outcome == request_outcome::cut && received.count(id) != 0;
+      if (!cut && r.outcome != request_outcome::failed) continue;
       if (r.ended == absl::InfiniteFuture()) continue;
       if (this->may_be_fault_effect(r)) continue;
-      this->result.breaches.push_back(id +
-                                      ": cut off without an unplanned fault");
+      this->result.breaches.push_back(absl::StrCat(
+          id, ": ", cut ? "cut off" : absl::StrCat("failed with ", r.status),
+          " without an unplanned fault, at node-", r.node, " after ",
+          absl::ToInt64Milliseconds(r.ended - r.sent), " ms"));
     }
   }
 }
--- a/soak/soak-faults.cc
+++ b/soak/soak-faults.cc
@@ -52,6 +52,17 @@
   return this->fault_windows.size() - 1;
 }
 
+net::awaitable<void> soak_run::inject_planned_stops() {
+  // This phase does not change which faults the seed draws after it.
+  const random_stream before = this->random;
+  const absl::Time until = boot_now() + this->options.time;
+  while (boot_now() < until) {
+    co_await sleep_for(this->random_duration(min_fault_gap, max_fault_gap));
+    co_await this->restart_node(SIGTERM);
+  }
+  this->random = before;
+}
+
 net::awaitable<void> soak_run::inject_faults() {
   const absl::Time until = boot_now() + this->options.time;
   while (boot_now() < until) {
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -109,6 +109,7 @@
 }
 
 bool soak_run::start_process(entry_host& host) {
+  host.started = boot_now();
   return host.process.start(
       {this->options.node_program, "node", "--settings=" + host.settings_file},
       host.log_file);
@@ -146,11 +147,10 @@
   co_return true;
 }
 
-void soak_run::start_callers() {
+void soak_run::start_callers(const std::string& prefix, random_stream& draws) {
   for (int i = 0; i < this->options.callers; ++i) {
-    this->callers.push_back(
-        std::make_unique<caller>(this->loop, this->addresses,
-                                 absl::StrCat("c", i), this->random.engine()));
+    this->callers.push_back(std::make_unique<caller>(
+        this->loop, this->addresses, absl::StrCat(prefix, i), draws.engine()));
     net::co_spawn(this->loop, this->callers.back()->run(), net::detached);
   }
 }
@@ -171,8 +171,12 @@
         "startup failed: not all nodes serve requests");
     co_return this->result;
   }
-  this->start_callers();
+  this->start_callers("c", this->random);
+  this->start_series();
+  co_await this->inject_planned_stops();
   co_await this->inject_faults();
+  this->series_over = true;
+  while (this->active_series > 0) co_await sleep_for(poll_interval);
   if (!co_await this->wait_until_serving(serving_timeout)) {
     this->result.breaches.push_back(
         "not all nodes serve requests after the last fault");
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -23,7 +23,7 @@
   uint64_t seed = 1;
   int nodes = 3;
   int callers = 8;
-  /// How long faults are injected.
+  /// How long each of the two phases lasts.
   absl::Duration time = absl::Seconds(12);
   /// Paths of the programs, and the folder for settings and logs.
   std::string node_program;
@@ -56,6 +56,7 @@
     child_process process;
     /// Whether its process has been killed since its last start.
     bool killed = false;
+    absl::Time started;
     std::unique_ptr<fault_proxy> callers_proxy;
     std::unique_ptr<fault_proxy> store_proxy;
   };
@@ -65,6 +66,9 @@
     absl::Time to = absl::InfiniteFuture();
     /// Whether the fault is planned and must not cut off any request.
     bool planned = false;
+    /// Whether sound servers answer late meanwhile, so that requests may miss
+    /// their deadlines.
+    bool delays = false;
   };
 
   boost::asio::awaitable<bool> start_fleet();
@@ -75,7 +79,8 @@
   /// the limit.
   boost::asio::awaitable<bool> wait_until_serving(absl::Duration limit);
   boost::asio::awaitable<bool> is_serving(const std::string& address);
-  void start_callers();
+  /// Starts as many callers as the options say.
+  void start_callers(const std::string& prefix, random_stream& draws);
   /// Stops the callers and waits until their last requests have ended.
   boost::asio::awaitable<void> stop_callers();
   /// Sends a control call to the fleet's process. Returns null if it does not
@@ -85,6 +90,8 @@
 
   // Faults: soak-faults.cc.
 
+  /// Stops and restarts nodes as planned, one after the other.
+  boost::asio::awaitable<void> inject_planned_stops();
   /// Injects faults at random intervals; several may be active at once.
   boost::asio::awaitable<void> inject_faults();
   /// Injects one fault and waits for its end.
@@ -102,6 +109,20 @@
   entry_host& random_host();
   size_t begin_fault(const char* what, bool planned);
 
+  // Planned work and sound servers that are late: soak-series.cc.
+
+  /// Starts both series, which go on until `series_over`.
+  void start_series();
+  /// Changes of the configuration, SIGHUP and bursts of callers.
+  boost::asio::awaitable<void> work_in_series();
+  boost::asio::awaitable<void> change_config(const char* setting,
+                                             int64_t value);
+  void hang_up(entry_host& host);
+  boost::asio::awaitable<void> burst(random_stream& draws);
+  /// Sound servers that are silent or slow.
+  boost::asio::awaitable<void> pause_in_series();
+  boost::asio::awaitable<void> pause_servers(random_stream& draws);
+
   // Checks: soak-checks.cc.
 
   /// Checks the callers' results against the fleet's record of runs.
@@ -114,10 +135,11 @@
   /// Checks that no request ran with a key that had been revoked for longer
   /// than the deadline.
   void check_keys(const nlohmann::json& record);
-  /// Checks that no request that had reached a server was cut off, except by an
-  /// unplanned fault.
+  /// Checks that no request that had reached a server was cut off, and none
+  /// failed, except by an unplanned fault or by its deadline while servers were
+  /// late.
   void check_planned_stops(const nlohmann::json& record);
-  /// Whether an unplanned fault may have cut off this request.
+  /// Whether a fault may have ended this request.
   bool may_be_fault_effect(const sent_request& r) const;
 
   boost::asio::io_context& loop;
@@ -132,6 +154,8 @@
   std::vector<std::unique_ptr<caller>> callers;
   std::vector<fault_window> fault_windows;
   int active_faults = 0;
+  int active_series = 0;
+  bool series_over = false;
   /// Whether the second key is currently revoked.
   bool key_revoked = false;
   /// Periods during which the second key was revoked, each from the response to
