--- a/soak/soak-series.cc
+++ b/soak/soak-series.cc
@@ -49,7 +49,11 @@
   for (auto series : {&soak_run::work_in_series, &soak_run::pause_in_series}) {
     this->active_series++;
     net::co_spawn(this->loop, (this->*series)(),
-                  [this](std::exception_ptr) { this->active_series--; });
+                  [this](std::exception_ptr failed) {
+                    if (failed)
+                      this->result.breaches.push_back("a series has failed");
+                    this->active_series--;
+                  });
   }
 }
 
@@ -115,6 +119,19 @@
   }
 }
 
+net::awaitable<std::vector<std::string>> soak_run::some_servers(
+    random_stream& draws) {
+  const uint64_t chosen = draws.below(uint64_t{1} << fleet_servers);
+  const json record = co_await this->control_fleet("/record", nullptr);
+  auto servers = record.value("servers", std::vector<std::string>());
+  servers.insert(servers.end(), {"p0", "p1"});
+  std::vector<std::string> out;
+  for (size_t i = 0; i < servers.size(); ++i) {
+    if ((chosen >> i & 1) != 0) out.push_back(servers[i]);
+  }
+  co_return out;
+}
+
 net::awaitable<void> soak_run::pause_servers(random_stream& draws) {
   static const char* const services[] = {"", "lm", "status"};
   const uint64_t kind = draws.below(4);
@@ -122,7 +139,8 @@
   absl::Duration gap;
   json body = json::object();
   body["service"] = services[draws.below(std::size(services))];
-  body["share"] = kind == 1 ? draws.unit() : 1;
+  body["share"] = 1;
+  if (kind == 1) body["servers"] = co_await this->some_servers(draws);
   // Servers that are silent one after the other overlap at most in part.
   if (kind == 2) gap = draw(draws, absl::ZeroDuration(), max_server_gap);
   body["gap_ms"] = absl::ToInt64Milliseconds(gap);
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -121,6 +121,8 @@
   boost::asio::awaitable<void> burst(random_stream& draws);
   /// Sound servers that are silent or slow.
   boost::asio::awaitable<void> pause_in_series();
+  boost::asio::awaitable<std::vector<std::string>> some_servers(
+      random_stream& draws);
   boost::asio::awaitable<void> pause_servers(random_stream& draws);
 
   // Checks: soak-checks.cc.
