--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -172,7 +172,13 @@
     co_return this->result;
   }
   this->start_callers("c", this->random);
-  this->start_series();
+  const auto on_end = [this](std::exception_ptr failed) {
+    if (failed) this->result.breaches.push_back("a series has failed");
+    this->active_series--;
+  };
+  this->active_series = 2;
+  net::co_spawn(this->loop, this->work_in_series(), on_end);
+  net::co_spawn(this->loop, this->pause_in_series(), on_end);
   co_await this->inject_planned_stops();
   co_await this->inject_faults();
   this->series_over = true;
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -109,21 +109,12 @@
   entry_host& random_host();
   size_t begin_fault(const char* what, bool planned);
 
-  // Planned work and sound servers that are late: soak-series.cc.
+  // Series, which go on until `series_over`: soak-series.cc.
 
-  /// Starts both series, which go on until `series_over`.
-  void start_series();
   /// Changes of the configuration, SIGHUP and bursts of callers.
   boost::asio::awaitable<void> work_in_series();
-  boost::asio::awaitable<void> change_config(const char* setting,
-                                             int64_t value);
-  void hang_up(entry_host& host);
-  boost::asio::awaitable<void> burst(random_stream& draws);
   /// Sound servers that are silent or slow.
   boost::asio::awaitable<void> pause_in_series();
-  boost::asio::awaitable<std::vector<std::string>> some_servers(
-      random_stream& draws);
-  boost::asio::awaitable<void> pause_servers(random_stream& draws);
 
   // Checks: soak-checks.cc.
 
