Count requests that a silent server holds as run in the soak

A server that was silent runs what it has received before, and cannot know that the node has closed the connection meanwhile; the stand-in drops it. A request that it holds may not be refused as not run, and one that may run only once may not run elsewhere.

--- a/soak/soak-checks.cc
+++ b/soak/soak-checks.cc
@@ -47,11 +47,16 @@
   const auto runs = record.value("runs", std::map<std::string, int>());
   const auto workspaces =
       record.value("workspaces", std::map<std::string, std::string>());
+  const auto abandoned = record.value("abandoned", std::set<std::string>());
   auto& breaches = this->result.breaches;
   size_t matched = 0;
   for (const auto& c : this->callers) {
     for (const auto& [id, r] : c->requests()) {
       const auto ran = runs.find(id);
+      if (abandoned.count(id) != 0 && r.outcome == request_outcome::refused) {
+        breaches.push_back(id +
+                           ": refused as not run, but a silent server has it");
+      }
       if (ran == runs.end()) continue;
       ++matched;
       if (r.outcome == request_outcome::refused) {
@@ -60,6 +65,9 @@
       if (r.kind == request_kind::once && ran->second > 1) {
         breaches.push_back(id + ": ran more than once, but may run only once");
       }
+      if (r.kind == request_kind::once && abandoned.count(id) != 0) {
+        breaches.push_back(id + ": ran although a silent server has it, too");
+      }
       if (workspaces.at(id) != "north") {
         breaches.push_back(id + ": ran for another workspace");
       }
--- a/standin/fleet-control.cc
+++ b/standin/fleet-control.cc
@@ -63,6 +63,7 @@
 json fleet_control::record() const {
   return {{"runs", this->fleet.record.runs},
           {"received", this->fleet.record.received},
+          {"abandoned", this->fleet.record.abandoned},
           {"workspaces", this->fleet.record.workspaces},
           {"breaches", this->fleet.engines().breaches()},
           {"servers", this->fleet.engines().live_servers()},
--- a/standin/fleet-standin.cc
+++ b/standin/fleet-standin.cc
@@ -239,8 +239,12 @@
     auto [error, size] =
         co_await http::async_read(*socket, buffer, in, use_tuple);
     if (error) break;
-    this->record.received.insert(header_value(in, "X-Request-Id"));
-    if (!co_await this->wait_for_link(h, socket)) break;
+    const std::string id = header_value(in, "X-Request-Id");
+    this->record.received.insert(id);
+    if (!co_await this->wait_for_link(h, socket)) {
+      this->record.abandoned.insert(id);
+      break;
+    }
     const bool stream = !h.plain && this->emulator.is_open_head(h.id) &&
                         in.method() == http::verb::post &&
                         in.target() != "/spokesail/order";
--- a/standin/fleet-standin.h
+++ b/standin/fleet-standin.h
@@ -166,6 +166,9 @@
   std::vector<server_run> arrivals;
   /// Ids of the requests that have reached a server, even if it is silent.
   std::set<std::string> received;
+  /// Those among them whose connection was closed while the server was silent;
+  /// they count as not run, but a real server could not know that they ended.
+  std::set<std::string> abandoned;
   /// Requests that a server turned away because of `rejection`, in order.
   std::vector<server_run> rejections;
   /// Number of runs by request id.
