Take no server that closes a connection for lost

Callers saw all streams of a group end when one of its servers had too many connections and reset the one on which the holder of the lease asked for a report. Any probe without an answer other than silence counted as a loss, and the order to leave cut the streams.

A connection that was accepted and closed without an answer counts as silence now: no new requests after 2 s, dissolved after the stall time. The first silence is followed by another probe at once, since a kept connection may have lost its server: a crashed server refuses that one and counts as lost then.

--- a/include/spokesail/group-controller.h
+++ b/include/spokesail/group-controller.h
@@ -114,7 +114,8 @@
   /// Reports a server that may be down, as seen in traffic or on a connection.
   void suspect(const std::string& server, absl::Time now);
 
-  /// Records that a server accepted a connection and did not answer. A sound
+  /// Records that a server accepted a connection and did not answer, or closed
+  /// it, as one that has too many connections or slots taken does. A sound
   /// server may pause, so it counts as unresponsive only if that goes on, and
   /// as lost only once the engines have cut off what depends on it.
   void on_silence(const std::string& server, absl::Time now);
--- a/src/group-controller-runner.cc
+++ b/src/group-controller-runner.cc
@@ -176,7 +176,7 @@
   }
   if (!report && this->node.reachability.in_doubt(now)) {
     this->controller.on_probe_failed(server, now);
-  } else if (result.silent) {
+  } else if (result.status == fetch_status::no_response) {
     this->controller.on_silence(server, now);
   } else {
     this->controller.on_report(server, report, now);
--- a/src/group-controller.cc
+++ b/src/group-controller.cc
@@ -191,12 +191,16 @@
   const auto found = this->tracks.find(server);
   if (found == this->tracks.end()) return;
   server_track& track = found->second;
+  const bool first = track.silent_since == absl::InfiniteFuture();
   track.silent_since = std::min(track.silent_since, now);
   const bool pauses = !track.unresponsive &&
                       now - track.silent_since < this->options.pause_tolerance;
   track.unresponsive = !pauses;
-  track.probe_at =
-      now + (pauses ? refused_probe_delay : this->options.probe_retry_interval);
+  // A kept connection may have lost its server: a new one shows that at once.
+  const absl::Duration pause = first    ? absl::ZeroDuration()
+                               : pauses ? refused_probe_delay
+                                        : this->options.probe_retry_interval;
+  track.probe_at = now + pause;
 }
 
 void group_controller::on_probe_failed(const std::string& server,
--- a/standin/fleet-standin.cc
+++ b/standin/fleet-standin.cc
@@ -387,6 +387,7 @@
   if (!expected.empty() && expected != h.id) {
     out = make_response(421, "");
   } else if (in.target() == "/spokesail/report") {
+    if (this->faults.closing_at_reports.count(h.id) != 0) co_return false;
     out = this->handle_report(h);
   } else if (in.target() == "/spokesail/order") {
     out = this->handle_order(h, in);
--- a/standin/fleet-standin.h
+++ b/standin/fleet-standin.h
@@ -130,6 +130,9 @@
   std::map<std::string, nlohmann::json> corrupt_entries;
   /// Remaining time, in ms, for which engines report to be slow after a start.
   int cold_left_ms = 0;
+  /// Ids of servers that close connections on which a report is requested, like
+  /// servers that have too many connections.
+  std::set<std::string> closing_at_reports;
   /// Id of a head whose streams stall; none if empty.
   std::string stalled_head;
   /// A server that runs a stream request with this body crashes and is replaced
