Search for a node that reaches the server until all were asked

partitioned-majority, where only the last of eight nodes reaches the servers, fails beside twelve busy processes: calls get 503 "servers cannot be reached", mostly 400 to 600 ms after they arrived.

Cause: a node asks the others for its server one after the other, each after 25 ms plus the delay of its event loop, but gives up the search after 400 ms whatever the delay is. At a delay of 100 ms these are about three attempts, the direct one included. The limit now grows by the delay with each attempt, up to the lifetime of the connection.

The new case sets a delay of 100 ms at seven nodes, silences their links and sends one call to each. The other cases of the test were not run on this commit.

--- a/src/server-connector.cc
+++ b/src/server-connector.cc
@@ -209,7 +209,11 @@
   const bool in_doubt =
       view.in_doubt(now) || view.last_heard() < r.proxies_asked_at;
   const bool searches = in_doubt && r.proxies_left();
-  return r.begun + (searches ? r.limit : connect_timeout) - now;
+  // Each attempt was started later by the loop's delay.
+  const absl::Duration delays =
+      static_cast<int64_t>(r.attempts.size()) * this->node.loop_delay;
+  const absl::Duration limit = std::min(r.limit + delays, r.asked.lifetime);
+  return r.begun + (searches ? limit : connect_timeout) - now;
 }
 
 net::awaitable<connect_outcome> server_connector::run_race(
--- a/test/partitioned-node-test.cc
+++ b/test/partitioned-node-test.cc
@@ -282,6 +282,38 @@
   this->partition({0, 1, 2, 3, 4, 5, 6}, link_state::reset, 8);
 }
 
+// Guards against nodes that run late, ask the others at longer intervals for
+// it, and refuse requests before they have asked all.
+TEST_F(partitioned_node_test, late_nodes_ask_all_others) {
+  constexpr int cut_nodes = 7;
+  this->start(cut_nodes + 1);
+  const auto delay_nodes = [this] {
+    return this->on_loop([this] {
+      for (int node = 0; node < cut_nodes; ++node)
+        this->nodes[node]->context().loop_delay = absl::Milliseconds(100);
+      return 0;
+    });
+  };
+  delay_nodes();
+  this->set_links({0, 1, 2, 3, 4, 5, 6}, link_state::silent);
+  std::atomic<int> served = 0;
+  std::atomic<int> ended = 0;
+  std::vector<std::thread> callers;
+  for (int node = 0; node < cut_nodes; ++node) {
+    callers.emplace_back([&, this, node] {
+      served += this->call(call_kind::repeatable, node,
+                           absl::StrCat("n", node, "-0"));
+      ++ended;
+    });
+  }
+  while (ended < cut_nodes) {
+    delay_nodes();
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  for (auto& caller : callers) caller.join();
+  EXPECT_EQ(served, cut_nodes) << this->failures;
+}
+
 // Guards against servers that are excluded because a proxy breaks off.
 TEST_F(partitioned_node_test, served_while_a_proxy_loses_its_links_too) {
   this->start(default_node_count);
