Let a lease holder go by its own probes of servers

Cause: the servers that the holder finds unresponsive are left out by all nodes. A node learned them from the holder's messages only; one that became the holder itself got none any more, and kept the list of its predecessor.

The holder takes the list from its own controller at each step. a_holder_goes_by_its_own_probes_of_servers failed before (the list stayed for 20 s) and passes.

--- a/src/group-controller-runner.cc
+++ b/src/group-controller-runner.cc
@@ -236,6 +236,9 @@
   const group_actions actions =
       this->controller.step(this->node.directory, this->node.routes->config(),
                             this->node.requests_seen, this->node.now());
+  // A holder gets no states of other holders.
+  const auto unresponsive = this->controller.unresponsive_servers();
+  this->node.unresponsive_servers = {unresponsive.begin(), unresponsive.end()};
   this->log_events(actions.events);
   this->log_summaries(actions.summaries);
   for (const auto& order : actions.orders) {
--- a/src/node-context.h
+++ b/src/node-context.h
@@ -165,7 +165,7 @@
   /// Servers that did not answer this node's requests, with the time at which
   /// that was noticed.
   std::map<std::string, absl::Time> suspected_servers;
-  /// Servers that the lease holder reports as unresponsive.
+  /// Servers that the lease holder, which may be this node, finds unresponsive.
   std::set<std::string> unresponsive_servers;
   /// The last state received from a lease holder, and when.
   std::optional<holder_state> last_holder_state;
--- a/test/node-test.cc
+++ b/test/node-test.cc
@@ -172,6 +172,22 @@
   EXPECT_EQ(this->runs("r2"), 1);
 }
 
+// Guards against a new lease holder that goes by what its predecessor last said
+// of silent servers: it refused all streams from then on.
+TEST_F(node_test, a_holder_goes_by_its_own_probes_of_servers) {
+  this->start(1);
+  ASSERT_TRUE(this->wait_until([this] {
+    node_context& state = this->nodes[0]->context();
+    for (const auto& [id, server] : state.directory.servers())
+      state.unresponsive_servers.insert(id);
+    return !state.unresponsive_servers.empty();
+  }));
+  EXPECT_TRUE(this->wait_until([this] {
+    return this->nodes[0]->context().unresponsive_servers.empty();
+  }));
+  EXPECT_EQ(this->send_request(stream_request("r1")).result_int(), 200U);
+}
+
 // Guards against answers of servers that are dropped for another attempt for
 // which no server is left: the caller got 502 in place of the server's answer.
 TEST_F(node_test, relays_failure_if_no_other_server_can_take_the_request) {
