--- a/include/spokesail/failover.h
+++ b/include/spokesail/failover.h
@@ -10,7 +10,7 @@
 struct failover_chance {
   /// Why the request may not be sent again; null if it may.
   const char* obstacle = nullptr;
-  /// Whether the budget has granted a retry, which is held.
+  /// Whether the budget has a retry left. It is reserved last.
   bool granted = false;
   /// Whether an endpoint was chosen, at which the attempt is counted.
   bool placed = false;
--- a/src/stall-detector.cc
+++ b/src/stall-detector.cc
@@ -118,12 +118,12 @@
   // Searches are limited, so that none must always come last.
   std::shuffle(all.begin(), all.end(), this->node.random.engine);
   for (exchange* ex : all) {
-    const abort_cause cause = this->doubt_about(*ex, now);
-    if (cause == abort_cause::none || !ex->on_doubt) continue;
+    if (!ex->running()) continue;
     const group_suspicion* suspicion = this->suspicion_of(*ex);
     const bool unreachable = suspicion != nullptr && suspicion->unreachable;
     ex->unresponsive_member = unreachable ? suspicion->member : "";
-    ex->on_doubt(cause);
+    const abort_cause cause = this->doubt_about(*ex, now);
+    if (cause != abort_cause::none && ex->on_doubt) ex->on_doubt(cause);
   }
 }
 
