--- a/src/request-handler.h
+++ b/src/request-handler.h
@@ -432,22 +432,24 @@
   int attempts_made = 0;
   /// Attempts that got a connection, so that a server may have received them.
   int connected_attempts = 0;
+  /// Why this node aborted the last attempt; none if it did not.
+  abort_cause last_abort = abort_cause::none;
   /// Whether the last attempt found no path to its server or any other, over
   /// this node's links or through another node.
   bool no_path = false;
   /// Whether the last attempt was aborted because this node had lost its link,
   /// or broke off at a proxy.
   bool path_lost = false;
+  /// Whether only groups are eligible that this node has just heard.
+  bool only_heard_groups = false;
+  /// Whether another endpoint is being searched for during an attempt.
+  bool searching = false;
   /// A retry reserved in the budget for this request.
   std::optional<retry_reservation> reserved;
   /// The next attempt, if its endpoint was chosen while the last one ran.
   std::shared_ptr<exchange> placed;
   /// The choice of its endpoint.
   endpoint_choice placed_choice;
-  /// Whether only groups are eligible that this node has just heard.
-  bool only_heard_groups = false;
-  /// Whether another endpoint is being searched for during an attempt.
-  bool searching = false;
   /// When the next search for the running attempt may begin.
   absl::Time next_search = absl::InfinitePast();
   /// Why the running attempt was last kept in spite of a doubt.
@@ -456,8 +458,6 @@
   absl::Time attempt_ended_at = absl::InfinitePast();
   /// Why the last attempt failed.
   std::string last_error;
-  /// Why this node aborted the last attempt; none if it did not.
-  abort_cause last_abort = abort_cause::none;
   /// Why the last attempt was not followed by another; empty if it was.
   const char* no_retry_reason = "";
   /// The body of the last response; nothing if there was none.
