Forget groups that were heard, whether or not a search asks

The table of groups that have just sent an event was pruned only when a search probed something, so that a node which never searched kept the name of each group that ever served. It is pruned with the other expired evidence. Read in the diff, no test. Comments that were hard to read are reworded.

--- a/include/spokesail/group-controller-options.h
+++ b/include/spokesail/group-controller-options.h
@@ -62,9 +62,9 @@
   /// A server that accepts connections may be silent for this long before it
   /// counts as unresponsive and gets no new requests.
   absl::Duration pause_tolerance = absl::Seconds(2);
-  /// What depends on a server that is dead or cut off stands still for this
-  /// long, and is then cut by the engine itself. A silent server's streams may
-  /// go on until then.
+  /// Time after which an engine itself cuts the streams that depend on a server
+  /// which has crashed or is partitioned. Until then the streams of a silent
+  /// server may resume.
   absl::Duration stall_time = absl::Seconds(5);
   bool operator==(const group_controller_options&) const = default;
 };
--- a/include/spokesail/group-controller.h
+++ b/include/spokesail/group-controller.h
@@ -116,8 +116,8 @@
 
   /// Records that a server accepted a connection and did not answer, or closed
   /// it, as one that has too many connections or slots taken does. A sound
-  /// server may pause, so it counts as unresponsive only if that goes on, and
-  /// as lost only once the engines have cut off what depends on it.
+  /// server may pause, so it counts as unresponsive only if the silence lasts,
+  /// and as lost only once the engines have cut the streams that depend on it.
   void on_silence(const std::string& server, absl::Time now);
 
   /// Records that a server could not be probed for want of a path to it.
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -176,8 +176,8 @@
   absl::Time first_event_deadline = absl::InfiniteFuture();
   /// From when the response counts as slow.
   absl::Time slow_at = absl::InfiniteFuture();
-  /// Called while this node doubts that the server will answer, with the cause
-  /// of the doubt. The exchange goes on unless it is aborted.
+  /// Called at every tick while it is in doubt whether the server will answer,
+  /// with the cause of the doubt. May abort the exchange.
   std::function<void(abort_cause)> on_doubt;
 
  private:
--- a/src/node-process.cc
+++ b/src/node-process.cc
@@ -373,6 +373,7 @@
   this->state.limit_shares.forget(exists);
   this->state.backoffs.expire(now);
   this->state.reachability.expire(now);
+  this->state.prober.expire(now);
   if (this->state.closing() && this->callers.is_open()) {
     boost::system::error_code ignored;
     this->callers.close(ignored);
--- a/src/server-prober.cc
+++ b/src/server-prober.cc
@@ -73,11 +73,14 @@
          this->node.now() - found->second < heard_lifetime;
 }
 
+void server_prober::expire(absl::Time now) {
+  std::erase_if(this->heard_at, [&](const auto& item) {
+    return now - item.second >= heard_lifetime;
+  });
+}
+
 net::awaitable<probe_result> server_prober::probe_group(
     std::string group, std::vector<std::string> members) {
-  std::erase_if(this->heard_at, [this](const auto& item) {
-    return this->node.now() - item.second >= heard_lifetime;
-  });
   if (this->heard_recently(group)) co_return probe_result::answered;
   for (const auto& server : members) {
     if (this->heard_recently(server)) continue;
--- a/src/server-prober.h
+++ b/src/server-prober.h
@@ -50,7 +50,12 @@
   /// Whether a server or group was heard a short while ago.
   bool heard_recently(const std::string& name) const;
 
+  /// Forgets servers and groups that were heard longer ago. Must be called
+  /// regularly.
+  void expire(absl::Time now);
+
  private:
+  /// Requests a server's report.
   boost::asio::awaitable<fetch_result> fetch_report(std::string server,
                                                     std::string address);
 
