Raise doubts as soon as a group is suspected

The next attempt of a stream whose server had crashed was sent up to 20 ms later than necessary: doubts were raised at the next tick only.

--- a/src/stall-detector.cc
+++ b/src/stall-detector.cc
@@ -293,6 +293,7 @@
       !this->suspicions.insert_or_assign(group, std::move(suspicion)).second;
   this->node.avoid_endpoint(group);
   if (!known) this->log_group("group_suspected", group, reason);
+  this->raise_doubts(this->node.now());
 }
 
 void stall_detector::abandon_group(const std::string& group,
--- a/src/stall-detector.h
+++ b/src/stall-detector.h
@@ -91,7 +91,7 @@
   boost::asio::awaitable<void> probe_member(std::string group,
                                             std::string server,
                                             bool notify_peers);
-  /// Avoids a group for a while and doubts its exchanges, which go on.
+  /// Avoids a group for a while and raises doubts about its exchanges.
   void suspect_group(const std::string& group, const std::string& reason,
                      group_suspicion suspicion);
   /// Ends or renews the suspicion of a group that this node has exchanges with.
