Report the accept queue, processor time and loop delay of a node

Nothing told whether a node refused requests for its equal part of the servers or did not get to its connections. Seen with a node that gets 0.05 of a core and 1,350 new connections a second: accept_queue 1023, four sessions, 0.057 of a core used, the loop 2 to 19 ms late.

--- a/src/node-process.cc
+++ b/src/node-process.cc
@@ -13,6 +13,7 @@
 #include "detail/socket.h"
 #include "exchange.h"
 #include "fleet-adapter.h"
+#include "host-meter.h"
 #include "listener.h"
 
 namespace spokesail {
@@ -296,6 +297,11 @@
   node_metrics& m = this->state.metrics;
   m.set_gauge("sessions", static_cast<double>(this->state.sessions.size()));
   m.set_gauge("exchanges", static_cast<double>(this->state.exchanges.size()));
+  m.set_gauge("accept_queue", accept_queue_length(this->callers));
+  m.set_gauge("processor_seconds",
+              absl::ToDoubleSeconds(used_processor_time()));
+  m.set_gauge("loop_delay_seconds",
+              absl::ToDoubleSeconds(this->state.loop_delay));
   m.set_gauge("held_bytes", static_cast<double>(this->state.held.held()));
   m.set_gauge("kept_connections", static_cast<double>(this->state.pool.size()));
   m.set_gauge("servers",
