--- a/test/child-node.h
+++ b/test/child-node.h
@@ -17,17 +17,20 @@
 /// Runs `spokesail node` until it is killed or this object is destroyed.
 class child_node {
  public:
+  /// `more_settings` are further lines of the settings file.
   child_node(const std::string& name, const std::string& hall,
-             const std::string& peers, const std::string& platform) {
+             const std::string& peers, const std::string& platform,
+             const std::string& more_settings = "") {
     std::string folder_name = "/tmp/child-node-XXXXXX";
     this->folder = ::mkdtemp(folder_name.data());
     const std::string path = this->folder + "/settings";
     std::ofstream(path) << "node: " << name << "\nhall: " << hall
                         << "\nlisten:\n  callers: " << this->callers
                         << "\n  ready: " << free_address()
-                        << "\n  metrics: " << free_address()
+                        << "\n  metrics: " << this->metrics
                         << "\n  peers: " << peers << "\nplatform: " << platform
-                        << "\nbounds:\n  stop_grace_s: 1\n";
+                        << "\nbounds:\n  stop_grace_s: 1\n"
+                        << more_settings;
     this->process = ::fork();
     if (this->process != 0) return;
     const std::string flag = "--settings=" + path;
@@ -49,8 +52,13 @@
     this->process = -1;
   }
 
+  void signal(int number) {
+    if (this->process > 0) ::kill(this->process, number);
+  }
+
   /// Address at which it accepts callers.
   const std::string callers = free_address();
+  const std::string metrics = free_address();
 
  private:
   std::string folder;
