Accept no more connections than the host can serve

Cause: connections were accepted without bound, one for each pass of the event loop, and waited in the queue of the listening socket (1,024) for 2 s and more. The node knew nothing of them: its loop was 2 to 30 ms late, its requests were counted from their reading, and it went on to serve callers that had left.

Now a node limits the requests in progress to the number at which processor, link and event loop are used to 0.7. Above it the listener is closed: the kernel refuses new connections at once and resets those in its queue, unread, so that callers can send any request to another node, at no cost to this one. At least one connection is accepted in half a second. A node with more than that on kept connections ends them with their responses, or unread.

--- a/src/caller-session.cc
+++ b/src/caller-session.cc
@@ -26,6 +26,9 @@
 /// can read it even if the request was refused unread.
 constexpr absl::Duration linger_time = absl::Milliseconds(500);
 
+/// Callers usually send the first request as soon as they have connected.
+constexpr absl::Duration first_request_time = absl::Seconds(1);
+
 /// The time limit for a whole request, as a multiple of that for its head.
 constexpr int body_timeout_factor = 10;
 
@@ -66,13 +69,25 @@
 caller_session::caller_session(node_context& state, tcp::socket connection)
     : node(state), socket(std::move(connection)) {
   this->node.sessions.insert(this);
+  this->set_in_progress(true);
+  this->first_request_by = state.now() + first_request_time;
+}
+
+caller_session::~caller_session() {
+  this->set_in_progress(false);
+  this->node.sessions.erase(this);
 }
 
-caller_session::~caller_session() { this->node.sessions.erase(this); }
+void caller_session::set_in_progress(bool value) {
+  if (this->in_progress == value) return;
+  this->in_progress = value;
+  this->node.requests_in_progress += value ? 1 : -1;
+}
 
 void caller_session::check_deadlines(absl::Time now) {
   if (now >= this->write_deadline) this->drop_slow_caller();
   if (this->phase == session_phase::serving) return;
+  if (now >= this->first_request_by) this->set_in_progress(false);
   const bool leave = this->phase == session_phase::idle && this->node.closing();
   if (now >= this->phase_deadline || leave)
     detail::close_ignoring_errors(this->socket);
@@ -141,6 +156,7 @@
     this->restart_write_deadline();
     auto [error, size] =
         co_await http::async_write_some(this->socket, rest, use_tuple);
+    this->node.bytes_out += size;
     failed = error;
   }
   co_return this->finish_write(failed);
@@ -153,6 +169,7 @@
     this->restart_write_deadline();
     auto [error, size] =
         co_await this->socket.async_write_some(rest, use_tuple);
+    this->node.bytes_out += size;
     rest += size;
     failed = error;
   }
@@ -200,9 +217,18 @@
   co_return !error;
 }
 
+bool caller_session::should_leave_unread() {
+  if (this->buffer.size() != 0) return false;
+  if (!this->node.intake.overloaded(this->node.requests_in_progress))
+    return false;
+  this->node.metrics.count_connection("left unread");
+  return true;
+}
+
 net::awaitable<bool> caller_session::read_head(request_parser& parser) {
   auto [error, size] = co_await http::async_read_header(
       this->socket, this->buffer, parser, use_tuple);
+  this->node.bytes_in += size;
   if (error) {
     const unsigned status = status_of(error);
     if (status != 0) co_await this->refuse(status, "request head not accepted");
@@ -236,6 +262,7 @@
   while (!parser.is_done() && !failed) {
     auto [error, size] = co_await http::async_read_some(
         this->socket, this->buffer, parser, use_tuple);
+    this->node.bytes_in += size;
     failed = error;
     held.set(std::max(declared, parser.get().body().size()));
   }
@@ -254,8 +281,11 @@
   parser.eager(true);
   this->phase = session_phase::idle;
   this->phase_deadline = this->node.now() + limits.idle_timeout;
+  if (this->used) this->set_in_progress(false);
   const bool has_request = co_await this->wait_for_request();
-  if (!has_request) co_return false;
+  if (!has_request || this->should_leave_unread()) co_return false;
+  this->used = true;
+  this->set_in_progress(true);
   this->phase = session_phase::reading;
   const absl::Time arrived = this->node.now();
   this->phase_deadline = arrived + limits.head_timeout;
--- a/src/caller-session.h
+++ b/src/caller-session.h
@@ -67,6 +67,9 @@
   boost::asio::awaitable<bool> serve_one();
   /// Waits for the first byte of a request. False if the caller disconnected.
   boost::asio::awaitable<bool> wait_for_request();
+  /// Whether the request that has come must not be read, since the node has
+  /// more in progress than it can serve. Its caller can send it elsewhere.
+  bool should_leave_unread();
   /// Reads a request's head. False if it failed; an invalid head is refused.
   boost::asio::awaitable<bool> read_head(request_parser& parser);
   /// Reads a request's body. False if it failed; an invalid body is refused.
@@ -81,11 +84,19 @@
   void watch_caller();
   /// Restarts the time within which the caller has to read more.
   void restart_write_deadline();
+  /// Sets whether the connection counts as a request in progress.
+  void set_in_progress(bool value);
   /// Records how a write ended. False if the caller has disconnected.
   bool finish_write(const boost::system::error_code& error);
   /// Resets the connection of a caller that does not read the response.
   void drop_slow_caller();
 
+  bool in_progress = false;
+  /// Until when a new connection whose request has not come counts as one in
+  /// progress.
+  absl::Time first_request_by;
+  /// Whether a request has come on this connection.
+  bool used = false;
   /// Bytes that were read past the end of the last request.
   boost::beast::flat_buffer buffer;
   /// When the current phase is overdue.
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -107,6 +107,7 @@
 }
 
 void exchange::record_bytes(size_t size) {
+  this->node.bytes_in += size;
   if (size == 0) return;
   this->last_heard = this->node.now();
   if (this->proxy.empty())
@@ -118,6 +119,7 @@
   this->last_heard = this->sent_at;
   auto [error, size] =
       co_await http::async_write(this->socket, request, use_tuple);
+  this->node.bytes_out += size;
   co_return error ? error.message() : std::string();
 }
 
--- a/src/node-context.cc
+++ b/src/node-context.cc
@@ -42,6 +42,7 @@
       random{std::mt19937_64(std::random_device()())},
       started(boot_now()),
       held(max_buffered_bytes(node_settings_in)),
+      intake({node_settings_in.cores, node_settings_in.link_bytes_per_s}),
       retries(node_settings_in.retries, started) {}
 
 absl::Time node_context::now() const { return boot_now(); }
--- a/src/node-context.h
+++ b/src/node-context.h
@@ -32,6 +32,7 @@
 #include "spokesail/grant-client.h"
 #include "spokesail/hall-evacuations.h"
 #include "spokesail/hall-reachability.h"
+#include "spokesail/intake-limiter.h"
 #include "spokesail/limit-share.h"
 #include "spokesail/load-table.h"
 #include "spokesail/object-store.h"
@@ -126,6 +127,14 @@
   hall_reachability remote_halls;
   /// Bytes of requests and answers that are buffered for callers.
   byte_budget held;
+  /// Limits the connections that are accepted to what the host can process.
+  intake_limiter intake;
+  /// Requests that are read or served, and new connections whose request has
+  /// not come yet.
+  int requests_in_progress = 0;
+  /// Bytes exchanged with callers and servers.
+  uint64_t bytes_in = 0;
+  uint64_t bytes_out = 0;
   /// Speeds of groups and servers; empty unless the policy enables learning.
   speed_table speeds;
   /// Demand of this node's callers.
@@ -192,6 +201,13 @@
                                                    absl::Duration timeout);
   /// Records how late the loop ran a tick.
   void record_loop_delay(absl::Duration delay);
+  /// Whether a connection may serve another request after the current one. A
+  /// node that serves more than it can closes connections, so that callers open
+  /// new ones elsewhere.
+  bool keeps_connections() const {
+    return !this->stopping() &&
+           this->requests_in_progress <= this->intake.limit();
+  }
   /// Whether the process was asked to stop.
   bool stopping() const {
     return this->stopping_since != absl::InfiniteFuture();
--- a/src/node-metrics.cc
+++ b/src/node-metrics.cc
@@ -26,7 +26,11 @@
 }  // namespace
 
 node_metrics::node_metrics()
-    : requests(counter(registry, "spokesail_requests_total",
+    : connections(counter(registry, "spokesail_connections_total",
+                          "callers' connections, accepted or left unread")),
+      connection_pauses(counter(registry, "spokesail_connection_pauses_total",
+                                "pauses in accepting callers' connections")),
+      requests(counter(registry, "spokesail_requests_total",
                        "requests by outcome and reason")),
       refusals(counter(registry, "spokesail_refusals_total",
                        "requests refused for lack of capacity")),
@@ -83,6 +87,14 @@
       queue_time(histogram(registry, "spokesail_queue_seconds",
                            "time from a request to its first attempt")) {}
 
+void node_metrics::count_connection(const std::string& result) {
+  this->connections.Add({{"result", result}}).Increment();
+}
+
+void node_metrics::count_connection_pause(const std::string& reason) {
+  this->connection_pauses.Add({{"reason", reason}}).Increment();
+}
+
 void node_metrics::count_request(const std::string& outcome,
                                  const std::string& reason) {
   this->requests.Add({{"outcome", outcome}, {"reason", reason}}).Increment();
--- a/src/node-metrics.h
+++ b/src/node-metrics.h
@@ -19,6 +19,11 @@
  public:
   node_metrics();
 
+  /// Counts a caller's connection: "accepted", or "left unread" if a kept one
+  /// was closed with a request unread.
+  void count_connection(const std::string& result);
+  /// Counts a pause in accepting connections.
+  void count_connection_pause(const std::string& reason);
   /// Counts a finished request of a caller.
   void count_request(const std::string& outcome, const std::string& reason);
   /// Counts a request that was refused for lack of capacity.
@@ -86,6 +91,8 @@
   prometheus::Registry registry;
   /// Number of calls to the store by verb.
   std::map<std::string, int64_t> call_totals;
+  prometheus::Family<prometheus::Counter>& connections;
+  prometheus::Family<prometheus::Counter>& connection_pauses;
   prometheus::Family<prometheus::Counter>& requests;
   prometheus::Family<prometheus::Counter>& refusals;
   prometheus::Family<prometheus::Counter>& attempts;
--- a/src/node-process.cc
+++ b/src/node-process.cc
@@ -35,6 +35,9 @@
 /// call increased during an incident.
 constexpr absl::Duration store_calls_period = absl::Seconds(5);
 
+/// Period of the log line on pauses in accepting connections.
+constexpr absl::Duration intake_log_period = absl::Seconds(1);
+
 /// Idle connections to servers and the store are closed after this time.
 constexpr absl::Duration fetch_idle_timeout = absl::Seconds(4);
 
@@ -63,14 +66,15 @@
       cold(state, link, lease),
       limits(state, link),
       departures(state, link),
-      stalls(state) {}
+      stalls(state),
+      callers(state) {}
 
 bool node_process::listen() {
   const auto open = [this](tcp::acceptor& acceptor,
                            const std::string& address) {
     return open_listener(acceptor, address, this->state);
   };
-  return open(this->callers, this->settings.caller_address) &&
+  return this->callers.listen(this->settings.caller_address) &&
          open(this->readiness, this->settings.ready_address) &&
          open(this->metrics, this->settings.metrics_address) &&
          this->config.listen();
@@ -219,7 +223,7 @@
   this->spawn(this->departures.run());
   this->spawn(this->lease.run());
   this->spawn(this->group_runner.run());
-  this->spawn(this->accept_callers());
+  this->spawn(this->callers.run());
   this->spawn(this->serve_admin(this->readiness, true));
   this->spawn(this->serve_admin(this->metrics, false));
   this->spawn(this->tick());
@@ -229,29 +233,6 @@
   net::co_spawn(this->loop, std::move(task), net::detached);
 }
 
-net::awaitable<void> node_process::accept_callers() {
-  for (;;) {
-    auto [error, socket] = co_await this->callers.async_accept(use_tuple);
-    if (error == net::error::operation_aborted) co_return;
-    if (error) {
-      this->log.state_change("accept_failed", {{"why", error.message()}},
-                             this->state.now());
-      co_await this->state.sleep(node_timing::tick);
-      continue;
-    }
-    const auto max_sockets = static_cast<size_t>(this->settings.max_sockets);
-    if (this->state.used_sockets() >= max_sockets) continue;
-    boost::system::error_code ignored;
-    socket.set_option(tcp::no_delay(true), ignored);
-    auto session =
-        std::make_shared<caller_session>(this->state, std::move(socket));
-    net::co_spawn(
-        this->loop,
-        [session]() -> net::awaitable<void> { co_await session->run(); },
-        net::detached);
-  }
-}
-
 net::awaitable<void> node_process::serve_admin(tcp::acceptor& acceptor,
                                                bool ready) {
   for (;;) {
@@ -297,7 +278,10 @@
   node_metrics& m = this->state.metrics;
   m.set_gauge("sessions", static_cast<double>(this->state.sessions.size()));
   m.set_gauge("exchanges", static_cast<double>(this->state.exchanges.size()));
-  m.set_gauge("accept_queue", accept_queue_length(this->callers));
+  m.set_gauge("accept_queue", this->callers.queue_length());
+  m.set_gauge("requests_in_progress", this->state.requests_in_progress);
+  m.set_gauge("intake_limit", this->state.intake.limit());
+  m.set_gauge("host_utilization", this->state.intake.utilization());
   m.set_gauge("processor_seconds",
               absl::ToDoubleSeconds(used_processor_time()));
   m.set_gauge("loop_delay_seconds",
@@ -347,7 +331,9 @@
   for (;;) {
     co_await this->state.sleep(node_timing::tick);
     const absl::Time now = this->state.now();
-    this->state.record_loop_delay(now - last - node_timing::tick);
+    const absl::Duration delay = now - last - node_timing::tick;
+    this->state.record_loop_delay(delay);
+    this->update_intake(delay, now);
     last = now;
     this->state.connector.check(now);
     this->tunnels.check(now);
@@ -361,6 +347,32 @@
   }
 }
 
+void node_process::update_intake(absl::Duration loop_delay, absl::Time now) {
+  this->state.intake.update(
+      {used_processor_time(), this->state.bytes_in, this->state.bytes_out},
+      this->state.requests_in_progress, loop_delay, now);
+}
+
+void node_process::log_intake(absl::Time now) {
+  const uint64_t pauses = this->callers.pauses();
+  if (pauses == this->intake_logged_count ||
+      now - this->intake_logged < intake_log_period) {
+    return;
+  }
+  this->log.state_change(
+      "intake_paused",
+      {{"pauses", absl::StrCat(pauses - this->intake_logged_count)},
+       {"in_progress", absl::StrCat(this->state.requests_in_progress)},
+       {"limit", absl::StrCat(this->state.intake.limit())},
+       {"utilization", absl::StrCat(this->state.intake.utilization())},
+       {"sockets", absl::StrCat(this->state.used_sockets())},
+       {"loop_delay_ms",
+        absl::StrCat(absl::ToInt64Milliseconds(this->state.loop_delay))}},
+      now);
+  this->intake_logged = now;
+  this->intake_logged_count = pauses;
+}
+
 void node_process::run_housekeeping(absl::Time now) {
   const auto sessions = this->state.sessions;
   for (caller_session* session : sessions) session->check_deadlines(now);
@@ -380,15 +392,13 @@
   this->state.backoffs.expire(now);
   this->state.reachability.expire(now);
   this->state.prober.expire(now);
-  if (this->state.closing() && this->callers.is_open()) {
-    boost::system::error_code ignored;
-    this->callers.close(ignored);
-  }
+  if (this->state.closing()) this->callers.close();
   this->log_readiness(now);
   this->log_servers_age(now);
   this->log_closed_halls(now);
   this->log_halls_out_of_reach(now);
   this->log_store_calls(now);
+  this->log_intake(now);
 }
 
 void node_process::log_store_calls(absl::Time now) {
--- a/src/node-process.h
+++ b/src/node-process.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "caller-acceptor.h"
 #include "crash-gossip.h"
 #include "departure-gossip.h"
 #include "grant-coordinator.h"
@@ -72,8 +73,6 @@
   /// Connects the callbacks of the store's feeds and of the relay.
   void connect_store();
   void spawn(boost::asio::awaitable<void> task);
-  /// Accepts callers' connections, within the limit of file descriptors.
-  boost::asio::awaitable<void> accept_callers();
   /// Serves the readiness probe (if `ready` is set) or metrics.
   boost::asio::awaitable<void> serve_admin(
       boost::asio::ip::tcp::acceptor& acceptor, bool ready);
@@ -81,6 +80,10 @@
                                             bool ready);
   /// Runs the periodic checks of all parts.
   boost::asio::awaitable<void> tick();
+  /// Reports the use of the host to the limit on accepted connections.
+  void update_intake(absl::Duration loop_delay, absl::Time now);
+  /// Logs periodically while connections are refused for lack of capacity.
+  void log_intake(absl::Time now);
   void set_gauges();
   void set_evacuation_gauges();
   /// Removes expired sessions, connections and entries, and logs changes of the
@@ -121,7 +124,7 @@
   limit_gossip limits;
   departure_gossip departures;
   stall_detector stalls;
-  boost::asio::ip::tcp::acceptor callers{loop};
+  caller_acceptor callers;
   boost::asio::ip::tcp::acceptor readiness{loop};
   boost::asio::ip::tcp::acceptor metrics{loop};
   /// Readiness as last logged; only changes are logged.
@@ -134,6 +137,10 @@
   std::set<std::string> logged_halls_out_of_reach;
   /// When the store calls were last logged.
   absl::Time store_calls_logged = absl::InfinitePast();
+  /// When pauses in accepting connections were last logged, and how many there
+  /// had been.
+  absl::Time intake_logged = absl::InfinitePast();
+  uint64_t intake_logged_count = 0;
   /// The state last published as the lease holder.
   holder_state published_holder_state;
 };
--- a/src/node-settings.cc
+++ b/src/node-settings.cc
@@ -8,6 +8,7 @@
 constexpr double max_seconds = 3600;
 
 constexpr size_t bytes_per_mb = size_t{1} << 20;
+constexpr double bytes_per_megabit = 1e6 / 8;
 
 /// Fraction of the drain time for which the group of a server that has
 /// announced its stop stays in use. The rest is for running streams to end.
@@ -91,6 +92,8 @@
   out.seeds = root.string_list("seeds", {});
   // Narrowed to float as in messages, so that equal nodes compare equal.
   out.cores = static_cast<float>(root.number("cores", out.cores, 0.001, 1024));
+  out.link_bytes_per_s =
+      root.number("link_mbps", 0, 0, 1e6) * bytes_per_megabit;
   out.max_sockets = static_cast<int>(
       root.integer("max_sockets", out.max_sockets, 64, 1 << 20));
   out.memory = static_cast<size_t>(root.integer("memory_mb", 0, 0, 1 << 20)) *
--- a/src/node-settings.h
+++ b/src/node-settings.h
@@ -36,6 +36,8 @@
   /// Number of processor cores, which may be a fraction. Nodes with more cores
   /// are preferred as relays and as lease holder.
   float cores = 1;
+  /// Bandwidth of the host's link in bytes per second; 0 if unknown.
+  double link_bytes_per_s = 0;
   /// Maximum number of file descriptors for sockets.
   int max_sockets = 1024;
   /// Memory limit of the process in bytes; 0 if unknown.
--- a/src/request-answer.cc
+++ b/src/request-answer.cc
@@ -128,7 +128,7 @@
   const bool no_body = this->request.method() == http::verb::head;
   if (!no_body) out.body() = std::move(body);
   if (head.backoff || head.backoff_invalid) this->replace_retry_after(out);
-  out.keep_alive(this->keep_alive && !this->node.stopping());
+  out.keep_alive(this->keep_alive && this->node.keeps_connections());
   this->record_response(ex);
   this->log_attempt(ex, "whole", "");
   ex.keep_connection(head);
@@ -196,7 +196,7 @@
   out.version(http_11);
   copy_end_to_end_headers(ex.head(), out);
   this->keep_alive =
-      this->keep_alive && this->chunked && !this->node.stopping();
+      this->keep_alive && this->chunked && this->node.keeps_connections();
   out.keep_alive(this->keep_alive);
   out.chunked(this->chunked);
   std::ostringstream text;
--- a/src/request-handler.cc
+++ b/src/request-handler.cc
@@ -518,7 +518,7 @@
 net::awaitable<bool> request_handler::send_refusal(refusal r) {
   http_response out(static_cast<http::status>(r.status), http_11);
   out.set(http::field::content_type, "text/plain");
-  out.keep_alive(this->keep_alive && !this->node.stopping());
+  out.keep_alive(this->keep_alive && this->node.keeps_connections());
   this->node.adapter.write_refusal(this->info.id, r.retry_after, out);
   if (this->request.method() != http::verb::head) out.body() = r.reason;
   co_await this->session.write(out);
@@ -566,7 +566,7 @@
     this->leave_trial();
     this->ran_untried = false;
     if (result == attempt_result::done) {
-      co_return this->keep_alive && !this->node.stopping();
+      co_return this->keep_alive&& this->node.keeps_connections();
     }
     // The endpoint itself may be sound and reached on another path.
     if (this->path_lost) this->tried_endpoints.erase(endpoint);
