Let a node use connections to servers that other nodes leave

Cause: each node may have its equal part of a server's connections, 10 of 646 at 58 nodes and 1 at 984, although the others use hardly any. Now it may exceed its part while less than half of the divided connections are in use, by what the nodes report to each other.

--- a/src/connection-share.cc
+++ b/src/connection-share.cc
@@ -11,6 +11,10 @@
 /// know of yet.
 constexpr double divided_fraction = 0.9;
 
+/// Fraction of the connections that may be in use before a node is limited to
+/// its equal share.
+constexpr double shared_fraction = 0.5 * divided_fraction;
+
 }  // namespace
 
 int connection_share(int max_connections, int nodes) {
@@ -20,4 +24,10 @@
   return std::max(1, static_cast<int>(per_node));
 }
 
+bool may_connect(int max_connections, int nodes,
+                 const connections_in_use& used) {
+  return used.own < connection_share(max_connections, nodes) ||
+         used.total < shared_fraction * max_connections;
+}
+
 }  // namespace spokesail
--- a/src/request-routing.cc
+++ b/src/request-routing.cc
@@ -123,9 +123,11 @@
 }
 
 bool request_handler::has_connection_slot(const std::string& endpoint) const {
-  return this->node.loads.own_running(endpoint) <
-         connection_share(this->service->max_connections,
-                          this->node.capacity_sharing_nodes());
+  const connections_in_use used = {
+      this->node.loads.own_running(endpoint),
+      this->node.loads.total(endpoint, this->node.now()).running};
+  return may_connect(this->service->max_connections,
+                     this->node.capacity_sharing_nodes(), used);
 }
 
 request_size request_handler::expected_size() const {
--- a/test/connection-share-test.cc
+++ b/test/connection-share-test.cc
@@ -5,6 +5,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <vector>
+
 namespace spokesail {
 namespace {
 
@@ -34,5 +36,47 @@
             max_connections);
 }
 
+// Guards against a node that is refused connections which nobody uses.
+TEST(connection_share, one_node_may_use_what_the_others_leave) {
+  constexpr int max_connections = 646;
+  for (const int nodes : {3, 58, 295, 984}) {
+    int own = 0;
+    while (may_connect(max_connections, nodes, {own, own})) ++own;
+    EXPECT_GE(own, max_connections / 3) << nodes;
+    EXPECT_LE(own, max_connections) << nodes;
+  }
+}
+
+/// Nodes open connections in random order, as many as they may.
+RC_GTEST_PROP(connection_share, total_stays_within_the_limit_for_any_demand,
+              ()) {
+  const int nodes = *rc::gen::element(3, 58, 295, 984);
+  const int max_connections = *rc::gen::inRange(2 * nodes, 20 * nodes);
+  const int demanding = *rc::gen::inRange(1, nodes + 1);
+  std::vector<int> own(static_cast<size_t>(demanding), 0);
+  int total = 0;
+  bool opened = true;
+  while (opened) {
+    opened = false;
+    for (int& n : own) {
+      if (!may_connect(max_connections, nodes, {n, total})) continue;
+      ++n;
+      ++total;
+      opened = true;
+    }
+  }
+  RC_ASSERT(total <= max_connections);
+}
+
+/// In one round of load reports, as many nodes as share the spare half open
+/// connections without knowing of each other.
+TEST(connection_share, nodes_that_do_not_know_of_each_other_stay_within_it) {
+  constexpr int max_connections = 646;
+  constexpr int crowded_nodes = 2;
+  int own = 0;
+  while (may_connect(max_connections, 58, {own, own})) ++own;
+  EXPECT_LE(crowded_nodes * own, max_connections);
+}
+
 }  // namespace
 }  // namespace spokesail
--- a/test/crowded-node-test.cc
+++ b/test/crowded-node-test.cc
@@ -196,5 +196,30 @@
   EXPECT_GE(this->served, 0.75 * count);
 }
 
+using busy_node_test = node_test;
+
+// Guards against a node that refuses requests beside idle servers, since it has
+// its equal part of their connections although the other nodes use none.
+TEST_F(busy_node_test, uses_connections_that_other_nodes_do_not_use) {
+  constexpr int fleet_nodes = 295;
+  constexpr int streams = 12;
+  this->start(1, 3);
+  this->on_loop([this] {
+    node_context& state = this->nodes[0]->context();
+    state.fleet.record(fleet_nodes, state.now());
+    return 0;
+  });
+  std::vector<std::future<unsigned>> answers;
+  for (int i = 0; i < streams; ++i) {
+    answers.push_back(std::async(std::launch::async, [this, i] {
+      return this->send_request(stream_request(absl::StrCat("s", i)))
+          .result_int();
+    }));
+  }
+  int served = 0;
+  for (auto& answer : answers) served += answer.get() == 200U ? 1 : 0;
+  EXPECT_EQ(served, streams);
+}
+
 }  // namespace
 }  // namespace spokesail
