--- a/src/request-handler.cc
+++ b/src/request-handler.cc
@@ -350,7 +350,8 @@
   // The server may have failed, or this node's link to it.
   this->node.connector.probe(ex.endpoint.address);
   // A kept connection may just have been closed by its server.
-  if (!ex.reused || ex.malformed) this->node.avoid_endpoint(ex.endpoint.load_key());
+  if (!ex.reused || ex.malformed)
+    this->node.avoid_endpoint(ex.endpoint.load_key());
   co_return false;
 }
 
