--- a/include/spokesail/intake-limiter.h
+++ b/include/spokesail/intake-limiter.h
@@ -30,9 +30,7 @@
 /// the target. An event loop that is late counts as utilized whatever its
 /// processor time, part of which may not be measured. The limit depends on
 /// nothing but this node's own host, since callers may send most of a fleet's
-/// requests to one node. A connection that is not
-/// accepted is closed before its request is read, so that the caller can send
-/// the request to another node. Does no I/O and reads no clock.
+/// requests to one node. Does no I/O and reads no clock.
 class intake_limiter {
  public:
   /// The utilization that the limit aims at. The rest is for control messages
--- a/src/caller-session.cc
+++ b/src/caller-session.cc
@@ -87,7 +87,8 @@
 void caller_session::check_deadlines(absl::Time now) {
   if (now >= this->write_deadline) this->drop_slow_caller();
   if (this->phase == session_phase::serving) return;
-  if (now >= this->first_request_by) this->set_in_progress(false);
+  if (!this->used && now >= this->first_request_by)
+    this->set_in_progress(false);
   const bool leave = this->phase == session_phase::idle && this->node.closing();
   if (now >= this->phase_deadline || leave)
     detail::close_ignoring_errors(this->socket);
@@ -183,6 +184,7 @@
 }
 
 net::awaitable<void> caller_session::close_gracefully() {
+  this->set_in_progress(false);
   this->phase = session_phase::closing;
   this->phase_deadline = this->node.now() + linger_time;
   boost::system::error_code ignored;
--- a/src/caller-session.h
+++ b/src/caller-session.h
@@ -91,6 +91,7 @@
   /// Resets the connection of a caller that does not read the response.
   void drop_slow_caller();
 
+  /// Whether it counts as a request in progress.
   bool in_progress = false;
   /// Until when a new connection whose request has not come counts as one in
   /// progress.
