Restore the check of endless responses in tiny chunks, known to fail

Before it was committed its bound was raised to 32 MB and the chunks made larger, which hid a real fault: the limit on a held body does not count its framing, and each chunk costs a pass of the event loop.

--- a/standin/fleet-standin.cc
+++ b/standin/fleet-standin.cc
@@ -459,7 +459,8 @@
 
 void fleet_standin::record_endless(const answer_writer& writer) {
   if (!writer.endless()) return;
-  this->record.endless_bytes += writer.bytes_sent();
+  this->record.endless_bytes =
+      std::max(this->record.endless_bytes, writer.bytes_sent());
   this->record.endless_ended++;
 }
 
--- a/standin/fleet-standin.h
+++ b/standin/fleet-standin.h
@@ -192,8 +192,8 @@
   int lease_releases = 0;
   /// Number of runs by data hall.
   std::map<std::string, int> requests_by_hall;
-  /// Bytes of answers without end that were sent, and the number of those that
-  /// callers have ended.
+  /// Bytes of the longest answer without end that was sent, and the number of
+  /// those that callers have ended.
   size_t endless_bytes = 0;
   int endless_ended = 0;
   /// Number of runs of requests with `crash_body`.
--- a/test/endless-response-test.cc
+++ b/test/endless-response-test.cc
@@ -9,8 +9,11 @@
 using standin::answer_shape;
 using standin::endless_part;
 
-/// What a node reads of one response at most, with what the sockets hold.
-constexpr size_t max_bytes_read = 32 << 20;
+/// Largest response that a node holds, and what its last read may exceed it by.
+constexpr size_t max_buffered = (16 << 20) + (128 << 10);
+/// Default upper bounds of Linux for the buffers of both ends of a connection.
+constexpr size_t max_socket_buffers = (4 << 20) + (6 << 20);
+constexpr size_t max_bytes_read = max_buffered + max_socket_buffers;
 constexpr int max_requests = 40;
 
 answer_shape endless(endless_part part, const std::string& filler,
@@ -132,5 +135,16 @@
   }
 }
 
+// Guards against a response of tiny chunks that occupies the node until the
+// time of its request is up.
+TEST_F(endless_response_test, tiny_chunks_leave_time_for_another_server) {
+  this->start(1);
+  this->spoil("p0", endless(endless_part::body, small_part));
+  for (const unsigned status : this->send_until_met("/look/1"))
+    EXPECT_EQ(status, 200U);
+  EXPECT_GE(this->ended(), 1);
+  EXPECT_LE(this->bytes(), max_bytes_read);
+}
+
 }  // namespace
 }  // namespace spokesail
