Send nodes all servers if a relay cannot know which removals they missed

Cause: a node that was asked for the changes since a revision sent those that it knew as if they were all. After a start it knows no removal from before its first list, none of servers that it did not have (`remove` marked nothing for them), and after a lapse none below the entry's own revision. And a server whose entry went and returned in one answer of the store got a removal with the revision of the whole answer, so that the newer entry was refused and followers were told to forget the server; when it left, the holder did not know it.

Now `removals_since` goes with each message: the revision after which its sender knows all removals. Changes are not applied by a node that lacks earlier removals either, and messages older than what a node knows are not applied at all. Removals of unknown servers are recorded, those in one answer precede a return, and an entry that was found missing comes back with a higher revision only. Batches are bounded by bytes as well.

The tests of split batches and messages follow the new types; their checks stand.

--- a/include/spokesail/change-relay.h
+++ b/include/spokesail/change-relay.h
@@ -7,9 +7,12 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "spokesail/range-coverage.h"
+
 namespace spokesail {
 
 /// The changes that a follower has, as it reports them to its relay.
@@ -87,8 +90,22 @@
  public:
   /// Handles a message with all changes after `from`, where this node has those
   /// up to `known`. Returns whether they may be applied, which needs that none
-  /// in between is missing.
-  bool on_message(int64_t from, int64_t known);
+  /// in between is missing. The sender of changes knows all removals after
+  /// `removals_since`, so that earlier ones may be missing too.
+  bool on_message(int64_t from, int64_t removals_since, int64_t known);
+
+  /// Handles a message with all servers in a range of ids as of `revision`.
+  /// Once the ranges received cover all ids, returns the state that this node
+  /// then has, if that is newer than `known`.
+  std::optional<listed_state> on_range(const id_range& ids,
+                                       const listed_state& state,
+                                       int64_t known);
+
+  /// The latest revision as of which a range with this id was received; 0 if
+  /// none was that is newer than what this node knows.
+  int64_t listed_as_of(const std::string& id) const {
+    return this->ranges.revision_of(id);
+  }
 
   /// The position to report in a request to the relay.
   follower_position position(int64_t known) const;
@@ -101,6 +118,7 @@
  private:
   /// Start revision of the latest changes that could not be applied.
   int64_t unapplied_after = 0;
+  range_coverage ranges;
   absl::Time last_request = absl::InfinitePast();
 };
 
--- a/include/spokesail/object-store.h
+++ b/include/spokesail/object-store.h
@@ -40,6 +40,13 @@
   bool operator==(const object_changes&) const = default;
 };
 
+/// For each of `changes`, which are all changes up to `revision` in order: the
+/// last revision at which its object was missing, if it is a removal. The
+/// object may have been made again by a later one of them. The revision that
+/// the store gives a removed object may be that of its last change.
+std::vector<int64_t> removal_revisions(const std::vector<object>& changes,
+                                       int64_t revision);
+
 /// A store of versioned objects with conditional writes and watches. Calls end
 /// within a bounded time. A write that ends as `unavailable` may have taken
 /// effect, or may still take effect later.
--- a/include/spokesail/server-directory.h
+++ b/include/spokesail/server-directory.h
@@ -59,8 +59,25 @@
 /// The model in a group's name; empty if the name is not of this form.
 std::string group_model(const std::string& group);
 
+/// The ids from `first` on that precede `end`; an empty `end` is no limit.
+struct id_range {
+  std::string first;
+  std::string end;
+  bool operator==(const id_range&) const = default;
+
+  bool contains(const std::string& id) const {
+    return id >= this->first && (this->end.empty() || id < this->end);
+  }
+};
+
 /// All servers known to this node. State never goes back: an entry is replaced
 /// only by one of a higher revision.
+///
+/// Removals are recorded as well, so that they can be sent to nodes that do not
+/// know them. A node that starts knows none of the removals before its first
+/// list: `removals_since` tells which ones are complete. The revision of a
+/// removal is one at which the entry was missing, and at which no later entry
+/// of that server existed.
 class server_directory {
  public:
   /// Applies the full list as of `revision`. Servers that it lacks are removed
@@ -68,11 +85,17 @@
   void replace(const std::map<std::string, listed_server>& listed,
                int64_t revision, absl::Time keep_missing_until);
 
+  /// Removes the servers in `range` that are not in `listed`, which holds the
+  /// ids of all that existed at `revision`. Returns whether any was removed.
+  bool remove_missing(const id_range& range,
+                      const std::set<std::string>& listed, int64_t revision);
+
   /// Applies one change. Returns whether it was new.
   bool update(const listed_server& server);
 
   /// Applies the end of one entry. If `keep_until` is set, the server counts as
-  /// live until then.
+  /// live until then. Returns whether the server was known and is removed; the
+  /// removal of an unknown one is recorded too.
   bool remove(const std::string& id, int64_t revision, absl::Time keep_until);
 
   /// Records at `now` that a server has announced its end to this node or to a
@@ -109,6 +132,11 @@
   absl::Time all_warm_at() const { return this->latest_cold_until; }
   /// Records that all changes up to `revision` have been applied.
   void advance_revision(int64_t revision);
+  /// All removals after this revision, up to `revision()`, are known.
+  int64_t removals_since() const { return this->complete_since; }
+  /// Records that all servers as of `revision` have been applied, and all
+  /// removals after `removals_since`.
+  void advance_to_list(int64_t revision, int64_t removals_since);
 
   /// Servers that changed after a revision, and those that are expiring, since
   /// no revision marks these. The cost depends on the size of the result, not
@@ -139,10 +167,11 @@
   /// Forgets announcements of servers that are no longer listed.
   void forget_departed(absl::Time now);
 
-  /// Sets the revision of a server's removal.
+  /// Records a server's removal, unless a later one is recorded.
   void mark_removed(const std::string& id, int64_t revision);
   void erase(const std::string& id);
   int64_t known_revision = 0;
+  int64_t complete_since = 0;
   absl::Time latest_cold_until = absl::InfinitePast();
 };
 
--- a/src/change-relay.cc
+++ b/src/change-relay.cc
@@ -87,12 +87,23 @@
   return out;
 }
 
-bool change_receiver::on_message(int64_t from, int64_t known) {
-  if (from <= known) return true;
-  this->unapplied_after = std::max(this->unapplied_after, from);
+bool change_receiver::on_message(int64_t from, int64_t removals_since,
+                                 int64_t known) {
+  const int64_t needed = std::max(from, removals_since);
+  if (needed <= known) return true;
+  this->unapplied_after = std::max(this->unapplied_after, needed);
   return false;
 }
 
+std::optional<listed_state> change_receiver::on_range(const id_range& ids,
+                                                      const listed_state& state,
+                                                      int64_t known) {
+  this->ranges.drop_up_to(known);
+  if (state.revision <= known) return std::nullopt;
+  this->ranges.add(ids, state);
+  return this->ranges.complete();
+}
+
 follower_position change_receiver::position(int64_t known) const {
   return {known, this->unapplied_after > known ? this->unapplied_after : 0};
 }
--- a/src/node-message.capnp
+++ b/src/node-message.capnp
@@ -162,6 +162,20 @@
   # was found; the largest age if the sender does not know.
   silentHalls @14 :List(Text);
   silentHallsAgeMs @15 :UInt32 = 4294967295;
+  # The sender knows all removals of servers after this revision.
+  removalsSince @16 :Int64;
+  # Set if `servers` holds all servers in a range of ids instead of changes.
+  # `fromRevision` is then 0, and `toRevision` is 0 except in the last of the
+  # ranges that were sent together.
+  serverRange @17 :ServerRange;
+}
+
+# The ids from `first` on that precede `end`, and the revision as of which the
+# servers in this range are listed. An empty `end` is no limit.
+struct ServerRange {
+  first @0 :Text;
+  end @1 :Text;
+  revision @2 :Int64;
 }
 
 # Reports unresponsive servers to the lease holder or to the nodes of the data
--- a/src/node-message.cc
+++ b/src/node-message.cc
@@ -273,6 +273,38 @@
   return out;
 }
 
+void write_batch(rpc::News::Builder out, const server_change_batch& batch) {
+  out.setFromRevision(batch.from_revision);
+  out.setToRevision(batch.to_revision);
+  out.setRemovalsSince(batch.removals_since);
+  if (batch.range) {
+    auto range = out.initServerRange();
+    range.setFirst(batch.range->ids.first);
+    range.setEnd(batch.range->ids.end);
+    range.setRevision(batch.range->revision);
+  }
+  auto servers = out.initServers(batch.changes.size());
+  for (size_t i = 0; i < batch.changes.size(); ++i) {
+    write_server(servers[i], batch.changes[i]);
+  }
+}
+
+server_change_batch read_batch(rpc::News::Reader in) {
+  server_change_batch out;
+  out.from_revision = in.getFromRevision();
+  out.to_revision = in.getToRevision();
+  out.removals_since = in.getRemovalsSince();
+  if (in.hasServerRange()) {
+    const auto range = in.getServerRange();
+    out.range = server_range{{range.getFirst().cStr(), range.getEnd().cStr()},
+                             range.getRevision()};
+  }
+  for (const auto server : in.getServers()) {
+    out.changes.push_back(read_server(server));
+  }
+  return out;
+}
+
 void write_store_update(rpc::News::Builder out, const store_update& n) {
   out.setNonce(n.nonce);
   out.setConfigRevision(n.config_revision);
@@ -281,12 +313,7 @@
   out.setServersAgeMs(
       static_cast<uint32_t>(absl::ToInt64Milliseconds(n.servers_age)));
   out.setStoreReachable(n.store_reachable);
-  out.setFromRevision(n.from_revision);
-  out.setToRevision(n.to_revision);
-  auto servers = out.initServers(n.servers.size());
-  for (size_t i = 0; i < n.servers.size(); ++i) {
-    write_server(servers[i], n.servers[i]);
-  }
+  write_batch(out, n.servers);
   if (n.holder) write_holder(out.initHolder(), *n.holder);
   write_places(out.initFarPlaces(n.remote_places.size()), n.remote_places);
   out.setFarNodes(n.remote_nodes);
@@ -311,11 +338,7 @@
   out.servers_age =
       servers_age == 0 ? out.config_age : absl::Milliseconds(servers_age);
   out.store_reachable = in.getStoreReachable();
-  out.from_revision = in.getFromRevision();
-  out.to_revision = in.getToRevision();
-  for (const auto server : in.getServers()) {
-    out.servers.push_back(read_server(server));
-  }
+  out.servers = read_batch(in);
   if (in.hasHolder()) out.holder = read_holder(in.getHolder());
   out.remote_places = read_places(in.getFarPlaces());
   out.remote_nodes = static_cast<int>(in.getFarNodes());
--- a/src/node-message.h
+++ b/src/node-message.h
@@ -71,6 +71,34 @@
   bool operator==(const server_change&) const = default;
 };
 
+/// All servers in a range of ids as of a revision.
+struct server_range {
+  id_range ids;
+  int64_t revision = 0;
+  bool operator==(const server_range&) const = default;
+};
+
+/// Server changes that fit one datagram.
+struct server_change_batch {
+  /// `changes` has all changes after `from_revision`, up to and including
+  /// `to_revision`.
+  int64_t from_revision = 0;
+  int64_t to_revision = 0;
+  /// The sender knows all removals after this revision.
+  int64_t removals_since = 0;
+  /// If set, `changes` has all servers in this range instead, and the removals
+  /// in it. `from_revision` is then 0, and `to_revision` is 0 except in the
+  /// last of the ranges that were sent together.
+  std::optional<server_range> range;
+  std::vector<server_change> changes;
+  bool operator==(const server_change_batch&) const = default;
+
+  /// The revision as of which `changes` is complete.
+  int64_t as_of() const {
+    return this->range ? this->range->revision : this->to_revision;
+  }
+};
+
 /// Changes of the store, sent by a relay.
 struct store_update {
   /// Nonce of the request; 0 if the message is not a response.
@@ -82,11 +110,7 @@
   absl::Duration servers_age = absl::ZeroDuration();
   /// Whether the sender's last call to the store was answered.
   bool store_reachable = true;
-  /// `servers` has all changes after `from_revision`, up to and including
-  /// `to_revision`.
-  int64_t from_revision = 0;
-  int64_t to_revision = 0;
-  std::vector<server_change> servers;
+  server_change_batch servers;
   /// Whether the sender knows all servers and this message has the last of
   /// them.
   bool all_servers = false;
--- a/src/server-directory.cc
+++ b/src/server-directory.cc
@@ -72,6 +72,29 @@
   for (const auto& id : missing) {
     this->remove(id, revision, keep_missing_until);
   }
+  this->advance_to_list(revision, revision);
+}
+
+bool server_directory::remove_missing(const id_range& range,
+                                      const std::set<std::string>& listed,
+                                      int64_t revision) {
+  std::vector<std::string> missing;
+  for (auto at = this->by_id.lower_bound(range.first);
+       at != this->by_id.end() && range.contains(at->first); ++at) {
+    const bool newer = at->second.revision > revision;
+    if (!newer && listed.count(at->first) == 0) missing.push_back(at->first);
+  }
+  for (const auto& id : missing) {
+    this->remove(id, revision, absl::InfinitePast());
+  }
+  return !missing.empty();
+}
+
+void server_directory::advance_to_list(int64_t revision,
+                                       int64_t removals_since) {
+  // Removals between this node's revision and `removals_since` are missing.
+  if (removals_since > this->known_revision)
+    this->complete_since = removals_since;
   this->advance_revision(revision);
 }
 
@@ -88,9 +111,8 @@
   }
   const auto known = this->by_id.find(id);
   if (known != this->by_id.end()) {
-    const bool is_expiring = known->second.expires_at != absl::InfinitePast();
-    if (known->second.revision > server.revision) return false;
-    if (known->second.revision == server.revision && !is_expiring) return false;
+    // An entry that has been found missing returns with a higher revision only.
+    if (known->second.revision >= server.revision) return false;
     // A late entry of an earlier start, from whatever source.
     const int64_t incarnation = server.entry.incarnation;
     if (incarnation != 0 && incarnation < known->second.entry.incarnation)
@@ -143,7 +165,10 @@
 
 void server_directory::mark_removed(const std::string& id, int64_t revision) {
   const auto [at, inserted] = this->removal_revisions.emplace(id, revision);
-  if (!inserted) this->removals.erase({at->second, id});
+  if (!inserted) {
+    if (at->second >= revision) return;
+    this->removals.erase({at->second, id});
+  }
   at->second = revision;
   this->removals.emplace(revision, id);
 }
@@ -174,7 +199,10 @@
 bool server_directory::remove(const std::string& id, int64_t revision,
                               absl::Time keep_until) {
   const auto known = this->by_id.find(id);
-  if (known == this->by_id.end()) return false;
+  if (known == this->by_id.end()) {
+    this->mark_removed(id, revision);
+    return false;
+  }
   if (known->second.revision > revision) return false;
   if (keep_until != absl::InfinitePast()) {
     // An entry that is missing already keeps its earlier expiry.
@@ -196,12 +224,16 @@
     if (at <= now && at <= known_at) expired.push_back(id);
   }
   for (const auto& id : expired) {
-    this->mark_removed(id, this->by_id.at(id).revision);
+    // It has not returned up to the revision that is known.
+    const int64_t entry_revision = this->by_id.at(id).revision;
+    this->mark_removed(id, std::max(this->known_revision, entry_revision));
     this->erase(id);
   }
   this->forget_departed(now);
   const int64_t oldest = this->known_revision - remembered_revisions;
   while (!this->removals.empty() && this->removals.begin()->first < oldest) {
+    this->complete_since =
+        std::max(this->complete_since, this->removals.begin()->first);
     this->removal_revisions.erase(this->removals.begin()->second);
     this->removals.erase(this->removals.begin());
   }
--- a/src/server-feed.cc
+++ b/src/server-feed.cc
@@ -96,11 +96,12 @@
 void server_feed::apply_entries(const std::vector<object>& objects,
                                 int64_t revision) {
   const absl::Time keep_until = this->keep_missing_until();
-  for (const auto& o : objects) {
-    if (o.deleted) {
-      this->apply_removal(o, revision, keep_until);
+  const std::vector<int64_t> missing_at = removal_revisions(objects, revision);
+  for (size_t i = 0; i < objects.size(); ++i) {
+    if (objects[i].deleted) {
+      this->apply_removal(objects[i], missing_at[i], keep_until);
     } else {
-      this->apply_entry(o);
+      this->apply_entry(objects[i]);
     }
   }
   this->node.invalidate_group_cache();
@@ -112,7 +113,7 @@
   const bool kept = keep_until != absl::InfinitePast();
   this->node.log.state_change("server_gone",
                               {{"server", o.key.name},
-                               {"rev", absl::StrCat(o.version)},
+                               {"rev", absl::StrCat(revision)},
                                {"kept", kept ? "1" : "0"}},
                               this->node.now());
 }
--- a/src/store-relay.cc
+++ b/src/store-relay.cc
@@ -42,9 +42,6 @@
 /// be unreachable, and then the relay is the first to notice its return.
 constexpr absl::Duration stale_exclusion = absl::Milliseconds(1200);
 
-/// Number of changes that one datagram holds, about 20 KB.
-constexpr size_t max_changes_per_message = 200;
-
 /// Ages above this are sent as this one, for a node that knows nothing.
 constexpr absl::Duration max_wire_age = absl::Hours(1);
 
@@ -148,19 +145,16 @@
   out.store_reachable = this->node.store_reachable || !this->watches_store();
   this->fill_update(out);
   out.holder = this->send_holder_state(peer, has_state);
-  auto changes =
-      server_changes_since(this->node.directory, from, this->node.now());
   const int64_t last_revision = this->node.directory.revision();
-  for (auto& batch : split_server_changes(
-           std::move(changes), max_changes_per_message, from, last_revision)) {
-    out.from_revision = batch.from_revision;
-    out.to_revision = batch.to_revision;
-    out.servers = std::move(batch.servers);
-    out.all_servers =
-        this->node.directory_listed && batch.to_revision == last_revision;
+  const absl::Time now = this->node.now();
+  for (auto& batch :
+       make_server_batches(this->node.directory, from, batch_limits{}, now)) {
+    const int64_t to = batch.to_revision;
+    out.all_servers = this->node.directory_listed && to == last_revision;
+    this->sender.on_sent(peer, batch.range ? from : batch.from_revision, to,
+                         out.config_revision, now);
+    out.servers = std::move(batch);
     this->link.send(peer, out);
-    this->sender.on_sent(peer, out.from_revision, out.to_revision,
-                         out.config_revision, this->node.now());
     // Further messages of the same update need not repeat it.
     if (out.holder) out.holder = without_servers(out.holder->state);
   }
@@ -230,7 +224,7 @@
   this->missed = 0;
   // A relay that has just started itself knows nothing yet.
   if (!this->node.directory_listed && !update.all_servers &&
-      update.servers.empty()) {
+      update.servers.changes.empty()) {
     return false;
   }
   // Nor does one that has not read the configuration yet.
@@ -284,26 +278,27 @@
 
 void store_relay::apply_servers(const std::string& peer,
                                 const store_update& update) {
-  // Changes can be applied only by a node that has all earlier ones.
-  const int64_t known_revision = this->node.directory.revision();
-  if (!this->receiver.on_message(update.from_revision, known_revision)) {
+  const server_change_batch& batch = update.servers;
+  const batch_result result = apply_server_batch(
+      this->node.directory, this->receiver, batch, this->node.now());
+  if (result == batch_result::missing_changes) {
     this->report_gap(peer, update);
     this->request_missing();
     return;
   }
-  const bool changed = apply_server_changes(this->node.directory,
-                                            update.servers, this->node.now());
-  this->node.directory.advance_revision(update.to_revision);
-  if (update.all_servers) {
+  const int64_t as_of = batch.range ? batch.range->revision : batch.to_revision;
+  const bool has_all = this->node.directory.revision() >= as_of;
+  if (has_all && (update.all_servers || batch.range)) {
     this->node.directory_listed = true;
     this->record_servers_verified(update);
   }
-  if (!changed) return;
+  if (result != batch_result::changed) return;
   this->node.invalidate_group_cache();
   this->node.log.state_change("servers_changed",
                               {{"relay", peer},
-                               {"count", absl::StrCat(update.servers.size())},
-                               {"rev", absl::StrCat(update.to_revision)}},
+                               {"count", absl::StrCat(batch.changes.size())},
+                               {"rev", absl::StrCat(batch.as_of())},
+                               {"list", batch.range ? "1" : "0"}},
                               this->node.now());
   if (this->on_servers) this->on_servers();
 }
@@ -323,8 +318,9 @@
       "news_gap",
       {{"relay", peer},
        {"known", absl::StrCat(this->node.directory.revision())},
-       {"from", absl::StrCat(update.from_revision)},
-       {"to", absl::StrCat(update.to_revision)},
+       {"from", absl::StrCat(update.servers.from_revision)},
+       {"to", absl::StrCat(update.servers.to_revision)},
+       {"removals_since", absl::StrCat(update.servers.removals_since)},
        {"asked", update.nonce != 0 ? "1" : "0"}},
       this->node.now());
 }
--- a/test/change-relay-test.cc
+++ b/test/change-relay-test.cc
@@ -221,9 +221,9 @@
 TEST(change_relay, limits_out_of_turn_requests) {
   const absl::Time start = absl::FromUnixSeconds(1000);
   change_receiver receiver;
-  EXPECT_TRUE(receiver.on_message(3, 4));
+  EXPECT_TRUE(receiver.on_message(3, 0, 4));
   EXPECT_FALSE(receiver.request_out_of_turn(4, start));
-  EXPECT_FALSE(receiver.on_message(6, 4));
+  EXPECT_FALSE(receiver.on_message(6, 0, 4));
   EXPECT_EQ(receiver.position(4), (follower_position{4, 6}));
   EXPECT_TRUE(receiver.request_out_of_turn(4, start));
   EXPECT_FALSE(receiver.request_out_of_turn(4, start + link_delay));
--- a/test/node-message-test.cc
+++ b/test/node-message-test.cc
@@ -95,10 +95,12 @@
   n.evacuations = {17, absl::Milliseconds(90), {"hall", "hall-2"}};
   n.servers_age = absl::Milliseconds(340);
   n.store_reachable = false;
-  n.from_revision = 10;
-  n.to_revision = 12;
-  n.servers = {{sample_server(), false, absl::Milliseconds(30)},
-               {sample_server(), true, absl::ZeroDuration()}};
+  n.servers.from_revision = 10;
+  n.servers.to_revision = 12;
+  n.servers.removals_since = 8;
+  n.servers.range = server_range{{"a", "b"}, 12};
+  n.servers.changes = {{sample_server(), false, absl::Milliseconds(30)},
+                       {sample_server(), true, absl::ZeroDuration()}};
   n.holder = inline_holder_state(sample_holder());
   n.remote_places = {{"small.9", 12, 256}};
   n.remote_nodes = 240;
@@ -164,7 +166,7 @@
 
 RC_GTEST_PROP(node_message, decoder_tolerates_corrupted_messages, ()) {
   store_update n;
-  n.servers = {{sample_server(), false, absl::ZeroDuration()}};
+  n.servers.changes = {{sample_server(), false, absl::ZeroDuration()}};
   std::string bytes = encode(sample(n));
   const auto changes = *rc::gen::inRange(1, 6);
   for (int i = 0; i < changes; ++i) {
--- a/test/server-directory-test.cc
+++ b/test/server-directory-test.cc
@@ -270,19 +270,19 @@
 /// A node that has just started lacks all servers, more than fit a datagram.
 TEST(server_change, batches_transfer_a_large_directory_in_order) {
   constexpr int servers = 931;
-  constexpr size_t max_size = 200;
+  const batch_limits limits = {200, 1 << 20};
   server_directory from;
   for (int i = 1; i <= servers; ++i) {
     from.update(server(std::to_string(i), i));
   }
   from.advance_revision(servers + 5);
   const auto batches = split_server_changes(
-      server_changes_since(from, 0, start), max_size, 0, from.revision());
+      server_changes_since(from, 0, start), limits, 0, from.revision());
   server_directory to;
   for (const auto& batch : batches) {
     EXPECT_EQ(batch.from_revision, to.revision());
-    EXPECT_LE(batch.servers.size(), max_size);
-    apply_server_changes(to, batch.servers, start);
+    EXPECT_LE(batch.changes.size(), limits.changes);
+    apply_server_changes(to, batch.changes, start);
     to.advance_revision(batch.to_revision);
   }
   EXPECT_EQ(to.servers(), from.servers());
@@ -290,8 +290,8 @@
 }
 
 TEST(server_change, without_changes_there_is_one_empty_batch) {
-  const std::vector<server_change_batch> expected = {{7, 9, {}}};
-  EXPECT_EQ(split_server_changes({}, 200, 7, 9), expected);
+  const std::vector<server_change_batch> expected = {{7, 9, 0, {}, {}}};
+  EXPECT_EQ(split_server_changes({}, batch_limits{}, 7, 9), expected);
 }
 
 TEST(server_change, expiring_servers_never_hide_later_changes) {
@@ -300,12 +300,12 @@
   for (int i = 1; i <= 7; ++i) {
     from.remove(std::to_string(i), i, start + absl::Seconds(2));
   }
-  const auto batches =
-      split_server_changes(server_changes_since(from, 7, start), 3, 7, 9);
+  const auto batches = split_server_changes(
+      server_changes_since(from, 7, start), {3, 1 << 20}, 7, 9);
   EXPECT_EQ(batches.front().from_revision, 7);
   EXPECT_EQ(batches.back().to_revision, 9);
   size_t reported = 0;
-  for (const auto& batch : batches) reported += batch.servers.size();
+  for (const auto& batch : batches) reported += batch.changes.size();
   EXPECT_EQ(reported, 9U);
 }
 
