Read each object of the store by itself

Cause: parse_body() decoded a listing or the answer of a watch as a whole, and one string or number that the parser refuses discarded all of it. The watch was then repeated from the same revision and met the same entry. A single read and a conflict failed in the same way, so that a spoiled lease or enrolment could not be replaced either.

The rest of the class:

Names and texts with control characters, which messages between nodes cut off and headers cannot hold, are refused; names of evacuated halls and of nodes, addresses, cores and ranks are checked. - Fencing numbers of the lease neither go back nor overflow, and ids of another writer's document are not copied if they are long. - Numbers out of range of an integer are no longer converted.

Each revision of an unusable object gives one line, `entry_unusable`, and one count, by kind and reason; a whole answer that cannot be read is logged as such.

--- a/include/spokesail/document.h
+++ b/include/spokesail/document.h
@@ -16,6 +16,11 @@
   auto operator<=>(const object_key&) const = default;
 };
 
+/// Whether a text may be the name of something that is sent on to servers and
+/// other nodes: 1 to 255 visible ASCII characters. The store's objects may have
+/// any name.
+bool is_plain_name(const std::string& name);
+
 /// One version of an object. The body is the JSON text of its spec. The
 /// platform assigns versions, which start at 1 and only grow; 0 means "does not
 /// exist".
--- a/include/spokesail/lease.h
+++ b/include/spokesail/lease.h
@@ -73,6 +73,9 @@
   /// The document as last seen.
   const object& last_object() const { return this->base; }
 
+  /// Whether the document as last seen is not a lease.
+  bool unreadable() const;
+
   /// Stops holding the lease now without informing the others; they take it
   /// over once it has expired.
   void abandon() { this->valid_until = absl::InfinitePast(); }
--- a/src/config-feed.cc
+++ b/src/config-feed.cc
@@ -82,6 +82,7 @@
   auto config = this->node.adapter.read_config(o);
   if (!config) {
     this->unreadable_revision = o.version;
+    this->node.unusable.report(o, "not a configuration", this->node.now());
     this->node.log.state_change("config_unreadable",
                                 {{"rev", absl::StrCat(o.version)}},
                                 this->node.now());
--- a/src/detail/json-scan.cc
+++ b/src/detail/json-scan.cc
@@ -163,16 +163,18 @@
 
 /// Decodes the escape after a backslash and removes it from `rest`.
 void take_escape(std::string_view& rest, std::string& out) {
-  constexpr std::string_view letters = "bfnrt";
-  constexpr std::string_view controls = "\b\f\n\r\t";
+  constexpr std::string_view letters = "bfnrt\"\\/";
+  constexpr std::string_view characters = "\b\f\n\r\t\"\\/";
+  constexpr uint32_t replacement_character = 0xFFFD;
   const char c = rest.front();
   rest.remove_prefix(1);
-  if (c == 'u') {
-    if (const auto code = take_code_point(rest)) append_utf8(out, *code);
+  const size_t letter = letters.find(c);
+  if (letter != std::string_view::npos) {
+    out += characters[letter];
     return;
   }
-  const size_t letter = letters.find(c);
-  out += letter == std::string_view::npos ? c : controls[letter];
+  const auto code = c == 'u' ? take_code_point(rest) : std::nullopt;
+  append_utf8(out, code.value_or(replacement_character));
 }
 
 }  // namespace
--- a/src/detail/json-scan.h
+++ b/src/detail/json-scan.h
@@ -37,8 +37,8 @@
 size_t nesting_depth(std::string_view text);
 
 /// Decodes a string in quotes. Bytes that are not UTF-8 are kept, and escapes
-/// of lone surrogates are encoded like other characters. Empty if `text` is not
-/// a string.
+/// of lone surrogates are encoded like other characters. Other escapes that
+/// JSON does not have become U+FFFD. Empty if `text` is not a string.
 std::string decode_string(std::string_view text);
 
 }  // namespace spokesail::detail
--- a/src/document.cc
+++ b/src/document.cc
@@ -10,6 +10,9 @@
 
 constexpr char writes_field[] = "writes";
 
+/// Longest name, and longest id of a write, in bytes.
+constexpr size_t max_name_bytes = 255;
+
 bool contains_write_id(const object& found, const std::string& write_id) {
   const auto ids = write_ids(found.body);
   return std::find(ids.begin(), ids.end(), write_id) != ids.end();
@@ -17,6 +20,12 @@
 
 }  // namespace
 
+bool is_plain_name(const std::string& name) {
+  const auto visible = [](char c) { return c > ' ' && c <= '~'; };
+  return !name.empty() && name.size() <= max_name_bytes &&
+         std::all_of(name.begin(), name.end(), visible);
+}
+
 std::vector<std::string> write_ids(const std::string& body) {
   const json spec = json::parse(body, nullptr, false);
   if (!spec.is_object() || !spec.contains(writes_field)) return {};
@@ -24,7 +33,10 @@
   if (!ids.is_array()) return {};
   std::vector<std::string> out;
   for (const auto& id : ids) {
-    if (id.is_string()) out.push_back(id.get<std::string>());
+    // Ids are copied from one version to the next, another writer's too.
+    const bool usable =
+        id.is_string() && is_plain_name(id.get_ref<const std::string&>());
+    if (usable) out.push_back(id.get<std::string>());
   }
   return out;
 }
--- a/src/evacuation-feed.cc
+++ b/src/evacuation-feed.cc
@@ -19,6 +19,10 @@
 /// has verified the evacuations itself before its followers consider it stale.
 constexpr absl::Duration first_watch_wait = absl::Milliseconds(50);
 
+/// Maximum number of evacuated halls, above that of any installation: each
+/// message to followers holds all of them.
+constexpr size_t max_evacuated_halls = 64;
+
 /// Number of servers in a data hall, as known to this node.
 int64_t servers_in(const node_context& node, const std::string& hall) {
   const auto& servers = node.directory.servers();
@@ -83,12 +87,23 @@
   return this->node.evacuations.snapshot(this->node.now()).revision;
 }
 
+void evacuation_feed::add_hall(evacuation_snapshot& snapshot, const object& o) {
+  const bool usable = is_plain_name(o.key.name) &&
+                      (snapshot.halls.size() < max_evacuated_halls ||
+                       snapshot.halls.count(o.key.name) != 0);
+  if (usable) {
+    snapshot.halls.insert(o.key.name);
+  } else {
+    this->node.unusable.report(o, "not a data hall", this->node.now());
+  }
+}
+
 void evacuation_feed::apply_listing(const object_listing& listing,
                                     absl::Time verified_at) {
   evacuation_snapshot snapshot;
   snapshot.revision = listing.revision;
   snapshot.age = absl::ZeroDuration();
-  for (const auto& o : listing.objects) snapshot.halls.insert(o.key.name);
+  for (const auto& o : listing.objects) this->add_hall(snapshot, o);
   apply_evacuations(this->node, snapshot, verified_at, "store");
 }
 
@@ -102,7 +117,7 @@
     if (o.deleted) {
       snapshot.halls.erase(o.key.name);
     } else {
-      snapshot.halls.insert(o.key.name);
+      this->add_hall(snapshot, o);
     }
   }
   // A watch that timed out saw no change until the end of its wait.
--- a/src/evacuation-feed.h
+++ b/src/evacuation-feed.h
@@ -44,6 +44,9 @@
                                absl::Time sent) override;
 
  private:
+  /// Adds the hall that an object names.
+  void add_hall(evacuation_snapshot& snapshot, const object& o);
+
   node_context& node;
   /// Wait of the watch in flight.
   absl::Duration current_watch_wait = absl::ZeroDuration();
--- a/src/http-fetch.cc
+++ b/src/http-fetch.cc
@@ -117,6 +117,7 @@
       co_await http::async_read(*socket, buffer, parser, use_tuple);
   if (read_error) {
     out.error = read_error.message();
+    out.too_large = read_error == http::error::body_limit;
     out.silent = read_error == net::error::operation_aborted && read == 0;
     // The idle connections to this address may be dead too, without an error so
     // far.
--- a/src/lease-manager.cc
+++ b/src/lease-manager.cc
@@ -138,6 +138,7 @@
   } else {
     this->retry_backoff.reset();
   }
+  this->report_unreadable();
   if (held == this->lease.held(this->node.now())) co_return;
   this->node.log.state_change(held ? "lease_lost" : "lease_taken",
                               {{"fence", absl::StrCat(this->lease.fence())},
@@ -160,9 +161,16 @@
     this->lease.observe(answer.found, this->node.now(),
                         this->takeover_jitter_share());
   }
+  this->report_unreadable();
   co_return true;
 }
 
+void lease_manager::report_unreadable() {
+  if (!this->lease.unreadable()) return;
+  this->node.unusable.report(this->lease.last_object(), "not a lease",
+                             this->node.now());
+}
+
 net::awaitable<void> lease_manager::renew_or_take_over() {
   if (this->releasing) {
     if (!this->lease.released()) co_await this->write();
--- a/src/lease-manager.h
+++ b/src/lease-manager.h
@@ -50,6 +50,8 @@
   std::function<std::vector<std::string>()> candidates;
 
  private:
+  /// Reports a document that is not a lease.
+  void report_unreadable();
   /// Reads, acquires, renews or releases the lease if that is due.
   boost::asio::awaitable<void> renew_or_take_over();
   /// Whether this node may call the store for the lease now.
--- a/src/lease.cc
+++ b/src/lease.cc
@@ -1,5 +1,6 @@
 #include "spokesail/lease.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace spokesail {
@@ -22,17 +23,28 @@
 /// has to expire like any other before it is taken over.
 constexpr char unknown_holder[] = "?";
 
+/// Whether a value names a holder; an empty name is a released lease.
+bool is_holder(const json& value) {
+  if (!value.is_string()) return false;
+  const auto& name = value.get_ref<const std::string&>();
+  return name.empty() || is_plain_name(name);
+}
+
+/// Whether a value is a number that can be counted on from.
+bool is_count(const json& value) {
+  constexpr int64_t max_count = int64_t{1} << 53;
+  return value.is_number_integer() && value >= 0 && value <= max_count;
+}
+
 /// Nothing if the text is not a lease record.
 std::optional<lease_record> read_record(const std::string& body) {
   const json spec = json::parse(body, nullptr, false);
   if (!spec.is_object()) return std::nullopt;
   const auto holder = spec.find("holder");
-  if (holder != spec.end() && !holder->is_string()) return std::nullopt;
+  if (holder != spec.end() && !is_holder(*holder)) return std::nullopt;
   for (const char* name : {"fence", "renewals"}) {
     const auto number = spec.find(name);
-    if (number != spec.end() && !number->is_number_integer()) {
-      return std::nullopt;
-    }
+    if (number != spec.end() && !is_count(*number)) return std::nullopt;
   }
   return spec.get<lease_record>();
 }
@@ -47,12 +59,14 @@
 void lease::adopt_version(const object& seen, absl::Time now,
                           double random_unit) {
   const auto parsed = read_record(seen.body);
+  // Fencing numbers never go back, whatever another writer has left.
+  const int64_t fence = this->record.fence;
   this->known = true;
   this->base = seen;
   if (parsed) {
     this->record = *parsed;
+    this->record.fence = std::max(fence, parsed->fence);
   } else {
-    // The fencing number known before remains in force.
     this->record.holder = unknown_holder;
   }
   this->takeover_at = now + random_unit * this->timing.takeover_jitter;
@@ -71,6 +85,8 @@
   this->takeover_at = now + random_unit * this->timing.takeover_jitter;
 }
 
+bool lease::unreadable() const { return this->record.holder == unknown_holder; }
+
 void lease::release() {
   if (this->record.holder == this->self) this->releasing = true;
   this->valid_until = absl::InfinitePast();
--- a/src/node-context.h
+++ b/src/node-context.h
@@ -45,6 +45,7 @@
 #include "spokesail/server-reachability.h"
 #include "spokesail/speed-table.h"
 #include "spokesail/staleness.h"
+#include "unusable-entries.h"
 
 namespace spokesail {
 
@@ -86,6 +87,7 @@
   /// tests.
   std::shared_ptr<server_dialer> dialer = std::make_shared<tcp_dialer>();
   node_metrics metrics;
+  unusable_entries unusable{metrics, log};
   connection_pool pool;
   /// Which servers this node reaches over its own links.
   server_reachability reachability;
--- a/src/node-discovery.cc
+++ b/src/node-discovery.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <optional>
 
 namespace spokesail {
 namespace {
@@ -35,10 +36,46 @@
 /// this time, when it knows whether it is top-ranked.
 constexpr absl::Duration first_entry_delay = absl::Seconds(3);
 
+/// Highest number of cores that a node's entry may state.
+constexpr double max_cores = 1024;
+
+/// A member that is a text; empty if it is missing or something else.
+std::string text_member(const json& object, const char* name) {
+  const auto found = object.find(name);
+  const bool is_text = found != object.end() && found->is_string();
+  return is_text ? found->get<std::string>() : std::string();
+}
+
 /// Whether a node's entry in the store equals `spec`.
 bool entry_matches(const std::string& body, const std::string& spec) {
+  // Another writer's entry may be nested deeply, so that its values are not
+  // compared unless they are simple.
   const json found = json::parse(body, nullptr, false);
-  return found == json::parse(spec);
+  const bool flat = found.is_object() &&
+                    std::none_of(found.begin(), found.end(), [](const json& v) {
+                      return v.is_structured();
+                    });
+  return flat && found == json::parse(spec);
+}
+
+/// Reads a node's entry; nothing if another writer has left it.
+std::optional<peer_info> read_peer(const object& o) {
+  const json body = json::parse(o.body, nullptr, false);
+  if (!body.is_object() || !is_plain_name(o.key.name)) return std::nullopt;
+  const auto cores = body.find("cores");
+  peer_info peer = {o.key.name, text_member(body, "address"),
+                    text_member(body, "hall"), 1};
+  if (cores != body.end() && !cores->is_null()) {
+    if (!cores->is_number()) return std::nullopt;
+    const auto count = cores->get<double>();
+    if (!(count > 0 && count <= max_cores)) return std::nullopt;
+    peer.cores = static_cast<float>(count);
+  }
+  boost::system::error_code error;
+  const auto endpoint = parse_endpoint(peer.address, error);
+  if (error || endpoint.port() == 0 || !is_plain_name(peer.hall))
+    return std::nullopt;
+  return peer;
 }
 
 /// The address of the node at a seed's IP number: all nodes receive messages at
@@ -97,19 +134,12 @@
 }
 
 void node_discovery::apply_peer_entry(const object& o) {
-  json body = json::parse(o.body, nullptr, false);
-  if (!body.is_object()) return;
-  const json& address = body["address"];
-  const json& hall = body["hall"];
-  const json& cores = body["cores"];
-  if (!address.is_string() || !hall.is_string()) return;
-  if (!cores.is_null() && !cores.is_number()) return;
-  boost::system::error_code error;
-  parse_endpoint(address.get<std::string>(), error);
-  if (error) return;
-  const peer_info peer = {o.key.name, address.get<std::string>(),
-                          hall.get<std::string>(),
-                          cores.is_null() ? 1 : cores.get<float>()};
+  const auto entry = read_peer(o);
+  if (!entry) {
+    this->node.unusable.report(o, "not a node", this->node.now());
+    return;
+  }
+  const peer_info& peer = *entry;
   if (peer.hall == this->node.settings.hall) {
     this->enrolled_in_hall.push_back(peer.name);
   }
--- a/src/node-metrics.cc
+++ b/src/node-metrics.cc
@@ -58,7 +58,8 @@
       update_events(counter(registry, "spokesail_news_total",
                             "missed changes of servers, by event")),
       unusable_entries(counter(registry, "spokesail_entries_unusable_total",
-                               "invalid server entries, by reason")),
+                               "objects of the store that cannot be used, "
+                               "by kind and reason")),
       cold_requests(counter(registry, "spokesail_cold_requests_total",
                             "requests to cold servers, by event")),
       trials(counter(registry, "spokesail_trials_total",
@@ -170,8 +171,9 @@
   this->limited_requests.Add({{"event", event}}).Increment();
 }
 
-void node_metrics::count_unusable_entry(const std::string& why) {
-  this->unusable_entries.Add({{"why", why}}).Increment();
+void node_metrics::count_unusable_entry(const std::string& kind,
+                                        const std::string& why) {
+  this->unusable_entries.Add({{"kind", kind}, {"why", why}}).Increment();
 }
 
 void node_metrics::count_update_event(const std::string& event) {
--- a/src/node-metrics.h
+++ b/src/node-metrics.h
@@ -53,8 +53,8 @@
   /// "not_connected".
   void count_tunnel(const std::string& result);
   void count_peer_bytes(const char* direction, double bytes);
-  /// Counts an entry that does not describe a usable server.
-  void count_unusable_entry(const std::string& why);
+  /// Counts an object of the store that cannot be used.
+  void count_unusable_entry(const std::string& kind, const std::string& why);
   /// Counts an event that made the node miss changes of servers or recover
   /// missed ones.
   void count_update_event(const std::string& event);
--- a/src/server-feed.cc
+++ b/src/server-feed.cc
@@ -65,7 +65,7 @@
                                this->keep_missing_until());
   // Missing entries are kept for a while; these exist but cannot be used, so
   // they are removed at once.
-  for (const object* o : unusable) this->remove_unusable(*o);
+  for (const object* o : unusable) this->remove_unusable(*o, listing.revision);
   this->node.directory_listed = true;
   this->advance_verified_at(verified_at);
   this->node.invalidate_group_cache();
@@ -101,7 +101,7 @@
     if (objects[i].deleted) {
       this->apply_removal(objects[i], missing_at[i], keep_until);
     } else {
-      this->apply_entry(objects[i]);
+      this->apply_entry(objects[i], revision);
     }
   }
   this->node.invalidate_group_cache();
@@ -109,6 +109,7 @@
 
 void server_feed::apply_removal(const object& o, int64_t revision,
                                 absl::Time keep_until) {
+  if (!is_plain_name(o.key.name)) return;
   this->node.directory.remove(o.key.name, revision, keep_until);
   const bool kept = keep_until != absl::InfinitePast();
   this->node.log.state_change("server_gone",
@@ -121,24 +122,20 @@
 std::optional<server_entry> server_feed::parse_entry(const object& o) {
   std::string fault;
   auto entry = this->node.adapter.read_server(o, fault);
-  if (entry) return entry;
-  this->node.metrics.count_unusable_entry(fault);
-  this->node.log.state_change("entry_unusable",
-                              {{"server", o.key.name},
-                               {"rev", absl::StrCat(o.version)},
-                               {"why", fault}},
-                              this->node.now());
+  if (!entry) this->node.unusable.report(o, fault, this->node.now());
   return entry;
 }
 
-void server_feed::remove_unusable(const object& o) {
-  this->node.directory.remove(o.key.name, o.version, absl::InfinitePast());
+void server_feed::remove_unusable(const object& o, int64_t as_of) {
+  if (!is_plain_name(o.key.name)) return;
+  const int64_t revision = o.version > 0 ? o.version : as_of;
+  this->node.directory.remove(o.key.name, revision, absl::InfinitePast());
 }
 
-void server_feed::apply_entry(const object& o) {
+void server_feed::apply_entry(const object& o, int64_t as_of) {
   const auto entry = this->parse_entry(o);
   if (!entry) {
-    this->remove_unusable(o);
+    this->remove_unusable(o, as_of);
     return;
   }
   this->node.directory.update(this->to_listed(*entry, o.version));
--- a/src/server-feed.h
+++ b/src/server-feed.h
@@ -41,15 +41,16 @@
 
  private:
   void apply_entries(const std::vector<object>& objects, int64_t revision);
-  void apply_entry(const object& o);
+  /// Applies an entry from an answer that is complete as of a revision.
+  void apply_entry(const object& o, int64_t as_of);
   /// Converts an entry of a revision, with its times on this node's clock.
   listed_server to_listed(const server_entry& entry, int64_t revision) const;
   /// Parses an entry. Returns nothing, and logs why, if it describes no usable
   /// server.
   std::optional<server_entry> parse_entry(const object& o);
   /// Removes a server whose entry is unusable, even if earlier entries of it
-  /// were not.
-  void remove_unusable(const object& o);
+  /// were not. It counts as of `as_of` if its own revision cannot be read.
+  void remove_unusable(const object& o, int64_t as_of);
   /// Records that all changes up to a time are known.
   void advance_verified_at(absl::Time verified_at);
   /// Applies the end of an entry, which counts as present until `keep_until`.
--- a/test/fixed-answer-store.h
+++ b/test/fixed-answer-store.h
@@ -35,6 +35,8 @@
 
   std::string status = "200 OK";
   std::string body;
+  /// The bytes of the last call.
+  std::string last_request;
 
  private:
   net::awaitable<void> serve() {
@@ -43,7 +45,9 @@
           co_await this->acceptor.async_accept(detail::use_tuple);
       if (error) co_return;
       std::array<char, 4096> request;
-      co_await socket.async_read_some(net::buffer(request), detail::use_tuple);
+      auto [failed, size] = co_await socket.async_read_some(
+          net::buffer(request), detail::use_tuple);
+      this->last_request = std::string(request.data(), size);
       const std::string out = "HTTP/1.1 " + this->status +
                               "\r\nConnection: close\r\n\r\n" + this->body;
       co_await net::async_write(socket, net::buffer(out), detail::use_tuple);
--- a/test/lease-test.cc
+++ b/test/lease-test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace spokesail {
@@ -155,6 +156,27 @@
   }
 }
 
+// Guards against fencing numbers that go back, or overflow, because of what
+// another writer has left in the document.
+TEST(lease, fence_of_another_writer_neither_goes_back_nor_overflows) {
+  lease own("hall", "a", timing);
+  own.observe(lease_object("b", 4, 7), start, 0);
+  own.observe(lease_object("b", 1, 8), start, 0);
+  EXPECT_EQ(own.fence(), 4);
+  const auto largest = std::numeric_limits<int64_t>::max();
+  for (const int64_t fence : {largest, int64_t{-1}}) {
+    own.observe(lease_object("b", fence, own.last_object().version + 1), start,
+                0);
+    EXPECT_TRUE(own.unreadable());
+    EXPECT_EQ(own.fence(), 4);
+  }
+  own.observe(lease_object(std::string(300, 'b'), 5, 20), start, 0);
+  EXPECT_TRUE(own.unreadable());
+  const auto call = own.due(start + timing.duration, "w");
+  ASSERT_TRUE(call);
+  EXPECT_EQ(nlohmann::json::parse(call->body)["fence"], 5);
+}
+
 TEST(lease, lease_taken_by_another_is_not_released) {
   lease own("hall", "a", timing);
   own.observe_absent(start);
