Count chunk headers of a response that never ends

Cause: the limit counted the decoded body. It counts the bytes of the response now, framing included.

--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -108,6 +108,7 @@
 
 void exchange::record_bytes(size_t size) {
   this->node.bytes_in += size;
+  this->bytes_received += size;
   if (size == 0) return;
   this->last_heard = this->node.now();
   if (this->proxy.empty())
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -147,6 +147,8 @@
   bool may_wait_for_trial = false;
   /// When bytes were last received, or the request was sent.
   absl::Time last_heard = absl::InfiniteFuture();
+  /// Bytes of the response that were read, its framing included.
+  size_t bytes_received = 0;
   /// Whether it connected, but the request was then not sent.
   bool withheld = false;
   /// Whether a response head was received.
--- a/src/request-answer.cc
+++ b/src/request-answer.cc
@@ -99,14 +99,17 @@
   std::string body;
   answer_charge charge(this->node.held);
   std::string error;
-  while (!ex.body_ended() && body.size() <= max_buffered_response) {
+  // Chunk headers count too: a response in tiny chunks takes as much time.
+  const auto too_large = [&ex] {
+    return ex.bytes_received > max_buffered_response;
+  };
+  while (!ex.body_ended() && !too_large()) {
     co_await this->wait_for_memory(ex, charge);
     error = co_await ex.read_some(body);
     charge.set(body.size());
   }
-  if (ex.malformed || body.size() > max_buffered_response)
-    this->blame_for_malformed(ex);
-  if (body.size() > max_buffered_response) {
+  if (ex.malformed || too_large()) this->blame_for_malformed(ex);
+  if (too_large()) {
     this->log_attempt(ex, "broken", "response is too large");
     co_return attempt_result::broken;
   }
