Tolerate objects of other writers in the mode with a Kubernetes-like store too

`spokesail serve` decoded whole listings, ended a watch at an object that it could not read, encoded specs and callers' bodies again with a call for each level of nesting, and had exceptions of mistyped fields on the reducer's path. Objects are cut out of the answer and checked one by one, those nested deeper than 128 levels are left out, callers get 400 for such a body, and mistyped objects give one line, `object_unusable`.

--- a/src/entry.cc
+++ b/src/entry.cc
@@ -10,6 +10,7 @@
 #include "call.h"
 #include "clock.h"
 #include "detail/http.h"
+#include "detail/json-scan.h"
 #include "detail/worker-pool.h"
 #include "spokesail/hash.h"
 
@@ -35,6 +36,10 @@
 /// Characters at the start of the prompt that are hashed as its prefix.
 constexpr size_t prefix_chars = 256;
 
+/// Deepest nesting of a request's body: it is encoded again, which takes stack
+/// space for each level.
+constexpr size_t max_body_depth = 128;
+
 /// Tokens that add as much to a request's cost as one plain call.
 constexpr double tokens_per_cost_unit = 64;
 
@@ -339,7 +344,9 @@
 
   void serve_completion(const httplib::Request& req, httplib::Response& res) {
     if (!this->check_admissible(req, res)) return;
-    json body = json::parse(req.body, nullptr, false);
+    json body = detail::nesting_depth(req.body) <= max_body_depth
+                    ? json::parse(req.body, nullptr, false)
+                    : json();
     const bool valid = body.is_object() && body.contains("model") &&
                        body["model"].is_string() && body.contains("messages") &&
                        body["messages"].is_array();
--- a/src/http-platform.cc
+++ b/src/http-platform.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "detail/http.h"
+#include "detail/json-scan.h"
 #include "spokesail/platform.h"
 
 namespace spokesail {
@@ -29,18 +30,31 @@
 /// Idle connections that are kept for reuse.
 constexpr size_t max_idle_connections = 4;
 
-int64_t version_of(const json& metadata) {
+/// Deepest nesting of a spec. Its readers encode parts of it again, which takes
+/// stack space for each level.
+constexpr size_t max_spec_depth = 128;
+
+int64_t version_of(std::string_view metadata) {
   int64_t version = 0;
-  const std::string text = metadata.value("resourceVersion", "0");
+  const std::string text =
+      detail::decode_string(detail::find_member(metadata, "resourceVersion"));
   return absl::SimpleAtoi(text, &version) ? version : 0;
 }
 
-std::optional<object> parse_object(const json& j, const std::string& kind) {
-  if (!j.is_object() || !j.contains("metadata")) return std::nullopt;
+/// Reads an object from its JSON text; nothing if it cannot be used, so that it
+/// costs no other object of the same answer.
+std::optional<object> parse_object(std::string_view text,
+                                   const std::string& kind) {
+  const std::string_view metadata = detail::find_member(text, "metadata");
+  const std::string_view spec = detail::find_member(text, "spec");
   object o;
-  o.key = {kind, j["metadata"].value("name", "")};
-  o.version = version_of(j["metadata"]);
-  if (j.contains("spec")) o.body = j["spec"].dump();
+  o.key = {kind, detail::decode_string(detail::find_member(metadata, "name"))};
+  o.version = version_of(metadata);
+  o.body = spec;
+  const bool readable =
+      spec.empty() ||
+      (detail::nesting_depth(spec) <= max_spec_depth && json::accept(spec));
+  if (o.key.name.empty() || !readable) return std::nullopt;
   return o;
 }
 
@@ -90,16 +104,14 @@
     if (!result || result->status != status_ok) {
       return leaf::new_error(platform_error::unavailable);
     }
-    const json j = json::parse(result->body, nullptr, false);
     this->release(std::move(client));
-    if (!j.is_object() || !j.contains("items")) {
-      return leaf::new_error(platform_error::unavailable);
-    }
     object_list found;
-    found.version = version_of(j["metadata"]);
-    for (const auto& item : j["items"]) {
-      if (auto o = parse_object(item, kind)) found.objects.push_back(*o);
-    }
+    found.version = version_of(detail::find_member(result->body, "metadata"));
+    const bool complete = detail::scan_array(
+        detail::find_member(result->body, "items"), [&](std::string_view item) {
+          if (auto o = parse_object(item, kind)) found.objects.push_back(*o);
+        });
+    if (!complete) return leaf::new_error(platform_error::unavailable);
     return found;
   }
 
@@ -112,16 +124,18 @@
     std::string buffer;
     bool expired = false;
     const auto on_line = [&](const std::string& line) {
-      const json j = json::parse(line, nullptr, false);
-      if (!j.is_object()) return false;
-      const std::string type = j.value("type", "");
+      const std::string type =
+          detail::decode_string(detail::find_member(line, "type"));
+      const std::string_view content = detail::find_member(line, "object");
+      if (type.empty()) return false;
       if (type == "BOOKMARK") return on_change(nullptr);
       if (type == "ERROR") {
-        expired = j["object"].value("code", 0) == status_gone;
+        expired =
+            detail::find_member(content, "code") == std::to_string(status_gone);
         return false;
       }
-      auto o = parse_object(j["object"], kind);
-      if (!o) return false;
+      auto o = parse_object(content, kind);
+      if (!o) return true;
       o->deleted = type == "DELETED";
       return on_change(&*o);
     };
@@ -157,8 +171,7 @@
     switch (result->status) {
       case status_ok:
       case status_created: {
-        const auto o =
-            parse_object(json::parse(result->body, nullptr, false), kind);
+        const auto o = parse_object(result->body, kind);
         if (!o) return out;
         out.status = call_status::ok;
         out.found = *o;
--- a/src/node-view.cc
+++ b/src/node-view.cc
@@ -34,10 +34,17 @@
 void node_step::merge(const std::vector<object>& objects, bool from_platform) {
   std::vector<object> changed;
   for (const auto& o : objects) {
-    if (!this->relevant(o)) continue;
-    if (!this->s.view.merge(o)) continue;
-    changed.push_back(o);
-    this->apply_object(o);
+    // Fields of another writer's object may be missing or of another type.
+    try {
+      if (!this->relevant(o) || !this->s.view.merge(o)) continue;
+      this->apply_object(o);
+      changed.push_back(o);
+    } catch (const json::exception& error) {
+      this->log("object_unusable", {{"kind", o.key.kind},
+                                    {"name", o.key.name},
+                                    {"version", std::to_string(o.version)},
+                                    {"why", error.what()}});
+    }
   }
   if (changed.empty() || !from_platform) return;
   for (const auto& address : this->hall_peer_addresses()) {
