--- a/review/standin-2/site.h
+++ b/review/standin-2/site.h
@@ -377,8 +377,9 @@
        double work_s)
       : prefix("127." + std::to_string(2 + ::getpid() % 250) + "."),
         platform({prefix + "0.1", free_port(prefix + "0.1")}) {
-    char name[] = "/tmp/review-XXXXXX";
-    folder = ::mkdtemp(name);
+    folder =
+        (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
+    folder = ::mkdtemp(folder.data());
     const std::string first = prefix + "1.1";
     node_ports ports;
     for (int* port : {&ports.callers, &ports.ready, &ports.metrics,
