--- a/review/standin-2/engines.h
+++ b/review/standin-2/engines.h
@@ -27,6 +27,7 @@
         group_size(size) {}
   ~engines() {
     over = true;
+    for (auto& [id, e] : all) e->http.reset();
     for (;;) {
       std::vector<std::thread> left;
       {
