review: an entry without born moves an open group's head (case 4)

Cause: an entry of another writer that lacks born and group is taken for that of a free worker, whatever was known of the worker before.

--- a/review/standin-2/engines.h
+++ b/review/standin-2/engines.h
@@ -108,6 +108,29 @@
     after(3 * beat_s, [this, id] { platform.remove("servers", id); });
   }
 
+  /// Another writer puts an entry under an engine's id: its address is right,
+  /// but `born` and all that tells of models and groups is missing.
+  void put_foreign_entry(const std::string& id) {
+    const std::lock_guard lock(mutex);
+    platform.put("servers", id,
+                 {{"service", "lm"},
+                  {"addr", all.at(id)->at.text()},
+                  {"zone", "hall-a"},
+                  {"version", "v1"},
+                  {"slots", 26},
+                  {"state", "ready"},
+                  {"cold_left_ms", 0},
+                  {"domain", "d1"},
+                  {"seq", 1}});
+  }
+  /// Each engine writes its entry.
+  void beat() {
+    const std::lock_guard lock(mutex);
+    for (const auto& [id, e] : all) {
+      if (e->alive) publish(*e);
+    }
+  }
+
   /// Ids of the members of an open group, its head first; empty if there is
   /// none.
   std::vector<std::string> open_group() {
