--- a/review/standin-2/surplus.cc
+++ b/review/standin-2/surplus.cc
@@ -9,7 +9,7 @@
 using namespace review;
 
 constexpr int node_count = 2;
-constexpr int engine_count = 5;
+constexpr int engine_count = 8;
 constexpr int size = 3;
 constexpr int callers = 12;
 const std::string model = "model-a";
